--- /dev/null
+++ b/src/replay/virtual_fake.ts
@@ -0,0 +1,8 @@
+import type {Effect} from '../core/effects/types.js';
+import type {VirtualNode} from './virtual_node.js';
+
+/** Performs effects of some types in virtual time, in place of real I/O. */
+export interface VirtualFake {
+  readonly types: readonly Effect['type'][];
+  handle(node: VirtualNode, effect: Effect): void;
+}
--- /dev/null
+++ b/src/replay/virtual_store.ts
@@ -0,0 +1,62 @@
+import type {Effect, EffectOf} from '../core/effects/types.js';
+import type {StoreOperation, StoreOutcome} from '../core/store/types.js';
+import type {VirtualFake} from './virtual_fake.js';
+import type {VirtualNode} from './virtual_node.js';
+import type {VirtualWorld} from './virtual_world.js';
+import {MemoryPlatform} from '../standins/memory_platform.js';
+
+const EXPIRY_STEP_MS = 50;
+
+/** What a fault plan does to one store call. */
+type StoreFault = 'none' | 'unavailable' | 'lose-answer';
+
+/** The platform's store in virtual time, with faults. */
+export class VirtualStore implements VirtualFake {
+  readonly types = ['store'] as const;
+  /** One way, in milliseconds. */
+  latencyMs = 1;
+  /** Decides the fate of each call; `lose-answer` lets a write take effect. */
+  fault: (node: VirtualNode, operation: StoreOperation) => StoreFault = () =>
+    'none';
+
+  constructor(
+    private readonly world: VirtualWorld,
+    readonly platform = new MemoryPlatform(),
+  ) {
+    this.expire();
+  }
+
+  handle(node: VirtualNode, effect: Effect): void {
+    const call = effect as EffectOf<'store'>;
+    const fault = this.fault(node, call.operation);
+    if (fault === 'unavailable') {
+      this.answer(node, call, {kind: 'unavailable'});
+      return;
+    }
+    this.world.time.after(this.latencyMs, () => {
+      this.platform.call(call.operation, this.world.time.nowMs, outcome => {
+        if (fault === 'none') this.answer(node, call, outcome);
+      });
+    });
+    if (fault !== 'lose-answer') return;
+    this.world.time.after(call.timeoutMs, () => {
+      this.answer(node, call, {kind: 'unknown'});
+    });
+  }
+
+  private answer(
+    node: VirtualNode,
+    call: EffectOf<'store'>,
+    outcome: StoreOutcome,
+  ): void {
+    const {area, operationId} = call;
+    this.world.time.after(this.latencyMs, () => {
+      node.dispatch({type: 'storeResult', area, operationId, outcome});
+    });
+  }
+
+  private expire(): void {
+    this.platform.advance(this.world.time.nowMs);
+    this.world.time.after(EXPIRY_STEP_MS, () => this.expire());
+  }
+}
