--- /dev/null
+++ b/test/support/child_process.ts
@@ -0,0 +1,43 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {fileURLToPath} from 'node:url';
+
+const MAX_OUTPUT_CHARS = 200_000;
+
+/** A process of the system under test. */
+export class TestProcess {
+  output = '';
+  exitCode: number | null = null;
+  readonly ended: Promise<void>;
+  private readonly child: ChildProcess;
+
+  /** @param script Path below `dist/`, such as `src/cli/main.js`. */
+  constructor(script: string, args: readonly string[]) {
+    const path = fileURLToPath(new URL(`../../${script}`, import.meta.url));
+    this.child = spawn(process.execPath, [path, ...args], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    const keep = (chunk: Buffer) => {
+      this.output = (this.output + chunk.toString()).slice(-MAX_OUTPUT_CHARS);
+    };
+    this.child.stdout!.on('data', keep);
+    this.child.stderr!.on('data', keep);
+    this.ended = new Promise(resolve => {
+      this.child.once('exit', code => {
+        this.exitCode = code;
+        resolve();
+      });
+    });
+  }
+
+  /** Sends a signal to this process alone. */
+  signal(name: NodeJS.Signals): void {
+    if (this.exitCode === null) this.child.kill(name);
+  }
+
+  /** Ends the process at once and waits for its end. */
+  async kill(): Promise<void> {
+    this.signal('SIGCONT');
+    this.signal('SIGKILL');
+    await this.ended;
+  }
+}
--- /dev/null
+++ b/test/support/wait_for.ts
@@ -0,0 +1,23 @@
+const POLL_MS = 20;
+
+/** Waits until a condition gives a value; rejects with what was awaited after the limit. */
+export async function waitFor<T>(
+  what: string,
+  check: () => T | undefined | false | Promise<T | undefined | false>,
+  limitMs = 20_000,
+): Promise<T> {
+  const endAtMs = Date.now() + limitMs;
+  let lastError: unknown;
+  for (;;) {
+    try {
+      const value = await check();
+      if (value !== undefined && value !== false) return value;
+    } catch (error) {
+      lastError = error;
+    }
+    if (Date.now() > endAtMs) {
+      throw new Error(`waited ${limitMs} ms for ${what}`, {cause: lastError});
+    }
+    await new Promise(resolve => setTimeout(resolve, POLL_MS));
+  }
+}
