Serve callers over HTTP and pass requests through to targets

The front end and the target client were empty. Bodies are read within limits, answers are held until whole or passed on as complete events, and a verdict is not-run only while no connection to a target was made or the target said so.

--- a/src/core/events/attempt_event.ts
+++ b/src/core/events/attempt_event.ts
@@ -34,6 +34,8 @@
   readonly attemptId: AttemptId;
   readonly tokens: number;
   readonly failure: AttemptFailure;
+  /** The caller has bytes that no other attempt can continue. */
+  readonly unresumable?: boolean;
 }
 
 /** What a target client reports of one attempt. Bytes never pass through here. */
--- a/src/core/requests/reduce_requests.ts
+++ b/src/core/requests/reduce_requests.ts
@@ -5,6 +5,7 @@
 import type {RequestRecord} from './request_record.js';
 import type {Step} from '../state/types.js';
 import {beginOnce, noteOnceOver} from '../once/index.js';
+import {checkCaller} from './check_caller.js';
 import {checkLimits, takeRetry} from '../limits/index.js';
 import {checkQuarantine, noteRanToEnd} from '../quarantine/index.js';
 import {checkRequest} from './check_request.js';
@@ -15,7 +16,6 @@
 import {noteAttemptOver, noteFirstToken} from '../routing/index.js';
 import {refuseRequest} from './refuse_request.js';
 import {requeueRequest} from '../admission/index.js';
-import {resolveEntries} from '../entries/index.js';
 import {worseVerdict} from '../verdict/index.js';
 
 /** The life of requests: arrival, attempts, retries, final answers. */
@@ -39,12 +39,11 @@
 }
 
 function arrive(step: Step, {request}: EventOf<'requestArrived'>): void {
-  const {drain, requests} = step.state;
+  const {requests} = step.state;
   const {requestId} = request;
-  if (drain.draining) {
-    const refusal = createRefusal('NodeDraining', 'not-run', {retryAfterMs: 0});
-    const {entries} = resolveEntries(step.state, request, step.nowMs);
-    step.effects.push({type: 'refuse', requestId, refusal, entries});
+  const refused = checkCaller(step.state, request.tokenSha256, step.nowMs);
+  if (refused) {
+    step.effects.push({type: 'refuse', requestId, ...refused});
     return;
   }
   const checked = checkRequest(step, request).andThen(info => {
@@ -127,7 +126,7 @@
   record.failedTargets.add(targetId);
   record.verdict = worseVerdict(record.verdict, failure.verdict);
   record.deliveredTokens += tokens;
-  if (mayRetry(step, record, failure)) {
+  if (!event.unresumable && mayRetry(step, record, failure)) {
     record.phase = 'queued';
     record.requeuedAtMs = step.nowMs;
     requeueRequest(step, record);
--- /dev/null
+++ b/src/targets/stream_relay.ts
@@ -0,0 +1,46 @@
+import type {IncomingMessage} from 'node:http';
+import type {AnswerRelay} from './answer_relay.js';
+import type {OpenAnswer} from '../callers/types.js';
+import {EventSplitter} from './event_splitter.js';
+import {passOnHeaders} from '../callers/index.js';
+
+/** Passes on a model's token stream, complete events only. */
+export class StreamRelay implements AnswerRelay {
+  tokens = 0;
+  isDone = false;
+  readonly isUnresumable = false;
+  private readonly splitter = new EventSplitter();
+
+  constructor(
+    private readonly answer: OpenAnswer,
+    private readonly response: IncomingMessage,
+    private readonly onTokens: (tokens: number) => void,
+  ) {}
+
+  accept(chunk: Buffer): boolean {
+    if (this.isDone) return true;
+    const {events, count, done} = this.splitter.split(chunk);
+    this.isDone = done;
+    if (count === 0) return true;
+    this.tokens += count;
+    const {answer, response} = this;
+    if (!answer.headSent) {
+      answer.writeHead(response.statusCode!, passOnHeaders(response.headers));
+    }
+    answer.delivered.add(events, count);
+    const mayGoOn = answer.write(events);
+    this.onTokens(this.tokens);
+    return mayGoOn;
+  }
+
+  finish(): boolean {
+    if (!this.isDone) return false;
+    const {answer, response} = this;
+    if (!answer.headSent) {
+      answer.writeHead(response.statusCode!, passOnHeaders(response.headers));
+    }
+    return true;
+  }
+
+  keptAnswer(): undefined {}
+}
--- /dev/null
+++ b/src/targets/target_attempt.ts
@@ -0,0 +1,218 @@
+import type {Agent, ClientRequest, IncomingMessage} from 'node:http';
+import {request as sendRequest} from 'node:http';
+import type {AnswerRelay} from './answer_relay.js';
+import type {AttemptFailure} from '../core/requests/types.js';
+import type {EffectOf} from '../core/effects/types.js';
+import type {EventSink} from '../runtime/types.js';
+import type {OpenAnswer} from '../callers/types.js';
+import {StreamRelay} from './stream_relay.js';
+import {WholeRelay} from './whole_relay.js';
+import {attemptRequest} from './attempt_request.js';
+
+const CONNECT_TIMEOUT_MS = 2000;
+const PROGRESS_TOKENS = 16;
+
+interface TargetAttemptOptions {
+  readonly start: EffectOf<'startAttempt'>;
+  readonly answer: OpenAnswer;
+  readonly events: EventSink;
+  /** Undefined: a connection of its own. */
+  readonly agent?: Agent;
+  readonly silenceMs: number;
+  /** Called once, when the attempt is over. */
+  readonly onOver: () => void;
+}
+
+/** One dispatch of a request to one target. */
+export class TargetAttempt {
+  private readonly request: ClientRequest;
+  private relay?: AnswerRelay;
+  private isHeadSent = false;
+  private isOver = false;
+  private reportedTokens = 0;
+  private silence: NodeJS.Timeout;
+
+  constructor(private readonly options: TargetAttemptOptions) {
+    const {start, answer, agent} = options;
+    const {body, ...head} = attemptRequest(start, answer);
+    this.silence = setTimeout(
+      () => this.fail(this.failure('connect-failed')),
+      CONNECT_TIMEOUT_MS,
+    );
+    this.request = sendRequest({...head, agent: agent ?? false});
+    this.request.on('socket', socket => {
+      if (!socket.connecting) this.noteHeadSent();
+      else socket.once('connect', () => this.noteHeadSent());
+    });
+    this.request.on('response', response => this.receive(response));
+    this.request.on('error', () => this.failConnection());
+    this.request.on('close', () => this.failConnection());
+    this.request.end(body);
+  }
+
+  /** Gives the attempt up: the target sees its connection close. */
+  cancel(): void {
+    this.end();
+    this.request.destroy();
+  }
+
+  /** From here on the target may have the request. */
+  private noteHeadSent(): void {
+    if (this.isOver) return;
+    this.isHeadSent = true;
+    this.expectBytes();
+    const {attemptId} = this.options.start;
+    this.options.events.dispatch({type: 'attemptHeadSent', attemptId});
+  }
+
+  private receive(response: IncomingMessage): void {
+    if (this.isOver) return;
+    const failure = this.refusal(response);
+    if (failure) {
+      response.resume();
+      this.report(failure);
+      return;
+    }
+    const relay = this.createRelay(response);
+    this.relay = relay;
+    this.silence.refresh();
+    response.on('data', (chunk: Buffer) => this.accept(response, chunk));
+    response.on('end', () => this.finish(response));
+    response.on('error', () => this.failConnection());
+    response.on('aborted', () => this.failConnection());
+  }
+
+  /** What a target says when it did not take the request, or failed. */
+  private refusal(response: IncomingMessage): AttemptFailure | undefined {
+    const {headers, statusCode = 0} = response;
+    const mayRefuse = statusCode === 503 || statusCode === 429;
+    if (mayRefuse && headers['x-not-run'] === 'true') {
+      const isLeaving = headers['x-target-state'] === 'leaving';
+      const retryAfterS = Number(headers['retry-after']);
+      return {
+        verdict: 'not-run',
+        cause: isLeaving ? 'target-leaving' : 'target-refused',
+        status: statusCode,
+        ...(retryAfterS >= 0 ? {retryAfterMs: retryAfterS * 1000} : {}),
+      };
+    }
+    const isModel = this.options.answer.kind === 'model';
+    if (!isModel || (statusCode < 500 && statusCode !== 429)) return undefined;
+    return {...this.failure('target-error'), status: statusCode};
+  }
+
+  private createRelay(response: IncomingMessage): AnswerRelay {
+    const {answer} = this.options;
+    const contentType = response.headers['content-type'] ?? '';
+    const isStream = contentType.startsWith('text/event-stream');
+    if (answer.kind !== 'model' || !answer.stream || !isStream) {
+      return new WholeRelay(answer, response);
+    }
+    return new StreamRelay(answer, response, tokens => this.progress(tokens));
+  }
+
+  private accept(response: IncomingMessage, chunk: Buffer): void {
+    if (this.isOver) return;
+    this.silence.refresh();
+    const mayGoOn = this.relay!.accept(chunk);
+    if (this.relay!.isDone) {
+      this.finish(response);
+      return;
+    }
+    if (mayGoOn) return;
+    response.pause();
+    clearTimeout(this.silence); // the caller is slow, not the target
+    this.options.answer.onceDrained(() => {
+      if (this.isOver) return;
+      this.expectBytes();
+      response.resume();
+    });
+  }
+
+  private finish(response: IncomingMessage): void {
+    if (this.isOver) return;
+    const relay = this.relay!;
+    if (!isFramed(response) || !relay.finish()) {
+      this.fail(this.failure('truncated'));
+      return;
+    }
+    const {events, start} = this.options;
+    const {tokens} = relay;
+    const kept = start.freshConnection ? relay.keptAnswer() : undefined;
+    this.end();
+    events.dispatch({
+      type: 'attemptEnded',
+      attemptId: start.attemptId,
+      status: response.statusCode!,
+      tokens,
+      ...(kept && {answer: kept}),
+    });
+  }
+
+  private progress(tokens: number): void {
+    const {events, start} = this.options;
+    const {attemptId} = start;
+    if (this.reportedTokens === 0) {
+      events.dispatch({type: 'attemptFirstToken', attemptId});
+    } else if (tokens - this.reportedTokens < PROGRESS_TOKENS) {
+      return;
+    }
+    this.reportedTokens = tokens;
+    events.dispatch({type: 'attemptProgress', attemptId, tokens});
+  }
+
+  private expectBytes(): void {
+    clearTimeout(this.silence);
+    this.silence = setTimeout(
+      () => this.fail(this.failure('silent')),
+      this.options.silenceMs,
+    );
+  }
+
+  private failConnection(): void {
+    const hasAnswer = this.relay !== undefined;
+    const lost = hasAnswer ? 'truncated' : 'reset';
+    this.fail(this.failure(this.isHeadSent ? lost : 'connect-failed'));
+  }
+
+  private failure(cause: AttemptFailure['cause']): AttemptFailure {
+    return {verdict: this.isHeadSent ? 'may-have-run' : 'not-run', cause};
+  }
+
+  private fail(failure: AttemptFailure): void {
+    if (this.isOver) return;
+    this.request.destroy();
+    this.report(failure);
+  }
+
+  private report(failure: AttemptFailure): void {
+    const {events, start} = this.options;
+    const {attemptId} = start;
+    const tokens = this.relay?.tokens ?? 0;
+    const isUnresumable = this.relay?.isUnresumable ?? false;
+    this.end();
+    events.dispatch({
+      type: 'attemptFailed',
+      attemptId,
+      tokens,
+      failure,
+      ...(isUnresumable && {unresumable: true}),
+    });
+  }
+
+  private end(): void {
+    if (this.isOver) return;
+    this.isOver = true;
+    clearTimeout(this.silence);
+    this.options.onOver();
+  }
+}
+
+/** Whether the end of an answer could be told from a cut connection. */
+function isFramed({headers, statusCode}: IncomingMessage): boolean {
+  if (statusCode === 204 || statusCode === 304) return true;
+  return (
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined
+  );
+}
