Split the life of a request into modules and build the at-most-once ledger

The deadline scan over all live requests on every tick becomes a wheel with constant cost for each request. An unrepeatable run outlives its caller's deadline, so that its outcome can be recorded. The ledger claims a key by create-if-absent, asks the holder before it takes a claim over, and records the outcome with retries.

--- a/src/core/once/begin_once.ts
+++ b/src/core/once/begin_once.ts
@@ -1,12 +1,39 @@
+import type {OnceClaim} from './once_claim.js';
+import type {OperationId} from '../ids/index.js';
 import type {RequestRecord} from '../requests/types.js';
 import type {Step} from '../state/types.js';
 import {createRefusal} from '../errors/index.js';
+import {meetClaim} from './meet_claim.js';
+import {nextId} from '../state/index.js';
 import {refuseRequest} from '../requests/index.js';
+import {writeClaim} from './write_claim.js';
+
+const MAX_STEPS = 8;
+/** Outcomes that may wait for the store before new claims are refused. */
+const MAX_UNRECORDED = 10_000;
+const RETRY_AFTER_MS = 1000;
 
 /** Claims the key of an unrepeatable request; calls `claimWon` or refuses later. */
 export function beginOnce(step: Step, record: RequestRecord): void {
-  const refusal = createRefusal('OnceLedgerUnavailable', 'not-run', {
-    retryAfterMs: 1000,
-  });
-  refuseRequest(step, record, refusal);
+  const {claims, retries} = step.state.once;
+  const onceKey = record.info.onceKey!;
+  const known = claims.get(onceKey);
+  if (known && meetClaim(step, record, known)) return;
+  if (retries.size >= MAX_UNRECORDED) {
+    const options = {retryAfterMs: RETRY_AFTER_MS};
+    const refusal = createRefusal('OnceLedgerUnavailable', 'not-run', options);
+    refuseRequest(step, record, refusal);
+    return;
+  }
+  const claim: OnceClaim = {
+    onceKey,
+    nonce: nextId<OperationId>(step, 'cl'),
+    phase: 'claiming',
+    record,
+    version: 0,
+    stepsLeft: MAX_STEPS,
+    retries: 0,
+  };
+  claims.set(onceKey, claim);
+  writeClaim(step, claim);
 }
--- a/src/core/once/create_once_state.ts
+++ b/src/core/once/create_once_state.ts
@@ -2,5 +2,10 @@
 
 /** Creates a ledger view without claims. */
 export function createOnceState(): OnceState {
-  return {claims: new Map()};
+  return {
+    claims: new Map(),
+    operations: new Map(),
+    retries: new Set(),
+    sweep: {nextAtMs: 0, afterKey: ''},
+  };
 }
--- a/src/core/once/note_once_dispatched.ts
+++ b/src/core/once/note_once_dispatched.ts
@@ -2,9 +2,9 @@
 import type {Step} from '../state/types.js';
 
 /** Marks a claim as dispatched; from now on it is never given up. False: it was given up before. */
-export function noteOnceDispatched(
-  _step: Step,
-  _record: RequestRecord,
-): boolean {
+export function noteOnceDispatched(step: Step, record: RequestRecord): boolean {
+  const claim = step.state.once.claims.get(record.info.onceKey!);
+  if (claim?.record !== record || claim.phase !== 'held') return false;
+  claim.phase = 'dispatched';
   return true;
 }
--- /dev/null
+++ b/src/core/once/parse_once_entry.ts
@@ -0,0 +1,11 @@
+import type {OnceEntry} from './once_entry.js';
+
+/** Reads a value under `once/`; undefined when it is none. */
+export function parseOnceEntry(value: string): OnceEntry | undefined {
+  try {
+    const entry = JSON.parse(value) as OnceEntry;
+    return typeof entry?.nonce === 'string' ? entry : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/core/requests/close_attempt.ts
@@ -0,0 +1,22 @@
+import type {AttemptResult} from '../routing/types.js';
+import type {RequestRecord} from './request_record.js';
+import type {Step} from '../state/types.js';
+import {noteAttemptOver} from '../routing/index.js';
+
+/** Notes that a request's attempt is over: its later events change nothing. */
+export function closeAttempt(
+  step: Step,
+  record: RequestRecord,
+  result: AttemptResult,
+): void {
+  const {attempt} = record;
+  if (!attempt) return;
+  noteAttemptOver(step, record, result);
+  const {byAttempt, byTarget} = step.state.requests;
+  byAttempt.delete(attempt.attemptId);
+  const others = byTarget.get(attempt.targetId);
+  if (others?.delete(record) && others.size === 0) {
+    byTarget.delete(attempt.targetId);
+  }
+  delete record.attempt;
+}
--- a/src/core/requests/dispatch_queued.ts
+++ b/src/core/requests/dispatch_queued.ts
@@ -1,10 +1,15 @@
 import type {AttemptId} from '../ids/index.js';
 import type {Dispatch} from '../admission/types.js';
 import type {Step} from '../state/types.js';
+import {createRefusal} from '../errors/index.js';
 import {nextDispatches} from '../admission/index.js';
 import {nextId} from '../state/index.js';
 import {noteDispatched} from '../routing/index.js';
-import {noteOnceDispatched} from '../once/index.js';
+import {noteOnceDispatched, noteOnceOver} from '../once/index.js';
+import {openAttempt} from './open_attempt.js';
+import {refuseRequest} from './refuse_request.js';
+
+const RETRY_AFTER_MS = 1000;
 
 /** Starts every queued request for which a target has a free slot. Runs after each event. */
 export function dispatchQueued(step: Step): void {
@@ -12,31 +17,37 @@
     const dispatches = nextDispatches(step);
     if (dispatches.length === 0) return;
     for (const dispatch of dispatches) {
-      startAttempt(step, dispatch);
+      if (mayStart(step, dispatch)) startAttempt(step, dispatch);
     }
   }
 }
 
+/** A node that was paused may find a request whose deadline passed meanwhile. */
+function mayStart(step: Step, {record}: Dispatch): boolean {
+  const {info, verdict} = record;
+  const isLate = step.nowMs >= info.deadlineAtMs;
+  if (!isLate && (!info.unrepeatable || noteOnceDispatched(step, record))) {
+    return true;
+  }
+  const name = isLate ? 'DeadlinePassed' : 'AlreadyRunning';
+  if (info.unrepeatable) noteOnceOver(step, record);
+  const options = {retryAfterMs: RETRY_AFTER_MS};
+  refuseRequest(step, record, createRefusal(name, verdict, options));
+  return false;
+}
+
 function startAttempt(step: Step, {record, target}: Dispatch): void {
   const {info} = record;
-  if (info.unrepeatable && !noteOnceDispatched(step, record)) return;
+  const {targetId, address} = target;
   const attemptId = nextId<AttemptId>(step, 'at');
-  record.phase = 'running';
-  record.attempts += 1;
-  record.attempt = {
-    attemptId,
-    targetId: target.targetId,
-    startedAtMs: step.nowMs,
-    tokens: 0,
-  };
-  step.state.requests.byAttempt.set(attemptId, record);
+  openAttempt(step, record, attemptId, targetId);
   noteDispatched(step, record, target);
   step.effects.push({
     type: 'startAttempt',
     requestId: info.requestId,
     attemptId,
-    targetId: target.targetId,
-    address: target.address,
+    targetId,
+    address,
     freshConnection: info.unrepeatable,
     resume: record.deliveredTokens > 0,
     priority: info.priority,
--- /dev/null
+++ b/src/core/requests/end_attempt.ts
@@ -0,0 +1,21 @@
+import type {EventOf} from '../events/types.js';
+import type {Step} from '../state/types.js';
+import {closeAttempt} from './close_attempt.js';
+import {countMetric} from '../state/index.js';
+import {forgetRequest} from './forget_request.js';
+import {noteOnceOver} from '../once/index.js';
+import {noteRanToEnd} from '../quarantine/index.js';
+
+/** Finishes a request whose answer the caller has whole. */
+export function endAttempt(step: Step, event: EventOf<'attemptEnded'>): void {
+  const record = step.state.requests.byAttempt.get(event.attemptId);
+  if (!record) return;
+  closeAttempt(step, record, {kind: 'ended', tokens: event.tokens});
+  noteRanToEnd(step, record.info);
+  if (record.info.unrepeatable) noteOnceOver(step, record, event);
+  forgetRequest(step, record);
+  if (record.detached) return;
+  const {requestId, service} = record.info;
+  step.effects.push({type: 'finishAnswer', requestId});
+  countMetric(step, 'requests', 1, {service, verdict: 'ran'});
+}
--- a/src/core/requests/forget_request.ts
+++ b/src/core/requests/forget_request.ts
@@ -5,7 +5,9 @@
 
 /** Removes a request whose final answer is decided; nothing can dispatch it afterwards. */
 export function forgetRequest(step: Step, record: RequestRecord): void {
+  const {byId, deadlines} = step.state.requests;
   removeQueuedRequest(step, record);
-  step.state.requests.byId.delete(record.info.requestId);
+  deadlines.remove(record);
+  byId.delete(record.info.requestId);
   noteRequestOver(step, record.info);
 }
--- /dev/null
+++ b/src/core/requests/open_attempt.ts
@@ -0,0 +1,20 @@
+import type {AttemptId, TargetId} from '../ids/index.js';
+import type {RequestRecord} from './request_record.js';
+import type {Step} from '../state/types.js';
+
+/** Notes that a request runs on a target. */
+export function openAttempt(
+  step: Step,
+  record: RequestRecord,
+  attemptId: AttemptId,
+  targetId: TargetId,
+): void {
+  const {byAttempt, byTarget} = step.state.requests;
+  record.phase = 'running';
+  record.attempts += 1;
+  record.attempt = {attemptId, targetId, startedAtMs: step.nowMs, tokens: 0};
+  byAttempt.set(attemptId, record);
+  const others = byTarget.get(targetId);
+  if (others) others.add(record);
+  else byTarget.set(targetId, new Set([record]));
+}
--- a/src/core/requests/refuse_request.ts
+++ b/src/core/requests/refuse_request.ts
@@ -10,14 +10,10 @@
   record: RequestRecord,
   refusal: Refusal,
 ): void {
+  const {requestId, service} = record.info;
+  const {verdict} = refusal.body;
   forgetRequest(step, record);
-  step.effects.push({
-    type: 'refuse',
-    requestId: record.info.requestId,
-    refusal,
-  });
-  countMetric(step, 'requests', 1, {
-    service: record.info.service,
-    verdict: refusal.body.verdict,
-  });
+  if (record.detached) return;
+  step.effects.push({type: 'refuse', requestId, refusal});
+  countMetric(step, 'requests', 1, {service, verdict});
 }
--- a/src/core/requests/request_record.ts
+++ b/src/core/requests/request_record.ts
@@ -9,8 +9,6 @@
   firstTokenAtMs?: number;
   /** Tokens delivered to the caller by this attempt. */
   tokens: number;
-  /** Set once a pause or cancel was ordered; its late events change nothing. */
-  cancelledFor?: 'pause' | 'move' | 'caller-gone' | 'deadline';
 }
 
 /** A live request at this node. */
@@ -29,4 +27,8 @@
   /** First time this request entered the queue, and the last. */
   queuedAtMs: number;
   requeuedAtMs: number;
+  /** The caller has its final answer, or left; the run goes on to be recorded. */
+  detached?: boolean;
+  /** Where the deadline wheel keeps this request. */
+  deadlineBucket?: number;
 }
--- a/src/core/requests/requests_state.ts
+++ b/src/core/requests/requests_state.ts
@@ -1,8 +1,12 @@
-import type {AttemptId, RequestId} from '../ids/index.js';
+import type {AttemptId, RequestId, TargetId} from '../ids/index.js';
+import type {DeadlineWheel} from './deadline_wheel.js';
 import type {RequestRecord} from './request_record.js';
 
 /** Live requests of this node. */
 export interface RequestsState {
   readonly byId: Map<RequestId, RequestRecord>;
   readonly byAttempt: Map<AttemptId, RequestRecord>;
+  /** Requests that run on each target. */
+  readonly byTarget: Map<TargetId, Set<RequestRecord>>;
+  readonly deadlines: DeadlineWheel;
 }
--- a/src/targets/attempt_request.ts
+++ b/src/targets/attempt_request.ts
@@ -17,7 +17,7 @@
   answer: OpenAnswer,
 ): AttemptRequest {
   const at = attempt.address.lastIndexOf(':');
-  const body = attempt.resume ? resumedBody(answer) : answer.body;
+  const body = answer.delivered.tokens > 0 ? resumedBody(answer) : answer.body;
   const headers: OutgoingHttpHeaders = {
     ...answer.headers,
     'x-attempt-id': attempt.attemptId,
--- a/src/targets/attempt_runner.ts
+++ b/src/targets/attempt_runner.ts
@@ -45,6 +45,17 @@
       events.dispatch({type: 'attemptFailed', attemptId, tokens: 0, failure});
       return;
     }
+    if (answer.headSent && answer.delivered.tokens === 0) {
+      // What the caller has of an answer that is not a token stream cannot be continued.
+      events.dispatch({
+        type: 'attemptFailed',
+        attemptId,
+        tokens: 0,
+        failure: {verdict: 'not-run', cause: 'truncated'},
+        unresumable: true,
+      });
+      return;
+    }
     const attempt = new TargetAttempt({
       start: effect,
       answer,
