--- /dev/null
+++ b/test/units/once/once_failures.test.ts
@@ -0,0 +1,197 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {OnceWorld} from '../../support/once_world.js';
+
+const SEED = 7;
+
+function createWorld(): OnceWorld {
+  return new OnceWorld(SEED, 2);
+}
+
+/** Fills both targets of both nodes, so that what follows waits in the queue. */
+function fillTargets(once: OnceWorld, at: number): void {
+  once.runMs = 1500;
+  once.send(at, `filler-1-${at}`);
+  once.send(at, `filler-2-${at}`);
+  once.runFor(50);
+}
+
+test('a second send of a key gets the kept answer, at its own and at another node', () => {
+  const once = createWorld();
+  const first = once.send(0, 'k');
+  once.runFor(100);
+  const again = once.send(0, 'k');
+  const elsewhere = once.send(1, 'k');
+  once.runFor(100);
+  assert.equal(once.answers.get(first)?.name, 'finished');
+  assert.equal(once.answers.get(again)?.body, 'done');
+  assert.equal(once.answers.get(elsewhere)?.body, 'done');
+  assert.equal(once.runsOf('k'), 1);
+});
+
+test('the same key at two nodes in one moment runs once', () => {
+  const once = createWorld();
+  const ids = [once.send(0, 'k'), once.send(1, 'k')];
+  once.runFor(1000);
+  assert.equal(once.runsOf('k'), 1);
+  const verdicts = ids.map(id => once.answers.get(id)?.verdict);
+  assert.ok(verdicts.includes('ran'), verdicts.join());
+});
+
+test('a queued request is given up for a newer send of its key, which runs', () => {
+  const once = createWorld();
+  fillTargets(once, 0);
+  const queued = once.send(0, 'k');
+  once.runFor(50);
+  const newer = once.send(1, 'k');
+  once.runFor(3000);
+  assert.equal(once.answers.get(queued)?.verdict, 'not-run');
+  assert.equal(once.answers.get(newer)?.verdict, 'ran');
+  assert.equal(once.runsOf('k'), 1);
+});
+
+test('a node killed before dispatch leaves its key may-have-run, and never run', () => {
+  const once = createWorld();
+  fillTargets(once, 0);
+  once.send(0, 'k');
+  once.runFor(50);
+  once.restart(0);
+  const second = once.send(1, 'k');
+  once.runFor(3000);
+  assert.equal(once.answers.get(second)?.verdict, 'may-have-run');
+  assert.equal(once.runsOf('k'), 0);
+});
+
+test('a node killed after dispatch: a second node does not run the request', () => {
+  const once = createWorld();
+  once.runMs = 500;
+  once.send(0, 'k');
+  once.runFor(100);
+  once.restart(0);
+  const second = once.send(1, 'k');
+  once.runFor(3000);
+  assert.equal(once.answers.get(second)?.verdict, 'may-have-run');
+  assert.equal(once.runsOf('k'), 1);
+});
+
+test('a node killed between the answer and its record: a second node does not run the request', () => {
+  const once = createWorld();
+  once.storeFaults.push('none', 'unavailable');
+  const first = once.send(0, 'k');
+  once.runFor(100);
+  assert.equal(once.answers.get(first)?.name, 'finished');
+  once.restart(0);
+  const second = once.send(1, 'k');
+  once.runFor(1000);
+  assert.equal(once.answers.get(second)?.verdict, 'may-have-run');
+  assert.equal(once.runsOf('k'), 1);
+});
+
+test('a node killed after the record: a second node sends the kept answer', () => {
+  const once = createWorld();
+  once.send(0, 'k');
+  once.runFor(100);
+  once.restart(0);
+  const second = once.send(1, 'k');
+  once.runFor(1000);
+  assert.equal(once.answers.get(second)?.body, 'done');
+  assert.equal(once.runsOf('k'), 1);
+});
+
+test('a claim whose answer is lost is read back and runs once', () => {
+  const once = createWorld();
+  once.storeFaults.push('lost');
+  const first = once.send(0, 'k');
+  once.runFor(1900);
+  assert.equal(once.answers.get(first)?.name, 'finished');
+  assert.equal(once.runsOf('k'), 1);
+});
+
+test('a node frozen past every time-out does not run what another was told may have run', () => {
+  const once = createWorld();
+  fillTargets(once, 0);
+  once.send(0, 'k');
+  const unasked = once.send(0, 'unasked');
+  once.runFor(50);
+  once.node(0).freeze();
+  const second = once.send(1, 'k');
+  once.runFor(60_000);
+  assert.equal(once.answers.get(second)?.verdict, 'may-have-run');
+  once.node(0).thaw();
+  once.runFor(5000);
+  assert.equal(once.runsOf('k'), 0);
+  assert.equal(once.answers.get(unasked)?.name, 'DeadlinePassed');
+  assert.equal(once.runsOf('unasked'), 0);
+});
+
+test('with the store down an unrepeatable request is refused at once, not run, with a retry time', () => {
+  const once = createWorld();
+  once.setStoreDown(true);
+  const refused = once.send(0, 'k');
+  once.runFor(10);
+  const answer = once.answers.get(refused);
+  assert.equal(answer?.name, 'OnceLedgerUnavailable');
+  assert.equal(answer?.verdict, 'not-run');
+  assert.ok(answer?.retryAfterMs);
+  once.setStoreDown(false);
+  const second = once.send(1, 'k');
+  once.runFor(100);
+  assert.equal(once.answers.get(second)?.verdict, 'ran');
+});
+
+test('a key used with another body is refused', () => {
+  const once = createWorld();
+  once.send(0, 'k');
+  once.runFor(100);
+  const local = once.send(0, 'k', 'other');
+  const remote = once.send(1, 'k', 'other');
+  once.runFor(100);
+  for (const id of [local, remote]) {
+    assert.equal(once.answers.get(id)?.name, 'IdempotencyKeyReused');
+  }
+});
+
+test('a run that outlasts its deadline is told at once, and its answer is kept', () => {
+  const once = createWorld();
+  once.runMs = 5000;
+  const first = once.send(0, 'k');
+  once.runFor(2100);
+  assert.equal(once.answers.get(first)?.name, 'DeadlinePassed');
+  assert.equal(once.answers.get(first)?.verdict, 'may-have-run');
+  const meanwhile = once.send(1, 'k');
+  once.runFor(100);
+  assert.equal(once.answers.get(meanwhile)?.name, 'AlreadyRunning');
+  once.runFor(4000);
+  const later = once.send(1, 'k');
+  once.runFor(100);
+  assert.equal(once.answers.get(later)?.body, 'done');
+  assert.equal(once.runsOf('k'), 1);
+});
+
+test('a request that every target refused frees its key', () => {
+  const once = createWorld();
+  once.targetFaults.push('refuses', 'refuses');
+  const first = once.send(0, 'k');
+  once.runFor(2100);
+  assert.equal(once.answers.get(first)?.verdict, 'not-run');
+  once.runFor(100);
+  once.restart(0);
+  const second = once.send(1, 'k');
+  once.runFor(100);
+  assert.equal(once.answers.get(second)?.verdict, 'ran');
+});
+
+test('the sweep removes entries past their retention and no other', () => {
+  const once = createWorld();
+  once.send(0, 'old');
+  once.runFor(300_000);
+  once.send(0, 'young');
+  once.runFor(500_000);
+  const states = once.platform
+    .list('once/')
+    .map(e => JSON.parse(e.value).state);
+  assert.deepEqual(states, ['ran']);
+  const reused = once.send(1, 'old');
+  once.runFor(100);
+  assert.equal(once.answers.get(reused)?.name, 'finished');
+});
