--- /dev/null
+++ b/src/cli/replay/index.ts
@@ -0,0 +1,1 @@
+export {replayCommand} from './replay_command.js';
--- /dev/null
+++ b/src/cli/replay/replay_command.ts
@@ -0,0 +1,56 @@
+import type {CommandModule} from 'yargs';
+import {readFileSync} from 'node:fs';
+import {
+  SCENARIOS,
+  checkOutcomes,
+  parseTrace,
+} from '../../replay/scenarios/index.js';
+import {printReport} from './print_report.js';
+
+const EXIT_NOT_MET = 1;
+const EXIT_USAGE = 2;
+
+interface ReplayArguments {
+  readonly trace?: string;
+  readonly compare: boolean;
+  readonly json: boolean;
+}
+
+/** `rhubarbstile replay`: runs a trace through the core in virtual time. */
+export const replayCommand: CommandModule<unknown, ReplayArguments> = {
+  command: 'replay [trace]',
+  describe: 'Replay a recorded trace in virtual time against its outcomes',
+  builder: yargs =>
+    yargs
+      .positional('trace', {type: 'string', describe: 'Trace file'})
+      .option('compare', {
+        type: 'boolean',
+        default: false,
+        describe: 'Run the baselines beside it',
+      })
+      .option('json', {type: 'boolean', default: false})
+      .example('$0 replay crest.jsonl --compare', 'Compare with the baselines')
+      .epilogue('Exit codes: 0 met, 1 an outcome is not met, 2 wrong usage.'),
+  handler: replay,
+};
+
+function replay(args: ReplayArguments): void {
+  if (args.trace === undefined) return fail('Name a trace file.');
+  const trace = parseTrace(readFileSync(args.trace, 'utf8'));
+  if (!trace) return fail(`"${args.trace}" does not start with a trace head.`);
+  const scenario = SCENARIOS.get(trace.head.scenario);
+  if (!scenario) return fail(`No scenario "${trace.head.scenario}".`);
+  const report = scenario.run(trace, {compare: args.compare});
+  const outcomes = checkOutcomes(trace, report);
+  process.stdout.write(
+    args.json
+      ? JSON.stringify({...report, outcomes}) + '\n'
+      : printReport(report, outcomes),
+  );
+  if (outcomes.some(outcome => !outcome.isMet)) process.exitCode = EXIT_NOT_MET;
+}
+
+function fail(message: string): void {
+  process.stderr.write(message + '\n');
+  process.exitCode = EXIT_USAGE;
+}
--- /dev/null
+++ b/src/replay/scenarios/outcome_bound.ts
@@ -0,0 +1,5 @@
+/** Bounds that a measure has to keep, both inclusive. */
+export interface OutcomeBound {
+  readonly min?: number;
+  readonly max?: number;
+}
--- /dev/null
+++ b/src/replay/scenarios/scenario.ts
@@ -0,0 +1,13 @@
+import type {ScenarioReport} from './scenario_report.js';
+import type {Trace} from './trace.js';
+
+interface ScenarioOptions {
+  /** Runs the baselines, and the system with each mechanism off, beside it. */
+  readonly compare: boolean;
+}
+
+/** Replays traces of one kind in virtual time; equal traces give equal reports. */
+export interface Scenario {
+  readonly name: string;
+  run(trace: Trace, options: ScenarioOptions): ScenarioReport;
+}
--- /dev/null
+++ b/src/replay/scenarios/trace.ts
@@ -0,0 +1,19 @@
+import type {OutcomeBound} from './outcome_bound.js';
+
+/** First line of a trace. */
+interface TraceHead {
+  readonly kind: 'trace';
+  /** Name of the scenario that runs it. */
+  readonly scenario: string;
+  readonly seed: number;
+  /** Bounds on the scenario's measures, by name of the measure. */
+  readonly outcomes: Readonly<Record<string, OutcomeBound>>;
+  /** Whatever else the scenario needs. */
+  readonly [key: string]: unknown;
+}
+
+/** A trace file: a head, then one JSON value a line. */
+export interface Trace {
+  readonly head: TraceHead;
+  readonly lines: readonly unknown[];
+}
