--- /dev/null
+++ b/src/core/admission/default_scheduling.ts
@@ -0,0 +1,15 @@
+import type {SchedulingOptions} from './scheduling_options.js';
+
+/** What nodes run with. */
+export const DEFAULT_SCHEDULING: SchedulingOptions = {
+  shortFirst: true,
+  longShare: true,
+  pauses: true,
+  fairness: true,
+  deadlineRefusal: true,
+  retryBudget: true,
+  prefixAffinity: true,
+  relativeSpeed: true,
+  ejection: true,
+  loadCorrection: true,
+};
--- a/src/core/routing/select_target.ts
+++ b/src/core/routing/select_target.ts
@@ -7,16 +7,5 @@
   step: Step,
   record: RequestRecord,
 ): Target | undefined {
-  const {routing, targets} = step.state;
-  let best: Target | undefined;
-  let bestLoad = Infinity;
-  for (const id of targets.byService.get(record.info.service) ?? []) {
-    const target = targets.byId.get(id)!;
-    const load = routing.inFlight.get(id) ?? 0;
-    if (target.bar || record.failedTargets.has(id)) continue;
-    if (load >= target.slots || load >= bestLoad) continue;
-    best = target;
-    bestLoad = load;
-  }
-  return best;
+  return step.state.routing.policy.select(step, record);
 }
