Replay demand swings through the core beside round robin and least outstanding

Traces come from a seeded generator: 18 nodes, 65 engines and 3 application targets, reports every 0.5 s that arrive 0.1 s late, heavy-tailed lengths, one straggler. Callers send again when a refusal says when, alike for every variant.

--- a/src/cli/replay/replay_command.ts
+++ b/src/cli/replay/replay_command.ts
@@ -5,6 +5,10 @@
   checkOutcomes,
   parseTrace,
 } from '../../replay/scenarios/index.js';
+import {
+  LOAD_TRACE_PLANS,
+  generateLoadTrace,
+} from '../../replay/traces/index.js';
 import {printReport} from './print_report.js';
 
 const EXIT_NOT_MET = 1;
@@ -14,6 +18,7 @@
   readonly trace?: string;
   readonly compare: boolean;
   readonly json: boolean;
+  readonly generate?: string;
 }
 
 /** `rhubarbstile replay`: runs a trace through the core in virtual time. */
@@ -29,12 +34,19 @@
         describe: 'Run the baselines beside it',
       })
       .option('json', {type: 'boolean', default: false})
+      .option('generate', {
+        type: 'string',
+        choices: [...LOAD_TRACE_PLANS.keys()],
+        describe: 'Write the trace of this name to standard output',
+      })
       .example('$0 replay crest.jsonl --compare', 'Compare with the baselines')
       .epilogue('Exit codes: 0 met, 1 an outcome is not met, 2 wrong usage.'),
   handler: replay,
 };
 
 function replay(args: ReplayArguments): void {
+  const plan = LOAD_TRACE_PLANS.get(args.generate ?? '');
+  if (plan) return void process.stdout.write(generateLoadTrace(plan));
   if (args.trace === undefined) return fail('Name a trace file.');
   const trace = parseTrace(readFileSync(args.trace, 'utf8'));
   if (!trace) return fail(`"${args.trace}" does not start with a trace head.`);
--- /dev/null
+++ b/src/replay/load/load_fleet.ts
@@ -0,0 +1,35 @@
+import type {EngineOptions} from './engine_options.js';
+
+interface LoadService {
+  readonly name: string;
+  readonly kind: 'model' | 'application';
+  readonly engines: number;
+  readonly engine: EngineOptions;
+}
+
+interface LoadOrganisation {
+  readonly name: string;
+  readonly weight: number;
+}
+
+/** A target that runs slower for a while. */
+interface Straggler {
+  readonly service: string;
+  readonly engine: number;
+  readonly slowdown: number;
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
+/** Nodes, targets and organisations of a load trace; part of its head. */
+export interface LoadFleet {
+  readonly nodes: number;
+  readonly services: readonly LoadService[];
+  readonly organisations: readonly LoadOrganisation[];
+  readonly stragglers: readonly Straggler[];
+  readonly reportIntervalMs: number;
+  readonly reportLagMs: number;
+  /** The crest of demand: requests sent within it are measured apart. */
+  readonly crestFromMs: number;
+  readonly crestUntilMs: number;
+}
--- /dev/null
+++ b/src/replay/load/run_load.ts
@@ -0,0 +1,81 @@
+import type {Incarnation, NodeId, ZoneId} from '../../core/ids/index.js';
+import type {LoadFleet} from './load_fleet.js';
+import type {LoadRequest} from './load_request.js';
+import type {NodeState} from '../../core/state/types.js';
+import type {RequestOutcome} from './request_outcome.js';
+import {VirtualCallers} from './virtual_callers.js';
+import {VirtualTargets} from './virtual_targets.js';
+import {VirtualWorld} from '../virtual_world.js';
+import {installFleet} from './install_fleet.js';
+import {makeId} from '../../core/ids/index.js';
+
+const ZONES = 3;
+/** Time after the last request for answers to end. */
+const DRAIN_MS = 300_000;
+const ROLES = {
+  entry: true,
+  relay: false,
+  observer: false,
+  broker: true,
+  steward: false,
+};
+
+interface LoadRun {
+  readonly fleet: LoadFleet;
+  readonly requests: readonly LoadRequest[];
+  readonly seed: number;
+  /** Changes a node before it starts, to run a baseline. */
+  readonly prepare: (state: NodeState, at: number) => void;
+}
+
+/** Runs a load trace through nodes' cores against virtual engines. */
+export function runLoad(run: LoadRun): readonly RequestOutcome[] {
+  const {fleet, requests, seed} = run;
+  const world = new VirtualWorld();
+  const callers = new VirtualCallers(world);
+  const targets = new VirtualTargets(world, fleet, id => callers.outcomeOf(id));
+  world.addFake(callers);
+  world.addFake(targets);
+  for (let at = 0; at < fleet.nodes; at++) {
+    const node = world.addNode(createSelf(at), seed + at);
+    installFleet(node.state, fleet);
+    run.prepare(node.state, at);
+    node.start();
+  }
+  targets.startReports();
+  callers.start(requests);
+  const lastMs = requests.at(-1)?.atMs ?? 0;
+  let leftMs = lastMs + DRAIN_MS;
+  while (leftMs > 0 && !isOver(callers, world.time.nowMs, lastMs)) {
+    world.time.runUntil(world.time.nowMs + STEP_MS);
+    leftMs -= STEP_MS;
+  }
+  return callers.outcomes;
+}
+
+const STEP_MS = 1000;
+
+function isOver(
+  callers: VirtualCallers,
+  nowMs: number,
+  lastMs: number,
+): boolean {
+  if (nowMs <= lastMs) return false;
+  return callers.outcomes.every(
+    ({request, endedAtMs}) =>
+      endedAtMs !== undefined || nowMs > request.atMs + request.deadlineMs,
+  );
+}
+
+function createSelf(at: number) {
+  const nodeId = makeId<NodeId>(`node-${at}`);
+  return {
+    nodeId,
+    incarnation: makeId<Incarnation>(`${nodeId}/0`),
+    zone: makeId<ZoneId>(`zone-${at % ZONES}`),
+    region: 'region',
+    callerAddress: `${nodeId}:1`,
+    controlAddress: `${nodeId}:2`,
+    roles: ROLES,
+  };
+}
--- /dev/null
+++ b/src/replay/load/virtual_callers.ts
@@ -0,0 +1,108 @@
+import {createHash} from 'node:crypto';
+import type {Effect, EffectOf} from '../../core/effects/types.js';
+import type {LoadRequest} from './load_request.js';
+import type {RequestId} from '../../core/ids/index.js';
+import type {RequestOutcome} from './request_outcome.js';
+import type {VirtualFake} from '../virtual_fake.js';
+import type {VirtualNode} from '../virtual_node.js';
+import type {VirtualWorld} from '../virtual_world.js';
+import {makeId} from '../../core/ids/index.js';
+
+/** Sends of one request by its caller. */
+const MAX_SENDS = 5;
+/** How long a caller keeps using one node. */
+const ENTRY_KEPT_MS = 10_000;
+
+/** Callers that send a trace's requests, and send again when a refusal says when. */
+export class VirtualCallers implements VirtualFake {
+  readonly types = ['refuse', 'finishAnswer'] as const;
+  readonly outcomes: RequestOutcome[] = [];
+  private readonly byRequest = new Map<RequestId, RequestOutcome>();
+  private readonly tokens = new Map<string, string>();
+
+  constructor(private readonly world: VirtualWorld) {}
+
+  /** What becomes of the request that a node knows by an id. */
+  outcomeOf(requestId: RequestId): RequestOutcome {
+    return this.byRequest.get(requestId)!;
+  }
+
+  /** Plans all sends of a trace. */
+  start(requests: readonly LoadRequest[]): void {
+    for (const request of requests) {
+      const outcome: RequestOutcome = {
+        request,
+        sends: 0,
+        attempts: 0,
+        refusals: 0,
+        pauses: 0,
+      };
+      this.outcomes.push(outcome);
+      this.world.time.after(request.atMs, () => this.send(outcome));
+    }
+  }
+
+  handle(_node: VirtualNode, effect: Effect): void {
+    const {nowMs} = this.world.time;
+    if (effect.type === 'finishAnswer') {
+      this.outcomeOf(effect.requestId).endedAtMs = nowMs;
+    }
+    if (effect.type === 'refuse') this.refused(effect);
+  }
+
+  private refused({requestId, refusal}: EffectOf<'refuse'>): void {
+    const outcome = this.outcomeOf(requestId);
+    outcome.refusals += 1;
+    const {verdict, retryAfterMs} = refusal.body;
+    if (verdict !== 'not-run' || retryAfterMs === undefined) return;
+    if (outcome.sends >= MAX_SENDS) return;
+    this.world.time.after(retryAfterMs, () => this.send(outcome));
+  }
+
+  private send(outcome: RequestOutcome): void {
+    const {request} = outcome;
+    const leftMs = request.atMs + request.deadlineMs - this.world.time.nowMs;
+    if (leftMs <= 0) return;
+    outcome.sends += 1;
+    const number = this.byRequest.size;
+    const requestId = makeId<RequestId>(`request-${number}`);
+    this.byRequest.set(requestId, outcome);
+    const isModel = request.service !== 'stock';
+    this.chooseNode(request).dispatch({
+      type: 'requestArrived',
+      request: {
+        requestId,
+        tokenSha256: this.tokenOf(request.client),
+        service: request.service,
+        kind: isModel ? 'model' : 'application',
+        promptTokens: request.promptTokens,
+        ...(request.maxOutputTokens === undefined
+          ? {}
+          : {maxOutputTokens: request.maxOutputTokens}),
+        stream: isModel,
+        deterministic: false,
+        unrepeatable: false,
+        bodyDigest: requestId,
+        prefixHashes: request.prefix === undefined ? [] : [request.prefix],
+        timeoutMs: leftMs,
+      },
+    });
+  }
+
+  private tokenOf(client: string): string {
+    const organisation = client.split('/')[0]!;
+    const known = this.tokens.get(organisation);
+    if (known !== undefined) return known;
+    const token = createHash('sha256').update(organisation).digest('hex');
+    this.tokens.set(organisation, token);
+    return token;
+  }
+
+  /** A caller keeps to one node for a while, then to another. */
+  private chooseNode(request: LoadRequest): VirtualNode {
+    const nodes = [...this.world.nodes.values()];
+    const period = Math.floor(this.world.time.nowMs / ENTRY_KEPT_MS);
+    const hash = createHash('sha256').update(`${request.client}#${period}`);
+    return nodes[hash.digest().readUInt32BE() % nodes.length]!;
+  }
+}
--- /dev/null
+++ b/src/replay/load/virtual_targets.ts
@@ -0,0 +1,197 @@
+import type {AttemptId, RequestId, TargetId} from '../../core/ids/index.js';
+import type {Effect, EffectOf} from '../../core/effects/types.js';
+import type {EngineReport} from '../../core/targets/types.js';
+import type {LoadFleet} from './load_fleet.js';
+import type {RequestOutcome} from './request_outcome.js';
+import type {UndatedEvent} from '../../core/events/types.js';
+import type {VirtualFake} from '../virtual_fake.js';
+import type {VirtualNode} from '../virtual_node.js';
+import type {VirtualWorld} from '../virtual_world.js';
+import {VirtualEngine} from './virtual_engine.js';
+import {makeId} from '../../core/ids/index.js';
+
+const LATENCY_MS = 1;
+const PREFIX_TOKENS_SHARE = 0.8;
+
+interface LiveAttempt {
+  readonly engine: VirtualEngine;
+  readonly requestId: RequestId;
+  isCancelled: boolean;
+}
+
+interface Delivery {
+  readonly targetId: TargetId;
+  readonly report: EngineReport;
+  readonly ageMs: number;
+  readonly nowMs: number;
+}
+
+/** Performs attempts on virtual engines, and sends their reports to all nodes. */
+export class VirtualTargets implements VirtualFake {
+  readonly types = ['startAttempt', 'cancelAttempt'] as const;
+  readonly engines = new Map<TargetId, VirtualEngine>();
+  private readonly attempts = new Map<AttemptId, LiveAttempt>();
+  /** Tokens that a request's caller has from earlier attempts. */
+  private readonly delivered = new Map<RequestId, number>();
+
+  constructor(
+    private readonly world: VirtualWorld,
+    private readonly fleet: LoadFleet,
+    private readonly outcomeOf: (id: RequestId) => RequestOutcome,
+  ) {
+    for (const service of fleet.services) {
+      for (let at = 0; at < service.engines; at++) {
+        const id = makeId<TargetId>(`${service.name}-${at}`);
+        this.engines.set(id, new VirtualEngine(world.time, service.engine));
+      }
+    }
+    this.planStragglers();
+  }
+
+  /** Starts the reports; each engine has its own phase. */
+  startReports(): void {
+    let at = 0;
+    for (const [targetId, engine] of this.engines) {
+      const phase = (at++ / this.engines.size) * this.fleet.reportIntervalMs;
+      this.world.time.after(phase, () => this.report(targetId, engine, 1));
+    }
+  }
+
+  handle(node: VirtualNode, effect: Effect): void {
+    if (effect.type === 'startAttempt') this.start(node, effect);
+    if (effect.type === 'cancelAttempt') this.cancel(effect.attemptId);
+  }
+
+  private start(node: VirtualNode, effect: EffectOf<'startAttempt'>): void {
+    const {attemptId, requestId} = effect;
+    const engine = this.engines.get(effect.targetId)!;
+    const live: LiveAttempt = {engine, requestId, isCancelled: false};
+    this.attempts.set(attemptId, live);
+    this.outcomeOf(requestId).attempts += 1;
+    this.tell(node, 0, {type: 'attemptHeadSent', attemptId});
+    this.world.time.after(LATENCY_MS, () => {
+      if (!live.isCancelled) this.run(node, effect, live);
+    });
+  }
+
+  private run(
+    node: VirtualNode,
+    {attemptId, requestId, priority}: EffectOf<'startAttempt'>,
+    live: LiveAttempt,
+  ): void {
+    const outcome = this.outcomeOf(requestId);
+    const {request} = outcome;
+    const {time} = this.world;
+    const delivered = this.delivered.get(requestId) ?? 0;
+    const outputTokens = Math.max(1, request.outputTokens - delivered);
+    live.engine.add({
+      attemptId,
+      promptTokens: request.promptTokens + delivered,
+      outputTokens,
+      priority,
+      ...(request.prefix === undefined ? {} : {prefix: request.prefix}),
+      prefixTokens: request.promptTokens * PREFIX_TOKENS_SHARE,
+      onStart: () => (outcome.startedAtMs ??= time.nowMs),
+      onFirstToken: () => {
+        outcome.firstTokenAtMs ??= time.nowMs + LATENCY_MS;
+        this.tell(node, LATENCY_MS, {type: 'attemptFirstToken', attemptId});
+      },
+      onProgress: tokens =>
+        this.tell(node, LATENCY_MS, {
+          type: 'attemptProgress',
+          attemptId,
+          tokens,
+        }),
+      onEnd: () => {
+        this.attempts.delete(attemptId);
+        this.tell(node, LATENCY_MS, {
+          type: 'attemptEnded',
+          attemptId,
+          status: 200,
+          tokens: outputTokens,
+        });
+      },
+    });
+  }
+
+  private cancel(attemptId: AttemptId): void {
+    const live = this.attempts.get(attemptId);
+    if (!live) return;
+    this.world.time.after(LATENCY_MS, () => {
+      live.isCancelled = true;
+      if (!this.attempts.delete(attemptId)) return;
+      const had = this.delivered.get(live.requestId) ?? 0;
+      const made = live.engine.cancel(attemptId);
+      this.delivered.set(live.requestId, had + made);
+    });
+  }
+
+  private tell(node: VirtualNode, delayMs: number, event: UndatedEvent): void {
+    this.world.time.after(delayMs, () => node.dispatch(event));
+  }
+
+  private report(
+    targetId: TargetId,
+    engine: VirtualEngine,
+    sequence: number,
+  ): void {
+    const {reportIntervalMs, reportLagMs} = this.fleet;
+    const report: EngineReport = {
+      vmId: makeId(targetId),
+      bootId: 'boot',
+      sequence,
+      state: 'ready',
+      slots: engine.options.slots,
+      running: engine.running,
+      queued: engine.queued,
+      tokensPerSecond: (engine.tokensDone * 1000) / reportIntervalMs,
+    };
+    engine.tokensDone = 0;
+    const {stored, evicted} = engine.cache.takeChanges();
+    this.world.time.after(reportLagMs, () => {
+      for (const node of this.world.nodes.values()) {
+        deliverReport(node, {
+          targetId,
+          report,
+          nowMs: this.world.time.nowMs,
+          ageMs: reportLagMs,
+        });
+        if (stored.length + evicted.length === 0) continue;
+        node.dispatch({
+          type: 'targetCacheChanged',
+          vmId: report.vmId,
+          bootId: report.bootId,
+          fromSequence: sequence - 1,
+          toSequence: sequence,
+          whole: false,
+          stored,
+          evicted,
+        });
+      }
+    });
+    this.world.time.after(reportIntervalMs, () =>
+      this.report(targetId, engine, sequence + 1),
+    );
+  }
+
+  private planStragglers(): void {
+    for (const one of this.fleet.stragglers) {
+      const id = makeId<TargetId>(`${one.service}-${one.engine}`);
+      const engine = this.engines.get(id)!;
+      const set = (slowdown: number) => () => (engine.slowdown = slowdown);
+      this.world.time.after(one.fromMs, set(one.slowdown));
+      this.world.time.after(one.untilMs, set(1));
+    }
+  }
+}
+
+/** Updates the registry's entry, then lets the core see the report. */
+function deliverReport(node: VirtualNode, delivery: Delivery): void {
+  const {targetId, report, ageMs, nowMs} = delivery;
+  const target = node.state.targets.byId.get(targetId)!;
+  target.running = report.running;
+  target.queued = report.queued;
+  target.tokensPerSecond = report.tokensPerSecond;
+  target.reportedAtMs = nowMs - ageMs;
+  node.dispatch({type: 'targetReported', report, ageMs});
+}
--- /dev/null
+++ b/src/replay/policies/round_robin_policy.ts
@@ -0,0 +1,24 @@
+import type {DispatchPolicy} from '../../core/routing/types.js';
+import type {RequestRecord} from '../../core/requests/types.js';
+import type {Step} from '../../core/state/types.js';
+import type {Target} from '../../core/targets/types.js';
+
+/** Baseline: takes targets in turn, full or not, so that work queues at the engines. */
+export class RoundRobinPolicy implements DispatchPolicy {
+  private next = 0;
+
+  /** Nodes start their turns at different targets. */
+  constructor(start: number) {
+    this.next = start;
+  }
+
+  select(step: Step, record: RequestRecord): Target | undefined {
+    const {targets} = step.state;
+    const ids = [...(targets.byService.get(record.info.service) ?? [])];
+    for (let tries = 0; tries < ids.length; tries++) {
+      const target = targets.byId.get(ids[this.next++ % ids.length]!);
+      if (target && !target.bar) return target;
+    }
+    return undefined;
+  }
+}
--- a/src/replay/scenarios/scenarios.ts
+++ b/src/replay/scenarios/scenarios.ts
@@ -1,6 +1,10 @@
 import type {Scenario} from './scenario.js';
+import {LoadScenario} from './load_scenario.js';
 
-const ALL: readonly Scenario[] = [];
+const ALL: readonly Scenario[] = [
+  new LoadScenario('crest'),
+  new LoadScenario('long-and-short'),
+];
 
 /** Every scenario by the name that trace heads give in `scenario`. */
 export const SCENARIOS: ReadonlyMap<string, Scenario> = new Map(
--- /dev/null
+++ b/src/replay/traces/generate_load_trace.ts
@@ -0,0 +1,195 @@
+import type {LoadFleet} from '../load/load_fleet.js';
+import type {LoadRequest} from '../load/load_request.js';
+import type {LoadTracePlan} from './load_trace_plan.js';
+import type {Random} from '../../core/random/index.js';
+import {createRandom} from '../../core/random/index.js';
+
+const CLIENTS_PER_WEIGHT = 6;
+const PREFIXES_PER_ORGANISATION = 4;
+const SHORT_DEADLINE_MS = 10_000;
+const LONG_DEADLINE_MS = 240_000;
+const SHORT_MEDIAN_TOKENS = 45;
+const SHORT_SPREAD = 0.7;
+const SHORT_MAX_TOKENS = 400;
+const LONG_MIN_TOKENS = 1000;
+const LONG_MAX_TOKENS = 5000;
+const LONG_TAIL = 1.2;
+const STATED_SHORT_LIMIT = 512;
+const STATED_LONG_LIMIT = 8192;
+/** Share of callers' requests that state a bound on their output. */
+const STATED_SHARE = 0.6;
+const APPLICATION_SHARE = 0.1;
+/** Long streams already under way when the trace begins, by their usual time. */
+const LONG_MEAN_MS = 60_000;
+
+const ORGANISATIONS = [
+  ['piñata-labs', 6],
+  ['levee-row', 6],
+  ['hamilton-tutors', 3],
+  ['napier-bakery', 2],
+  ['canal-stables', 2],
+  ['river-barns', 1],
+  ['festival-shop', 1],
+  ['school-parties', 1],
+  ['farriers', 1],
+  ['owners', 1],
+] as const;
+
+/** Writes a load trace: a head with the fleet and the stated outcomes, then requests in order. */
+export function generateLoadTrace(plan: LoadTracePlan): string {
+  const random = createRandom(plan.seed);
+  const requests = [
+    ...drawUnderWay(plan, random),
+    ...drawArrivals(plan, random),
+  ];
+  const head = {
+    kind: 'trace',
+    scenario: plan.scenario,
+    seed: plan.seed,
+    outcomes: plan.outcomes,
+    fleet: createFleet(plan),
+  };
+  const lines = [head, ...requests].map(line => JSON.stringify(line));
+  return lines.join('\n') + '\n';
+}
+
+function createFleet(plan: LoadTracePlan): LoadFleet {
+  const untilMs = plan.warmMs + plan.crestMs + plan.afterMs;
+  return {
+    nodes: 18,
+    services: [
+      {
+        name: 'chat',
+        kind: 'model',
+        engines: 65,
+        engine: {
+          slots: 8,
+          tokenMs: 20,
+          batchCost: 0.08,
+          prefillMsPerToken: 0.1,
+          cachedPrefixes: 12,
+        },
+      },
+      {
+        name: 'stock',
+        kind: 'application',
+        engines: 3,
+        engine: {
+          slots: 16,
+          tokenMs: 15,
+          batchCost: 0.02,
+          prefillMsPerToken: 0,
+          cachedPrefixes: 0,
+        },
+      },
+    ],
+    organisations: ORGANISATIONS.map(([name, weight]) => ({name, weight})),
+    stragglers: [
+      {service: 'chat', engine: 11, slowdown: 3, fromMs: 5000, untilMs},
+    ],
+    reportIntervalMs: 500,
+    reportLagMs: 100,
+    crestFromMs: plan.warmMs,
+    crestUntilMs: plan.warmMs + plan.crestMs,
+  };
+}
+
+/** Long streams that began before the trace, spread over its first seconds. */
+function drawUnderWay(plan: LoadTracePlan, random: Random): LoadRequest[] {
+  const perSecond = plan.usualPerSecond * plan.longShare;
+  const count = Math.round((perSecond * LONG_MEAN_MS) / 1000);
+  return Array.from({length: count}, (_, at) => {
+    const request = drawLong(random, (at * 2000) / count);
+    const left = Math.ceil(request.outputTokens * random.next());
+    return {...request, outputTokens: left};
+  });
+}
+
+function drawArrivals(plan: LoadTracePlan, random: Random): LoadRequest[] {
+  const crestEndMs = plan.warmMs + plan.crestMs;
+  const endMs = crestEndMs + plan.afterMs;
+  const requests: LoadRequest[] = [];
+  let atMs = 2000;
+  for (;;) {
+    const isCrest = atMs >= plan.warmMs && atMs < crestEndMs;
+    const factor = isCrest ? plan.crestFactor : 1;
+    const meanMs = 1000 / (plan.usualPerSecond * factor);
+    atMs += -Math.log(1 - random.next()) * meanMs;
+    if (atMs >= endMs) return requests;
+    requests.push(drawRequest(plan, random, Math.round(atMs)));
+  }
+}
+
+function drawRequest(
+  plan: LoadTracePlan,
+  random: Random,
+  atMs: number,
+): LoadRequest {
+  if (random.next() < APPLICATION_SHARE) return drawApplication(random, atMs);
+  return random.next() < plan.longShare
+    ? drawLong(random, atMs)
+    : drawShort(random, atMs);
+}
+
+function drawApplication(random: Random, atMs: number): LoadRequest {
+  return {
+    atMs,
+    client: drawClient(random).client,
+    service: 'stock',
+    promptTokens: 0,
+    outputTokens: 1 + random.below(4),
+    deadlineMs: SHORT_DEADLINE_MS,
+  };
+}
+
+function drawShort(random: Random, atMs: number): LoadRequest {
+  const {client, prefix} = drawClient(random);
+  const size =
+    SHORT_MEDIAN_TOKENS * Math.exp(SHORT_SPREAD * drawNormal(random));
+  const isStated = random.next() < STATED_SHARE;
+  return {
+    atMs,
+    client,
+    service: 'chat',
+    promptTokens: 100 + random.below(900),
+    outputTokens: Math.min(SHORT_MAX_TOKENS, Math.max(4, Math.round(size))),
+    ...(isStated ? {maxOutputTokens: STATED_SHORT_LIMIT} : {}),
+    prefix,
+    deadlineMs: SHORT_DEADLINE_MS,
+  };
+}
+
+function drawLong(random: Random, atMs: number): LoadRequest {
+  const {client, prefix} = drawClient(random);
+  const size = LONG_MIN_TOKENS / Math.pow(1 - random.next(), 1 / LONG_TAIL);
+  const isStated = random.next() < STATED_SHARE;
+  return {
+    atMs,
+    client,
+    service: 'chat',
+    promptTokens: 300 + random.below(1500),
+    outputTokens: Math.min(LONG_MAX_TOKENS, Math.round(size)),
+    ...(isStated ? {maxOutputTokens: STATED_LONG_LIMIT} : {}),
+    prefix,
+    deadlineMs: LONG_DEADLINE_MS,
+  };
+}
+
+/** Larger organisations have more clients. */
+function drawClient(random: Random): {client: string; prefix: string} {
+  const total = ORGANISATIONS.reduce((sum, [, weight]) => sum + weight, 0);
+  let left = random.below(total);
+  for (const [name, weight] of ORGANISATIONS) {
+    left -= weight;
+    if (left >= 0) continue;
+    const client = `${name}/${random.below(weight * CLIENTS_PER_WEIGHT)}`;
+    const prefix = `${name}:${random.below(PREFIXES_PER_ORGANISATION)}`;
+    return {client, prefix};
+  }
+  throw new Error('weights are not positive');
+}
+
+function drawNormal(random: Random): number {
+  const radius = Math.sqrt(-2 * Math.log(1 - random.next()));
+  return radius * Math.cos(2 * Math.PI * random.next());
+}
--- /dev/null
+++ b/src/replay/traces/load_trace_plans.ts
@@ -0,0 +1,30 @@
+import type {LoadTracePlan} from './load_trace_plan.js';
+
+const CREST: LoadTracePlan = {
+  scenario: 'crest',
+  seed: 20260404,
+  warmMs: 25_000,
+  crestMs: 10_000,
+  afterMs: 15_000,
+  usualPerSecond: 80,
+  crestFactor: 2.6,
+  longShare: 0.03,
+  outcomes: {},
+};
+
+const LONG_AND_SHORT: LoadTracePlan = {
+  scenario: 'long-and-short',
+  seed: 20260405,
+  warmMs: 20_000,
+  crestMs: 10_000,
+  afterMs: 5_000,
+  usualPerSecond: 60,
+  crestFactor: 1.4,
+  longShare: 0.08,
+  outcomes: {},
+};
+
+/** Plans of the committed load traces, by name. */
+export const LOAD_TRACE_PLANS: ReadonlyMap<string, LoadTracePlan> = new Map(
+  [CREST, LONG_AND_SHORT].map(plan => [plan.scenario, plan]),
+);
