--- /dev/null
+++ b/src/standins/completion_queue.ts
@@ -0,0 +1,48 @@
+interface Job {
+  readonly priority: number;
+  readonly order: number;
+  readonly start: () => void;
+}
+
+/** Jobs beyond an engine's slots, largest priority first. */
+export class CompletionQueue {
+  private readonly waiting: Job[] = [];
+  private order = 0;
+  running = 0;
+
+  constructor(private readonly slots: () => number) {}
+
+  get queued(): number {
+    return this.waiting.length;
+  }
+
+  /** Starts a job now or later; the returned function ends or withdraws it. */
+  add(priority: number, start: () => void): () => void {
+    let state: 'waiting' | 'running' | 'over' = 'waiting';
+    const job: Job = {
+      priority,
+      order: this.order++,
+      start: () => {
+        state = 'running';
+        this.running += 1;
+        start();
+      },
+    };
+    this.waiting.push(job);
+    this.startWaiting();
+    return () => {
+      if (state === 'waiting')
+        this.waiting.splice(this.waiting.indexOf(job), 1);
+      if (state === 'running') this.running -= 1;
+      state = 'over';
+      this.startWaiting();
+    };
+  }
+
+  private startWaiting(): void {
+    while (this.running < this.slots() && this.waiting.length > 0) {
+      this.waiting.sort((a, b) => b.priority - a.priority || a.order - b.order);
+      this.waiting.shift()!.start();
+    }
+  }
+}
--- /dev/null
+++ b/src/standins/read_json.ts
@@ -0,0 +1,9 @@
+import type {IncomingMessage} from 'node:http';
+
+/** Reads a JSON body; an empty one is an empty object. */
+export async function readJson<T>(request: IncomingMessage): Promise<T> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  const text = Buffer.concat(chunks).toString();
+  return JSON.parse(text || '{}') as T;
+}
