--- a/src/core/effects/effect.ts
+++ b/src/core/effects/effect.ts
@@ -116,6 +116,8 @@
   readonly address: string;
   readonly fencingToken: number;
   readonly timeoutMs: number;
+  /** Past this time no byte of the order may be written. */
+  readonly notAfterMs: number;
   /** Undefined: the engine releases what it has. */
   readonly assignment?: EngineAssignment;
 }
--- a/src/core/events/core_area.ts
+++ b/src/core/events/core_area.ts
@@ -6,4 +6,5 @@
   | 'replicas'
   | 'quarantine'
   | 'routing'
-  | 'audit';
+  | 'audit'
+  | 'targets';
--- a/src/core/events/target_event.ts
+++ b/src/core/events/target_event.ts
@@ -12,6 +12,8 @@
 interface TargetReportFailed {
   readonly type: 'targetReportFailed';
   readonly vmId: VmId;
+  /** The engine's port refused or reset the connection: no process listens. */
+  readonly refused?: boolean;
 }
 
 /** Prefix-cache changes of one engine; `fromSequence` past the last seen is a gap. */
--- a/src/core/replicas/domain_document.ts
+++ b/src/core/replicas/domain_document.ts
@@ -2,6 +2,8 @@
 
 interface ReplicaEntry {
   readonly replicaId: ReplicaId;
+  /** Grows when its VMs are exchanged. */
+  readonly generation: number;
   readonly service: ServiceName;
   readonly model: string;
   readonly version: string;
--- a/src/core/targets/engine_assignment.ts
+++ b/src/core/targets/engine_assignment.ts
@@ -3,6 +3,8 @@
 /** What a steward orders an engine to be part of, and what the engine then reports. */
 export interface EngineAssignment {
   readonly replicaId: ReplicaId;
+  /** Grows when VMs of the replica are exchanged. */
+  readonly generation: number;
   readonly fencingToken: number;
   readonly service: ServiceName;
   readonly model: string;
