Carry peer messages over tRPC: batched exchanges and questions with a time-out

Heartbeats carry the start of their incarnation and the last sequence heard from the receiver; join and news messages are new.

--- a/src/core/effects/effect.ts
+++ b/src/core/effects/effect.ts
@@ -76,6 +76,8 @@
   readonly type: 'peerSend';
   readonly to: NodeId;
   readonly message: PeerMessage;
+  /** Sends the exchange now, with all that waits for this peer. */
+  readonly urgent?: boolean;
 }
 
 interface PeerAsk {
--- a/src/core/peers/membership_message.ts
+++ b/src/core/peers/membership_message.ts
@@ -1,9 +1,10 @@
-import type {Incarnation, ZoneId} from '../ids/index.js';
+import type {Incarnation, NodeId, ZoneId} from '../ids/index.js';
 
-/** A peer's sign of life. */
-interface Heartbeat {
-  readonly type: 'membership.heartbeat';
+/** What a node says of itself. */
+interface Standing {
   readonly incarnation: Incarnation;
+  /** Start of this incarnation; orders the incarnations of one node. */
+  readonly startedAtMs: number;
   readonly sequence: number;
   readonly zone: ZoneId;
   readonly callerAddress: string;
@@ -15,5 +16,33 @@
   readonly running: number;
 }
 
+/** A peer's sign of life. */
+interface Heartbeat extends Standing {
+  readonly type: 'membership.heartbeat';
+  /** Last sequence that the sender has of the receiver; 0 for none. */
+  readonly heardSequence: number;
+}
+
+/** Asks a seed peer, or any other, for all nodes that it knows. */
+interface Join {
+  readonly type: 'membership.join';
+  readonly nodeId: NodeId;
+}
+
+/** A node as the sender knows it. */
+interface NodeNews {
+  readonly nodeId: NodeId;
+  readonly standing: Standing;
+  /** Since the sender, or the sender's source, heard of it. */
+  readonly silentMs: number;
+  readonly suspected: boolean;
+}
+
+/** Changes of standing that spread from node to node, and the answer to a join. */
+interface News {
+  readonly type: 'membership.news';
+  readonly nodes: readonly NodeNews[];
+}
+
 /** Messages of the membership area. */
-export type MembershipMessage = Heartbeat;
+export type MembershipMessage = Heartbeat | Join | News;
--- a/src/core/peers/types.ts
+++ b/src/core/peers/types.ts
@@ -4,3 +4,4 @@
 export type {OnceMessage} from './once_message.js';
 export type {QuarantineMessage} from './quarantine_message.js';
 export type {RoutingMessage} from './routing_message.js';
+export type {PeerMessageOf} from './peer_message_of.js';
--- /dev/null
+++ b/src/peers/message_schemas.ts
@@ -0,0 +1,70 @@
+import type {PeerMessage} from '../core/peers/types.js';
+import {z} from 'zod';
+
+const MAX_LIST = 4096;
+const text = z.string();
+const count = z.number();
+const phase = z.enum(['starting', 'serving', 'draining']);
+const list = <T extends z.ZodType>(item: T) => z.array(item).max(MAX_LIST);
+
+const standing = {
+  incarnation: text,
+  startedAtMs: count,
+  sequence: count,
+  zone: text,
+  callerAddress: text,
+  controlAddress: text,
+  phase,
+  configRevision: count,
+  queued: count,
+  running: count,
+};
+
+const news = z.looseObject({
+  nodeId: text,
+  standing: z.looseObject(standing),
+  silentMs: count,
+  suspected: z.boolean(),
+});
+
+const suspect = z.looseObject({
+  fingerprint: text,
+  lostTargets: list(text),
+  remainingMs: count,
+});
+
+const report = z.looseObject({
+  vmId: text,
+  bootId: text,
+  sequence: count,
+  state: text,
+  slots: count,
+  running: count,
+  queued: count,
+  tokensPerSecond: count,
+});
+
+/** Shape of each message between nodes; fields that a later version adds pass. */
+export const MESSAGE_SCHEMAS: {
+  readonly [T in PeerMessage['type']]: z.ZodType;
+} = {
+  'membership.heartbeat': z.looseObject({...standing, heardSequence: count}),
+  'membership.join': z.looseObject({nodeId: text}),
+  'membership.news': z.looseObject({nodes: list(news)}),
+  'config.pull': z.looseObject({sinceRevision: count}),
+  'config.delta': z.looseObject({
+    fromRevision: count,
+    toRevision: count,
+    changes: list(z.looseObject({key: text, text: text.nullable()})),
+  }),
+  'config.noHistory': z.looseObject({revision: count}),
+  'once.ask': z.looseObject({onceKey: text, incarnation: text, claim: text}),
+  'once.answer': z.looseObject({onceKey: text, state: text}),
+  'quarantine.suspects': z.looseObject({
+    suspects: list(suspect),
+    cleared: list(text),
+  }),
+  'routing.reports': z.looseObject({
+    reports: list(z.looseObject({report, ageMs: count})),
+  }),
+};
--- /dev/null
+++ b/src/peers/peer_link.ts
@@ -0,0 +1,116 @@
+import PQueue from 'p-queue';
+import type {Agent} from 'node:http';
+import type {EffectOf} from '../core/effects/types.js';
+import type {NodeId} from '../core/ids/index.js';
+import type {PeerMessage} from '../core/peers/types.js';
+import type {PeerRouter} from './peer_router.js';
+import {PEER_SECRET_HEADER} from './peer_secret_header.js';
+import {createPeerFetch} from './create_peer_fetch.js';
+import {createTRPCClient, httpLink} from '@trpc/client';
+import {parsePeerMessage} from './parse_peer_message.js';
+
+interface LinkOptions {
+  readonly self: NodeId;
+  readonly address: string;
+  readonly secret: string;
+  readonly agent: Agent;
+  readonly countBytes: (sentBytes: number, receivedBytes: number) => void;
+}
+
+const EXCHANGE_INTERVAL_MS = 1000;
+const EXCHANGE_TIMEOUT_MS = 2000;
+const MAX_WAITING = 256;
+const ASK_CONCURRENCY = 4;
+
+/** One peer: messages wait for the next exchange; questions go at once. */
+export class PeerLink {
+  private readonly trpc;
+  private readonly exchanges = new PQueue({concurrency: 1});
+  private readonly asks = new PQueue({concurrency: ASK_CONCURRENCY});
+  private readonly closing = new AbortController();
+  private waiting: PeerMessage[] = [];
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: LinkOptions) {
+    const {address, secret, agent, countBytes} = options;
+    this.trpc = createTRPCClient<PeerRouter>({
+      links: [
+        httpLink({
+          url: `http://${address}/trpc`,
+          headers: {[PEER_SECRET_HEADER]: secret},
+          fetch: createPeerFetch(agent, countBytes),
+        }),
+      ],
+    });
+  }
+
+  get address(): string {
+    return this.options.address;
+  }
+
+  /** Adds a message; the oldest goes when too many wait for a silent peer. */
+  send(message: PeerMessage, urgent: boolean): void {
+    this.waiting.push(message);
+    if (this.waiting.length > MAX_WAITING) this.waiting.shift();
+    if (urgent) this.flush();
+    else this.timer ??= setTimeout(() => this.flush(), EXCHANGE_INTERVAL_MS);
+  }
+
+  /** Settles with nothing when no answer came in time. */
+  async ask(effect: EffectOf<'peerAsk'>): Promise<PeerMessage | undefined> {
+    const {callId, message, timeoutMs} = effect;
+    const signal = AbortSignal.any([
+      this.closing.signal,
+      AbortSignal.timeout(timeoutMs),
+    ]);
+    const from = this.options.self;
+    try {
+      const answer = await this.asks.add(
+        () => this.trpc.ask.mutate({from, callId, message}, {signal}),
+        {signal},
+      );
+      return parsePeerMessage(answer);
+    } catch {
+      return undefined;
+    }
+  }
+
+  /** Sends what waits, then drops the link. */
+  async close(): Promise<void> {
+    this.flush();
+    await this.exchanges.onIdle();
+    this.destroy();
+  }
+
+  destroy(): void {
+    clearTimeout(this.timer);
+    this.waiting = [];
+    this.closing.abort();
+  }
+
+  private flush(): void {
+    clearTimeout(this.timer);
+    this.timer = undefined;
+    // A queued exchange takes along whatever waits when its turn comes.
+    if (this.exchanges.size > 0) return;
+    void this.exchanges.add(() => this.exchange());
+  }
+
+  private async exchange(): Promise<void> {
+    const messages = this.waiting;
+    if (messages.length === 0) return;
+    this.waiting = [];
+    const signal = AbortSignal.any([
+      this.closing.signal,
+      AbortSignal.timeout(EXCHANGE_TIMEOUT_MS),
+    ]);
+    try {
+      await this.trpc.exchange.mutate(
+        {from: this.options.self, messages},
+        {signal},
+      );
+    } catch {
+      // A lost exchange is not sent again: the next heartbeat says it anew.
+    }
+  }
+}
