Check service and organisation files in src/core/config/files

Publications are checked by the node that takes them, so the parser has to live in the core: it is pure and takes a path and a text. The ini library gives no line numbers, so its parse was ruled out; readIni keeps the lines and leaves quoting, escapes and comments to the library.

parseServiceFile, parseOrganisationsFile and parseConfigFiles (a whole publication, also checked against itself) return every fault at once with file:line, name, what was expected and what was found.

--- /dev/null
+++ b/src/core/config/files/index.ts
@@ -0,0 +1,10 @@
+export {checkSections} from './check_sections.js';
+export {fileKind} from './file_kind.js';
+export {formatFault} from './format_fault.js';
+export {parseConfigFiles} from './parse_config_files.js';
+export {parseOrganisationsFile} from './parse_organisations_file.js';
+export {parseSection} from './parse_section.js';
+export {parseServiceFile} from './parse_service_file.js';
+export {readIni} from './read_ini.js';
+export {sortFaults} from './sort_faults.js';
+export type * from './types.js';
--- /dev/null
+++ b/src/core/config/files/ini_document.ts
@@ -0,0 +1,16 @@
+interface IniEntry {
+  readonly value: string;
+  readonly line: number;
+}
+
+interface IniSection {
+  readonly name: string;
+  readonly line: number;
+  readonly entries: ReadonlyMap<string, IniEntry>;
+}
+
+/** An INI file as written: sections and values with the lines they stand on. */
+export interface IniDocument {
+  readonly path: string;
+  readonly sections: ReadonlyMap<string, IniSection>;
+}
--- /dev/null
+++ b/src/core/config/files/parse_service_file.ts
@@ -0,0 +1,127 @@
+import {err, ok, type Result} from 'neverthrow';
+import type {FileFault} from './file_fault.js';
+import type {IniDocument} from './ini_document.js';
+import type {ServiceConfig} from '../service_config.js';
+import type {z} from 'zod';
+import {SERVICE_SCHEMA} from './service_schema.js';
+import {checkSections} from './check_sections.js';
+import {parseSection} from './parse_section.js';
+import {readIni} from './read_ini.js';
+import {sortFaults} from './sort_faults.js';
+
+type ServicePart = z.output<(typeof SERVICE_SCHEMA)['service']>;
+type ModelPart = z.output<(typeof SERVICE_SCHEMA)['model']>;
+
+/** Checks the text of a service file and reports all its faults at once. */
+export function parseServiceFile(
+  path: string,
+  text: string,
+): Result<ServiceConfig, FileFault[]> {
+  const {document, faults} = readIni(path, text);
+  const sections = checkSections(
+    document,
+    name => name in SERVICE_SCHEMA,
+    '[service], [model] or [application]',
+  );
+  const service = parseSection(document, 'service', SERVICE_SCHEMA.service);
+  const kind = document.sections.get('service')?.entries.get('kind')?.value;
+  const part =
+    kind === 'application'
+      ? parseApplication(document, service.unwrapOr(undefined))
+      : parseModel(document, service.unwrapOr(undefined), kind);
+  const all = [
+    ...faults,
+    ...sections,
+    ...(service.isErr() ? service.error : []),
+    ...(part.isErr() ? part.error : []),
+  ];
+  if (all.length > 0 || part.isErr()) return err(sortFaults(all));
+  return ok(part.value);
+}
+
+function parseApplication(
+  document: IniDocument,
+  service: ServicePart | undefined,
+): Result<ServiceConfig, FileFault[]> {
+  const misplaced = checkAbsent(document, 'model', 'application');
+  const part = parseSection(
+    document,
+    'application',
+    SERVICE_SCHEMA.application,
+  );
+  if (part.isErr()) return err([...misplaced, ...part.error]);
+  if (misplaced.length > 0 || !service) return err(misplaced);
+  return ok({...createCommon(service), kind: 'application', ...part.value});
+}
+
+function parseModel(
+  document: IniDocument,
+  service: ServicePart | undefined,
+  kind: string | undefined,
+): Result<ServiceConfig, FileFault[]> {
+  // Without a valid kind, only the sections that stand there are checked.
+  const misplaced =
+    kind === 'model' ? checkAbsent(document, 'application', 'model') : [];
+  if (kind !== 'model' && !document.sections.has('model')) return err([]);
+  const part = parseSection(document, 'model', SERVICE_SCHEMA.model);
+  if (part.isErr()) return err([...misplaced, ...part.error]);
+  const faults = [...misplaced, ...checkMinServing(document, part.value)];
+  if (faults.length > 0 || !service) return err(faults);
+  const minServing = part.value.minServing ?? defaultMinServing(part.value);
+  return ok({
+    ...createCommon(service),
+    kind: 'model',
+    ...part.value,
+    minServing,
+  });
+}
+
+function createCommon(service: ServicePart) {
+  const {name, organisations, unrepeatable, maxQueue, priority} = service;
+  return {
+    name,
+    organisations,
+    unrepeatable,
+    timeoutMs: service.timeout,
+    onceRetentionMs: service.onceRetention,
+    maxQueue,
+    priority,
+  };
+}
+
+function defaultMinServing(part: ModelPart): number {
+  return Math.max(0, part.replicas - 1);
+}
+
+function checkMinServing(document: IniDocument, part: ModelPart): FileFault[] {
+  const {minServing, replicas} = part;
+  if (minServing === undefined || minServing <= replicas) return [];
+  const entry = document.sections.get('model')!.entries.get('minServing')!;
+  return [
+    {
+      path: document.path,
+      line: entry.line,
+      name: 'model.minServing',
+      expected: `no more than model.replicas (${replicas})`,
+      got: `"${entry.value}"`,
+    },
+  ];
+}
+
+function checkAbsent(
+  document: IniDocument,
+  section: string,
+  kind: string,
+): FileFault[] {
+  const found = document.sections.get(section);
+  if (!found) return [];
+  return [
+    {
+      path: document.path,
+      line: found.line,
+      name: section,
+      expected: `no such section in a service of kind ${kind}`,
+      got: `[${section}]`,
+    },
+  ];
+}
--- /dev/null
+++ b/src/core/config/files/parsed_files.ts
@@ -0,0 +1,21 @@
+import type {OrganisationConfig} from '../organisation_config.js';
+import type {ServiceConfig} from '../service_config.js';
+
+interface ParsedService {
+  readonly path: string;
+  readonly text: string;
+  readonly service: ServiceConfig;
+}
+
+interface ParsedOrganisations {
+  readonly path: string;
+  readonly text: string;
+  readonly organisations: readonly OrganisationConfig[];
+}
+
+/** The files of one publication, checked one by one and against each other. */
+export interface ParsedFiles {
+  readonly services: readonly ParsedService[];
+  /** Absent when the publication leaves the organisations as they are. */
+  readonly organisations?: ParsedOrganisations;
+}
