--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -1,22 +1,109 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import type {NodeContext} from '../runtime/types.js';
 import type {OperatorApi} from '../operators/index.js';
 import type {PeerServer} from '../peers/index.js';
+import {createRefusal} from '../core/errors/index.js';
+import {resolveReadiness} from './resolve_readiness.js';
+import {sendJson, sendRefusal, splitAddress} from '../http/index.js';
 
 interface ControlRoutes {
   readonly operators: OperatorApi;
   readonly peerServer: PeerServer;
 }
 
+const METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8';
+
 /** HTTP server on the control address: `/operator`, `/trpc`, `/metrics`, `/healthz`, `/readyz`. */
 export class ControlServer {
+  private readonly server: Server;
+
   constructor(
     private readonly context: NodeContext,
     private readonly routes: ControlRoutes,
-  ) {}
+  ) {
+    const {limits} = context.settings;
+    this.server = createServer(
+      {
+        maxHeaderSize: limits.maxHeaderBytes,
+        headersTimeout: limits.requestTimeoutMs,
+        requestTimeout: limits.requestTimeoutMs,
+        keepAliveTimeout: limits.idleTimeoutMs,
+      },
+      (request, response) => this.serve(request, response),
+    );
+  }
+
+  /** Opens the control address of the settings. */
+  listen(): Promise<void> {
+    const {controlAddress} = this.context.settings.node;
+    const {host, port} = splitAddress(controlAddress);
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => {
+        this.server.off('error', reject);
+        resolve();
+      });
+    });
+  }
+
+  /** Takes no new connections; ends when the open answers are sent. */
+  close(): Promise<void> {
+    return new Promise(resolve => {
+      this.server.close(() => resolve());
+      this.server.closeIdleConnections();
+    });
+  }
+
+  /** Drops all connections. */
+  destroy(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
 
-  async listen(): Promise<void> {}
+  private serve(request: IncomingMessage, response: ServerResponse): void {
+    const path = (request.url ?? '/').split('?', 1)[0]!;
+    request.on('error', () => {});
+    response.on('error', () => {});
+    if (path.startsWith('/operator/')) {
+      this.routes.operators.serve(request, response);
+    } else if (path.startsWith('/trpc/')) {
+      this.routes.peerServer.serve(request, response);
+    } else {
+      this.serveState(path, request, response);
+    }
+  }
 
-  async close(): Promise<void> {}
+  private serveState(
+    path: string,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const isKnown = ['/healthz', '/readyz', '/metrics'].includes(path);
+    if (!isKnown) {
+      const params = {path};
+      sendRefusal(response, createRefusal('PathNotFound', 'not-run', {params}));
+    } else if (request.method !== 'GET') {
+      const params = {method: request.method ?? '', path, allowed: 'GET'};
+      const refusal = createRefusal('MethodNotAllowed', 'not-run', {params});
+      sendRefusal(response, refusal);
+    } else if (path === '/metrics') {
+      void this.sendMetrics(response);
+    } else if (path === '/readyz') {
+      const readiness = resolveReadiness(this.context.state);
+      sendJson(response, readiness.ready ? 200 : 503, readiness);
+    } else {
+      sendJson(response, 200, {status: 'ok'});
+    }
+  }
 
-  destroy(): void {}
+  private async sendMetrics(response: ServerResponse): Promise<void> {
+    const text = await this.context.metrics.render();
+    response.writeHead(200, {'content-type': METRICS_TYPE});
+    response.end(text);
+  }
 }
--- a/src/core/errors/error_catalogue.ts
+++ b/src/core/errors/error_catalogue.ts
@@ -154,6 +154,12 @@
     hint: 'Set the token with --token or RHUBARBSTILE_TOKEN.',
     status: 401,
   },
+  OperatorTimeout: {
+    title: 'No answer in time',
+    message: 'The node did not finish "{kind}" within {timeoutMs} ms.',
+    hint: 'Run "rhubarbstile status" and "rhubarbstile config show" before trying again.',
+    status: 504,
+  },
   PeerNotAuthenticated: {
     title: 'Peer secret refused',
     message: 'The peer secret is missing or wrong.',
--- /dev/null
+++ b/src/operators/types.ts
@@ -0,0 +1,1 @@
+export type {OperatorFailure} from './operator_failure.js';
