--- a/src/callers/caller_answer.ts
+++ b/src/callers/caller_answer.ts
@@ -13,6 +13,8 @@
   readonly stream: boolean;
   /** Longest wait for a caller that does not read. */
   readonly writeTimeoutMs: number;
+  /** False once the node leaves: the caller is told to use another connection. */
+  readonly mayKeepAlive: () => boolean;
 }
 
 /** One caller's answer. */
@@ -46,6 +48,7 @@
   writeHead(status: number, headers: OutgoingHttpHeaders): void {
     if (this.closed || this.headSent) return;
     this.headSent = true;
+    this.noteDrain();
     this.response.writeHead(status, {
       ...headers,
       'rhubarbstile-request-id': this.requestId,
@@ -92,6 +95,7 @@
     if (this.closed) return;
     const {response} = this;
     if (!this.headSent) {
+      this.noteDrain();
       sendRefusal(response, this.requestId, refusal, entries);
     } else if (this.stream) {
       const text = JSON.stringify({error: refusal.body});
@@ -114,6 +118,10 @@
     this.close();
   }
 
+  private noteDrain(): void {
+    if (!this.options.mayKeepAlive()) this.response.shouldKeepAlive = false;
+  }
+
   /** Takes no more writes; wakes a target that waits for the caller. */
   close(): void {
     this.closed = true;
--- a/src/callers/parse_model_body.ts
+++ b/src/callers/parse_model_body.ts
@@ -2,7 +2,8 @@
 import type {CallerRequest} from '../core/requests/types.js';
 import type {Refusal} from '../core/errors/index.js';
 import {createRefusal} from '../core/errors/index.js';
-import {hashPrefixes, promptText} from '../core/requests/index.js';
+import {createPrefixHashes} from '../targets/create_prefix_hashes.js';
+import {resolvePrompt} from '../targets/resolve_prompt.js';
 
 const CHARS_PER_TOKEN = 4;
 
@@ -19,7 +20,7 @@
 
 interface ModelJson {
   readonly model?: unknown;
-  readonly messages?: unknown;
+  readonly messages?: readonly {role?: unknown; content?: unknown}[];
   readonly prompt?: unknown;
   readonly adapter?: unknown;
   readonly stream?: unknown;
@@ -47,7 +48,10 @@
   if (maxOutputTokens !== undefined && !isCount(maxOutputTokens)) {
     return refuse('The field "max_tokens" must be a positive whole number.');
   }
-  const prompt = promptText(json);
+  if (!hasMessages(json)) {
+    return refuse('The field "messages" must be a list of objects.');
+  }
+  const prompt = resolvePrompt(json);
   return ok({
     service: model,
     ...(adapter === undefined ? {} : {adapter}),
@@ -55,7 +59,7 @@
     ...(maxOutputTokens === undefined ? {} : {maxOutputTokens}),
     stream: stream === true,
     deterministic: temperature === 0 || seed !== undefined,
-    prefixHashes: hashPrefixes(prompt),
+    prefixHashes: createPrefixHashes(prompt),
   });
 }
 
@@ -69,6 +73,12 @@
   }
 }
 
+function hasMessages({messages}: ModelJson): boolean {
+  if (messages === undefined) return true;
+  const isObject = (one: unknown) => typeof one === 'object' && one !== null;
+  return Array.isArray(messages) && messages.every(isObject);
+}
+
 function isCount(value: unknown): value is number {
   return Number.isSafeInteger(value) && (value as number) > 0;
 }
--- a/src/callers/send_info.ts
+++ b/src/callers/send_info.ts
@@ -1,28 +1,28 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {NodeContext} from '../runtime/types.js';
 import {resolveEntries} from '../core/entries/index.js';
+import {resolveReadiness} from '../control/resolve_readiness.js';
+import {sendJson} from '../http/index.js';
 
-/** Answers `/v1/entries`, `/healthz` and `/readyz`; false when the path is another. */
+/** Answers `/v1/entries`, `/healthz` and `/readyz`; false when the request is another. */
 export function sendInfo(
   context: NodeContext,
   request: IncomingMessage,
   response: ServerResponse,
 ): boolean {
-  const url = request.url ?? '';
   if (request.method !== 'GET') return false;
+  const url = request.url ?? '';
   if (url === '/v1/entries' || url.startsWith('/v1/entries?')) {
     sendEntries(context, url, response);
-    return true;
-  }
-  if (url === '/healthz') {
+  } else if (url === '/healthz') {
     sendJson(response, 200, {alive: true});
-    return true;
-  }
-  if (url === '/readyz') {
-    sendReady(context, response);
-    return true;
+  } else if (url === '/readyz') {
+    const readiness = resolveReadiness(context.state);
+    sendJson(response, readiness.ready ? 200 : 503, readiness);
+  } else {
+    return false;
   }
-  return false;
+  return true;
 }
 
 function sendEntries(
@@ -34,34 +34,9 @@
   const query = new URLSearchParams(at < 0 ? '' : url.slice(at));
   const service = query.get('service');
   const organisation = query.get('organisation');
-  const answer = resolveEntries(
-    state,
-    {...(service && {service}), ...(organisation && {organisation})},
-    clock.nowMs(),
-  );
-  sendJson(response, 200, answer);
-}
-
-function sendReady({state}: NodeContext, response: ServerResponse): void {
-  if (state.drain.draining) {
-    sendJson(response, 503, {ready: false, reason: 'the node is leaving'});
-  } else if (state.config.document.revision === 0) {
-    const reason = 'no configuration has been received yet';
-    sendJson(response, 503, {ready: false, reason});
-  } else {
-    sendJson(response, 200, {ready: true});
-  }
-}
-
-function sendJson(
-  response: ServerResponse,
-  status: number,
-  body: unknown,
-): void {
-  const text = JSON.stringify(body);
-  response.writeHead(status, {
-    'content-type': 'application/json',
-    'content-length': Buffer.byteLength(text),
-  });
-  response.end(text);
+  const wanted = {
+    ...(service && {service}),
+    ...(organisation && {organisation}),
+  };
+  sendJson(response, 200, resolveEntries(state, wanted, clock.nowMs()));
 }
--- a/src/core/drain/start_drain.ts
+++ b/src/core/drain/start_drain.ts
@@ -6,4 +6,5 @@
   if (drain.draining) return;
   drain.draining = true;
   drain.startedAtMs = step.nowMs;
+  step.effects.push({type: 'closeIdleConnections'});
 }
--- a/src/core/effects/effect.ts
+++ b/src/core/effects/effect.ts
@@ -146,6 +146,11 @@
   readonly labels?: Readonly<Record<string, string>>;
 }
 
+/** The node leaves: callers' connections that carry no request are closed. */
+interface CloseIdleConnections {
+  readonly type: 'closeIdleConnections';
+}
+
 /** All requests are answered and all leases released: the process may end. */
 interface Exit {
   readonly type: 'exit';
@@ -158,6 +163,7 @@
   | Refuse
   | AnswerKept
   | FinishAnswer
+  | CloseIdleConnections
   | CallStore
   | PeerSend
   | PeerAsk
--- a/src/core/errors/error_catalogue.ts
+++ b/src/core/errors/error_catalogue.ts
@@ -51,6 +51,12 @@
     hint: 'Send a smaller body.',
     status: 413,
   },
+  HeadersTooLarge: {
+    title: 'Headers too large',
+    message: 'The headers are larger than {limitBytes} bytes.',
+    hint: 'Send fewer or shorter headers.',
+    status: 431,
+  },
   RequestTooSlow: {
     title: 'Request arrived too slowly',
     message: 'The request was not complete after {timeoutMs} ms.',
--- a/src/core/requests/fail_attempt.ts
+++ b/src/core/requests/fail_attempt.ts
@@ -9,6 +9,8 @@
 import {takeRetry} from '../limits/index.js';
 import {worseVerdict} from '../verdict/index.js';
 
+const MAX_ATTEMPTS = 5;
+
 /** Tries a request again after a failed attempt, or gives it up with its verdict. */
 export function failAttempt(step: Step, event: EventOf<'attemptFailed'>): void {
   const record = step.state.requests.byAttempt.get(event.attemptId);
@@ -39,6 +41,24 @@
   if (info.unrepeatable && record.verdict !== 'not-run') return false;
   const isResumable = info.kind === 'model' && info.stream;
   if (record.deliveredTokens > 0 && !isResumable) return false;
-  if (failure.cause === 'protocol') return false;
-  return takeRetry(step, info);
+  if (failure.cause === 'protocol' || record.attempts >= MAX_ATTEMPTS) {
+    return false;
+  }
+  return mayTryTarget(step, record, failure) && takeRetry(step, info);
+}
+
+/** Whether a target is left that did not fail this request, or may be tried twice. */
+function mayTryTarget(
+  step: Step,
+  {failedTargets, info}: RequestRecord,
+  failure: AttemptFailure,
+): boolean {
+  const {byService} = step.state.targets;
+  for (const targetId of byService.get(info.service) ?? []) {
+    if (!failedTargets.has(targetId)) return true;
+  }
+  // One that does not take requests now should not be asked at once again.
+  if (failure.verdict === 'not-run') return false;
+  failedTargets.clear();
+  return true;
 }
--- a/src/core/requests/index.ts
+++ b/src/core/requests/index.ts
@@ -5,8 +5,6 @@
 export {dispatchQueued} from './dispatch_queued.js';
 export {forgetRequest} from './forget_request.js';
 export {moveAttempts} from './move_attempts.js';
-export {hashPrefixes} from './hash_prefixes.js';
-export {promptText} from './prompt_text.js';
 export {reduceRequests} from './reduce_requests.js';
 export {refuseRequest} from './refuse_request.js';
 export type * from './types.js';
--- /dev/null
+++ b/test/support/request_node.ts
@@ -0,0 +1,125 @@
+import type {Incarnation} from '../../src/core/ids/index.js';
+import type {NodeContext} from '../../src/runtime/types.js';
+import type {NodeState} from '../../src/core/state/types.js';
+import type {PlatformStore} from '../../src/core/store/types.js';
+import type {Settings} from '../../src/settings/types.js';
+import {AttemptRunner} from '../../src/targets/index.js';
+import {CallerServer} from '../../src/callers/index.js';
+import {EventLoop, MonotonicClock} from '../../src/runtime/index.js';
+import {MemoryPlatform} from '../../src/standins/memory_platform.js';
+import {StoreRunner} from '../../src/platform/index.js';
+import {TOKEN, seedConfig, seedTarget} from './seed_state.js';
+import {callHttp} from './call_http.js';
+import {createLogger} from '../../src/logging/index.js';
+import {createNodeMetrics} from '../../src/metrics/index.js';
+import {createNodeState} from '../../src/core/state/index.js';
+import {createTestSettings} from './create_test_settings.js';
+
+const TICK_MS = 50;
+
+interface RequestNodeOptions {
+  readonly limits?: Partial<Settings['limits']>;
+  readonly timeoutMs?: number;
+}
+
+type CallOptions = NonNullable<Parameters<typeof callHttp>[1]>;
+
+/** The caller front end, the core and the target client of one node, with targets set by hand. */
+export class RequestNode {
+  hasExited = false;
+  readonly platform = new MemoryPlatform();
+  private readonly callers: CallerServer;
+  private readonly attempts: AttemptRunner;
+  private readonly timer: NodeJS.Timeout;
+
+  private constructor(
+    readonly state: NodeState,
+    private readonly loop: EventLoop,
+    private readonly context: NodeContext,
+  ) {
+    this.callers = new CallerServer(context);
+    this.attempts = new AttemptRunner(context, this.callers);
+    const store: PlatformStore = {
+      call: operation =>
+        new Promise(resolve => {
+          this.platform.call(operation, context.clock.nowMs(), resolve);
+        }),
+      close: async () => {},
+    };
+    loop.addHandler(this.callers);
+    loop.addHandler(this.attempts);
+    loop.addHandler(new StoreRunner(context, store));
+    loop.addHandler({
+      types: ['exit'],
+      handle: () => (this.hasExited = true),
+      close: async () => {},
+      destroy: () => {},
+    });
+    this.timer = setInterval(() => loop.dispatch({type: 'tick'}), TICK_MS);
+  }
+
+  static async start(options: RequestNodeOptions = {}): Promise<RequestNode> {
+    const defaults = await createTestSettings('node-a');
+    const limits = {...defaults.limits, ...options.limits};
+    const settings = {...defaults, limits};
+    const incarnation = 'node-a/1' as Incarnation;
+    const state = createNodeState({...settings.node, incarnation}, 1);
+    seedConfig(state, options.timeoutMs);
+    const clock = new MonotonicClock();
+    const loop = new EventLoop({state, clock});
+    const node = new RequestNode(state, loop, {
+      settings,
+      clock,
+      events: loop,
+      state,
+      logger: createLogger(settings),
+      metrics: createNodeMetrics(),
+    });
+    await node.callers.listen();
+    return node;
+  }
+
+  get url(): string {
+    return `http://${this.context.settings.node.callerAddress}`;
+  }
+
+  addTarget(service: string, id: string, address: string): void {
+    seedTarget(this.state, service, id, {address});
+  }
+
+  /** Calls with the token of the organisation. */
+  call(path: string, options: CallOptions = {}): ReturnType<typeof callHttp> {
+    const authorization = `Bearer ${TOKEN}`;
+    const headers = {authorization, ...options.headers};
+    return callHttp(this.url + path, {...options, headers});
+  }
+
+  /** Streams a chat answer. */
+  chat(options: CallOptions = {}): ReturnType<typeof callHttp> {
+    const messages = [{role: 'user', content: 'hello'}];
+    const body = JSON.stringify({model: 'chat', stream: true, messages});
+    return this.call('/v1/chat/completions', {body, ...options});
+  }
+
+  /** Sends an order, which may run at most once. */
+  order(key: string, body = 'ten piñatas'): ReturnType<typeof callHttp> {
+    const headers = {'idempotency-key': key};
+    return this.call('/services/orders/new', {headers, body});
+  }
+
+  dispatch(event: Parameters<EventLoop['dispatch']>[0]): void {
+    this.loop.dispatch(event);
+  }
+
+  /** Ends as the exit effect does. */
+  closeCallers(): Promise<void> {
+    return this.callers.close();
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+    this.loop.stop();
+    this.callers.destroy();
+    this.attempts.destroy();
+  }
+}
--- /dev/null
+++ b/test/support/scripted_target.ts
@@ -0,0 +1,65 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+
+/** A request as the target saw it. */
+interface SeenRequest {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly body: string;
+  /** Counts from 0. */
+  readonly index: number;
+}
+
+type Script = (seen: SeenRequest) => void;
+
+/** A target whose every answer a test writes. */
+export class ScriptedTarget {
+  readonly seen: SeenRequest[] = [];
+  /** Requests whose connection closed before their answer was whole. */
+  cancelled = 0;
+  readonly sockets = new Set<Socket>();
+  private readonly server: Server;
+
+  private constructor(private readonly script: Script) {
+    this.server = createServer((request, response) => {
+      this.receive(request, response);
+    });
+    this.server.on('connection', socket => this.sockets.add(socket));
+  }
+
+  static async start(script: Script): Promise<ScriptedTarget> {
+    const target = new ScriptedTarget(script);
+    await new Promise<void>(resolve => {
+      target.server.listen(0, '127.0.0.1', resolve);
+    });
+    return target;
+  }
+
+  get address(): string {
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private receive(request: IncomingMessage, response: ServerResponse): void {
+    const index = this.seen.length;
+    let body = '';
+    response.on('close', () => {
+      if (!response.writableFinished) this.cancelled += 1;
+    });
+    request.on('data', (chunk: Buffer) => (body += chunk.toString()));
+    request.on('end', () => {
+      const seen = {request, response, body, index};
+      this.seen.push(seen);
+      this.script(seen);
+    });
+  }
+}
