--- a/src/callers/caller_server.ts
+++ b/src/callers/caller_server.ts
@@ -44,8 +44,7 @@
     this.server = createServer({
       maxHeaderSize: limits.maxHeaderBytes,
       headersTimeout: limits.requestTimeoutMs,
-      // The body has a time-out of its own, which answers in the usual form.
-      requestTimeout: 2 * limits.requestTimeoutMs,
+      requestTimeout: limits.requestTimeoutMs,
       keepAliveTimeout: limits.idleTimeoutMs,
       connectionsCheckingInterval: CONNECTION_CHECK_MS,
     });
@@ -57,7 +56,7 @@
       this.receive(request, response);
     });
     this.server.on('clientError', (error, socket) => {
-      refuseConnection(error, socket, limits);
+      refuseConnection(error, socket, this.nextRequestId(), limits);
     });
   }
 
@@ -134,7 +133,7 @@
       return;
     }
     if (request.headers.expect !== undefined) response.writeContinue();
-    readBody(request, context.settings.limits, body => {
+    readBody(request, context.settings.limits.maxBodyBytes, body => {
       if (body.isOk()) this.admit(response, head.value, body.value);
       else this.refuseBody(response, requestId, body.error);
     });
--- a/src/callers/refuse_connection.ts
+++ b/src/callers/refuse_connection.ts
@@ -1,12 +1,14 @@
 import type {Duplex} from 'node:stream';
 import type {Refusal} from '../core/errors/index.js';
+import type {RequestId} from '../core/ids/index.js';
 import type {Settings} from '../settings/types.js';
 import {createRefusal} from '../core/errors/index.js';
 
-/** Answers a connection whose bytes never became a request, and closes it. */
+/** Answers a connection whose bytes never became a whole request, and closes it. */
 export function refuseConnection(
   error: NodeJS.ErrnoException,
   socket: Duplex,
+  requestId: RequestId,
   limits: Settings['limits'],
 ): void {
   if (!socket.writable || error.code === 'ECONNRESET') {
@@ -19,6 +21,7 @@
     `HTTP/1.1 ${status} ${body.title}`,
     'content-type: application/json',
     `content-length: ${Buffer.byteLength(text)}`,
+    `rhubarbstile-request-id: ${requestId}`,
     `rhubarbstile-verdict: ${body.verdict}`,
     'connection: close',
   ];
