Bind requests late: class queues, fair turns, learned lengths, two choices among free slots

Requests wait in the node by service and class and leave when a target has a free slot by its last report, corrected by own work since. Organisations take turns by deficit round robin; lengths are learned by organisation, service and stated bound, and a stream that outlives its service's usual length becomes long. Ruled out: a scan for the least loaded target, which costs by fleet size.

--- a/src/core/admission/create_admission_state.ts
+++ b/src/core/admission/create_admission_state.ts
@@ -1,7 +1,14 @@
 import type {AdmissionState} from './admission_state.js';
 import {DEFAULT_SCHEDULING} from './default_scheduling.js';
+import {LengthModel} from './length_model.js';
 
 /** Creates empty queues. */
 export function createAdmissionState(): AdmissionState {
-  return {options: DEFAULT_SCHEDULING, queues: new Map()};
+  return {
+    options: DEFAULT_SCHEDULING,
+    queues: new Map(),
+    tickets: new Map(),
+    ready: new Set(),
+    lengths: new LengthModel(),
+  };
 }
--- a/src/core/admission/enqueue_request.ts
+++ b/src/core/admission/enqueue_request.ts
@@ -1,23 +1,52 @@
-import type {RequestRecord} from '../requests/types.js';
 import type {Refusal} from '../errors/index.js';
+import type {RequestRecord} from '../requests/types.js';
 import type {Step} from '../state/types.js';
+import type {Ticket} from './ticket.js';
 import {createRefusal} from '../errors/index.js';
+import {estimateWaitMs} from './estimate_wait_ms.js';
+import {openTicket} from './open_ticket.js';
+import {putInQueue} from './put_in_queue.js';
+import {queueOf} from './queue_of.js';
+
+const MIN_RETRY_MS = 200;
+const MAX_RETRY_MS = 30_000;
 
 /** Queues a new request, or says at once why it cannot be answered in time. */
 export function enqueueRequest(
   step: Step,
   record: RequestRecord,
 ): Refusal | undefined {
-  const {service} = record.info;
-  const queue = step.state.admission.queues.get(service) ?? [];
+  const ticket = openTicket(step, record);
+  const refusal = checkQueue(step, ticket);
+  if (refusal) {
+    step.state.admission.tickets.delete(record.info.requestId);
+    return refusal;
+  }
+  putInQueue(step, ticket, false);
+  return undefined;
+}
+
+function checkQueue(step: Step, ticket: Ticket): Refusal | undefined {
+  const {info} = ticket.record;
+  const {service} = info;
   const limit = step.state.config.document.services.get(service)?.maxQueue ?? 0;
-  if (queue.length >= limit) {
+  const waitMs = estimateWaitMs(step, ticket);
+  if (queueOf(step, service).size >= limit) {
     return createRefusal('QueueFull', 'not-run', {
       params: {service},
-      retryAfterMs: 1000,
+      retryAfterMs: drawRetryMs(step, waitMs),
     });
   }
-  queue.push(record.info.requestId);
-  step.state.admission.queues.set(service, queue);
-  return undefined;
+  if (!step.state.admission.options.deadlineRefusal) return undefined;
+  if (step.nowMs + waitMs <= info.deadlineAtMs) return undefined;
+  return createRefusal('DeadlineUnreachable', 'not-run', {
+    retryAfterMs: drawRetryMs(step, waitMs),
+  });
+}
+
+/** When the queue of now will have drained, spread so that callers do not return together. */
+function drawRetryMs(step: Step, waitMs: number): number {
+  const spread = 0.5 + step.state.random.next();
+  const boundedMs = Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, waitMs));
+  return Math.ceil(boundedMs * spread);
 }
--- /dev/null
+++ b/src/core/admission/fair_queue.ts
@@ -0,0 +1,81 @@
+import type {OrganisationId} from '../ids/index.js';
+import type {Ticket} from './ticket.js';
+import {OrganisationLane} from './organisation_lane.js';
+
+/** Rounds that one look may take; bounds its time when a weight is tiny. */
+const MAX_ROUNDS = 64;
+
+/** Tokens that an organisation of weight 1 may take in a round. */
+const QUANTUM_TOKENS = 1024;
+
+/** Deficit round robin by tokens between organisations; first come, first served within one. */
+export class FairQueue {
+  private readonly lanes = new Map<
+    OrganisationId | undefined,
+    OrganisationLane
+  >();
+  /** Lanes that may have tickets; the first has the turn. */
+  private readonly ring: OrganisationLane[] = [];
+
+  constructor(private readonly weightOf: (id: OrganisationId) => number) {}
+
+  /** Adds a ticket to a lane; `undefined` is the one lane used without fairness. */
+  push(id: OrganisationId | undefined, ticket: Ticket, first: boolean): void {
+    let lane = this.lanes.get(id);
+    if (!lane) {
+      lane = new OrganisationLane(id);
+      this.lanes.set(id, lane);
+      this.ring.push(lane);
+    }
+    if (first) lane.tickets.pushFront(ticket);
+    else lane.tickets.push(ticket);
+  }
+
+  /** The lane in turn, and after it the others in the ring, up to a limit. */
+  candidates(limit: number): OrganisationLane[] {
+    const first = this.laneInTurn();
+    if (!first) return [];
+    const others = this.ring.slice(1, limit);
+    return [first, ...others.filter(lane => lane.tickets.peek())];
+  }
+
+  /** Takes a lane's first ticket off the queue and charges the lane for it. */
+  take(lane: OrganisationLane): void {
+    const ticket = lane.tickets.peek()!;
+    lane.tickets.shift();
+    lane.deficitTokens -= ticket.estimatedTokens;
+  }
+
+  /** Passes turns until a lane can pay for its first ticket. */
+  private laneInTurn(): OrganisationLane | undefined {
+    const limit = MAX_ROUNDS * this.ring.length;
+    for (let tries = 0; tries <= limit; tries++) {
+      const lane = this.ring[0];
+      if (!lane) return undefined;
+      const ticket = lane.tickets.peek();
+      if (!ticket) {
+        this.ring.shift();
+        this.lanes.delete(lane.organisation);
+        continue;
+      }
+      if (this.ring.length === 1) {
+        lane.deficitTokens = Math.max(
+          lane.deficitTokens,
+          ticket.estimatedTokens,
+        );
+      }
+      if (lane.deficitTokens >= ticket.estimatedTokens) return lane;
+      this.passTurn();
+    }
+    return this.ring[0];
+  }
+
+  /** Gives the turn to the next lane, which gets its quantum. */
+  private passTurn(): void {
+    this.ring.push(this.ring.shift()!);
+    const next = this.ring[0]!;
+    const weight =
+      next.organisation === undefined ? 1 : this.weightOf(next.organisation);
+    next.deficitTokens += QUANTUM_TOKENS * weight;
+  }
+}
--- /dev/null
+++ b/src/core/admission/priority_queue.ts
@@ -0,0 +1,56 @@
+import type {OrganisationId} from '../ids/index.js';
+import type {OrganisationLane} from './organisation_lane.js';
+import type {Ticket} from './ticket.js';
+import {FairQueue} from './fair_queue.js';
+
+interface Candidate {
+  readonly ticket: Ticket;
+  /** Takes it off the queue. */
+  readonly take: () => void;
+}
+
+/** Fair queues by priority; a larger priority goes first. */
+export class PriorityQueue {
+  private readonly levels = new Map<number, FairQueue>();
+  /** Priorities in use, largest first. */
+  private order: number[] = [];
+  size = 0;
+
+  constructor(private readonly weightOf: (id: OrganisationId) => number) {}
+
+  push(lane: OrganisationId | undefined, ticket: Ticket, first: boolean): void {
+    const {priority} = ticket.record.info;
+    let level = this.levels.get(priority);
+    if (!level) {
+      level = new FairQueue(this.weightOf);
+      this.levels.set(priority, level);
+      this.order = [...this.levels.keys()].sort((a, b) => b - a);
+    }
+    level.push(lane, ticket, first);
+    this.size += 1;
+  }
+
+  /** First tickets in the order of their turns, one an organisation, up to a limit. */
+  *candidates(limit: number): Generator<Candidate> {
+    let left = limit;
+    for (const priority of this.order) {
+      const level = this.levels.get(priority)!;
+      for (const lane of level.candidates(left)) {
+        left -= 1;
+        const ticket = lane.tickets.peek()!;
+        yield {ticket, take: () => this.take(level, lane)};
+      }
+      if (left <= 0) return;
+    }
+  }
+
+  /** Counts out a ticket that was marked as no longer queued. */
+  noteRemoved(): void {
+    this.size -= 1;
+  }
+
+  private take(level: FairQueue, lane: OrganisationLane): void {
+    level.take(lane);
+    this.size -= 1;
+  }
+}
--- a/src/core/admission/reduce_admission.ts
+++ b/src/core/admission/reduce_admission.ts
@@ -1,5 +1,40 @@
-import type {NodeEvent} from '../events/types.js';
+import type {EventOf, NodeEvent} from '../events/types.js';
 import type {Step} from '../state/types.js';
 
-/** Admission's share of the reducer. */
-export function reduceAdmission(_step: Step, _event: NodeEvent): void {}
+/** Admission's share of the reducer: lengths are learned, long streams are found while they run. */
+export function reduceAdmission(step: Step, event: NodeEvent): void {
+  switch (event.type) {
+    case 'attemptProgress':
+      return reclassify(step, event);
+    case 'attemptEnded':
+      return learn(step, event);
+    case 'tick':
+      return lookAgain(step);
+    default:
+  }
+}
+
+/** A request that outlives the usual length of its service is long, whatever its estimate. */
+function reclassify(step: Step, event: EventOf<'attemptProgress'>): void {
+  const {lengths, options, tickets} = step.state.admission;
+  const record = step.state.requests.byAttempt.get(event.attemptId);
+  const ticket = record && tickets.get(record.info.requestId);
+  if (!ticket || ticket.isLong || !options.shortFirst) return;
+  const tokens = ticket.record.deliveredTokens + event.tokens;
+  ticket.isLong = tokens >= lengths.longTokens(ticket.record.info.service);
+}
+
+function learn(step: Step, event: EventOf<'attemptEnded'>): void {
+  const record = step.state.requests.byAttempt.get(event.attemptId);
+  if (!record) return;
+  const tokens = record.deliveredTokens + event.tokens;
+  step.state.admission.lengths.learn(record.info, tokens);
+}
+
+/** Time alone may make a request aged or a target fit. */
+function lookAgain(step: Step): void {
+  const {queues, ready} = step.state.admission;
+  for (const [service, queue] of queues) {
+    if (queue.size > 0) ready.add(service);
+  }
+}
--- a/src/core/admission/remove_queued_request.ts
+++ b/src/core/admission/remove_queued_request.ts
@@ -1,14 +1,19 @@
 import type {RequestRecord} from '../requests/types.js';
 import type {Step} from '../state/types.js';
+import {queueOf} from './queue_of.js';
 
-/** Takes a request off the queue; false when it was not there. */
+/** Takes a request off the queue and forgets it; false when it was not queued. */
 export function removeQueuedRequest(
   step: Step,
   record: RequestRecord,
 ): boolean {
-  const queue = step.state.admission.queues.get(record.info.service) ?? [];
-  const at = queue.indexOf(record.info.requestId);
-  if (at < 0) return false;
-  queue.splice(at, 1);
+  const {tickets} = step.state.admission;
+  const {requestId, service} = record.info;
+  const ticket = tickets.get(requestId);
+  if (!ticket) return false;
+  tickets.delete(requestId);
+  if (!ticket.isQueued) return false;
+  ticket.isQueued = false;
+  queueOf(step, service).classOf(ticket.isLong).noteRemoved();
   return true;
 }
--- a/src/core/routing/create_routing_state.ts
+++ b/src/core/routing/create_routing_state.ts
@@ -1,7 +1,13 @@
 import type {RoutingState} from './routing_state.js';
-import {LeastInFlightPolicy} from './least_in_flight_policy.js';
+import {PrefixIndex} from './prefix_index.js';
+import {TwoChoicesPolicy} from './two_choices_policy.js';
 
 /** Creates a view with no work in flight. */
 export function createRoutingState(): RoutingState {
-  return {policy: new LeastInFlightPolicy(), inFlight: new Map()};
+  return {
+    policy: new TwoChoicesPolicy(),
+    loads: new Map(),
+    pools: new Map(),
+    prefixes: new PrefixIndex(),
+  };
 }
--- a/src/core/routing/dispatch_policy.ts
+++ b/src/core/routing/dispatch_policy.ts
@@ -4,6 +4,10 @@
 
 /** Chooses a target for the request at the head of a queue. */
 export interface DispatchPolicy {
-  /** Undefined leaves the request in the queue. */
-  select(step: Step, record: RequestRecord): Target | undefined;
+  /** Undefined leaves the request in the queue; `leaveFreeSlots` stay free at the target chosen. */
+  select(
+    step: Step,
+    record: RequestRecord,
+    leaveFreeSlots: number,
+  ): Target | undefined;
 }
--- /dev/null
+++ b/src/core/routing/load_of.ts
@@ -0,0 +1,22 @@
+import type {Step} from '../state/types.js';
+import type {TargetId} from '../ids/index.js';
+import type {TargetLoad} from './target_load.js';
+
+/** The account of a target; made when first used. */
+export function loadOf(step: Step, targetId: TargetId): TargetLoad {
+  const {loads} = step.state.routing;
+  const known = loads.get(targetId);
+  if (known) return known;
+  const load: TargetLoad = {
+    targetId,
+    own: new Map(),
+    ended: [],
+    othersAtReport: 0,
+    failures: 0,
+    ejections: 0,
+    ejectedUntilMs: 0,
+    returnedAtMs: 0,
+  };
+  loads.set(targetId, load);
+  return load;
+}
--- a/src/core/routing/note_attempt_over.ts
+++ b/src/core/routing/note_attempt_over.ts
@@ -1,15 +1,35 @@
 import type {AttemptResult} from './attempt_result.js';
 import type {RequestRecord} from '../requests/types.js';
 import type {Step} from '../state/types.js';
+import {learnSpeed} from './learn_speed.js';
+import {loadOf} from './load_of.js';
+import {markReady} from '../admission/index.js';
+import {noteFailure} from './note_failure.js';
+import {refreshTarget} from './refresh_target.js';
+
+const MIN_TOKENS = 8;
 
 /** Gives back the slot of the record's attempt and learns from its end. */
 export function noteAttemptOver(
   step: Step,
   record: RequestRecord,
-  _result: AttemptResult,
+  result: AttemptResult,
 ): void {
-  const targetId = record.attempt?.targetId;
-  if (targetId === undefined) return;
-  const {inFlight} = step.state.routing;
-  inFlight.set(targetId, Math.max(0, (inFlight.get(targetId) ?? 0) - 1));
+  const {attempt} = record;
+  if (!attempt) return;
+  const load = loadOf(step, attempt.targetId);
+  load.own.delete(attempt.attemptId);
+  const {startedAtMs, firstTokenAtMs} = attempt;
+  load.ended.push({startedAtMs, endedAtMs: step.nowMs});
+  if (result.kind === 'ended') {
+    load.failures = 0;
+    load.ejections = 0;
+    if (firstTokenAtMs !== undefined && result.tokens >= MIN_TOKENS) {
+      const elapsedMs = step.nowMs - firstTokenAtMs;
+      learnSpeed(step, attempt.targetId, elapsedMs / result.tokens);
+    }
+  }
+  if (result.kind === 'failed') noteFailure(step, attempt.targetId);
+  refreshTarget(step, attempt.targetId);
+  markReady(step, record.info.service);
 }
--- a/src/core/routing/note_dispatched.ts
+++ b/src/core/routing/note_dispatched.ts
@@ -1,13 +1,16 @@
 import type {RequestRecord} from '../requests/types.js';
 import type {Step} from '../state/types.js';
 import type {Target} from '../targets/types.js';
+import {loadOf} from './load_of.js';
+import {refreshTarget} from './refresh_target.js';
 
-/** Takes a slot of a target for a request. */
+/** Takes a slot of a target for a request whose attempt was just made. */
 export function noteDispatched(
   step: Step,
-  _record: RequestRecord,
+  record: RequestRecord,
   target: Target,
 ): void {
-  const {inFlight} = step.state.routing;
-  inFlight.set(target.targetId, (inFlight.get(target.targetId) ?? 0) + 1);
+  const {attemptId} = record.attempt!;
+  loadOf(step, target.targetId).own.set(attemptId, step.nowMs);
+  refreshTarget(step, target.targetId);
 }
--- /dev/null
+++ b/src/core/routing/refresh_target.ts
@@ -0,0 +1,21 @@
+import type {Step} from '../state/types.js';
+import type {TargetId} from '../ids/index.js';
+import {allowedSlots} from './allowed_slots.js';
+import {loadOf} from './load_of.js';
+import {markReady} from '../admission/index.js';
+import {occupiedSlots} from './occupied_slots.js';
+
+/** Keeps a target among those with a free slot, or out of them. */
+export function refreshTarget(step: Step, targetId: TargetId): void {
+  const {routing, targets} = step.state;
+  const target = targets.byId.get(targetId);
+  const pool = target && routing.pools.get(target.service);
+  if (!target || !pool?.members.has(targetId)) return;
+  const load = loadOf(step, targetId);
+  if (occupiedSlots(load) >= allowedSlots(step, target, load)) {
+    pool.free.delete(targetId);
+    return;
+  }
+  pool.free.add(targetId);
+  markReady(step, target.service);
+}
--- a/src/core/routing/routing_state.ts
+++ b/src/core/routing/routing_state.ts
@@ -1,8 +1,13 @@
 import type {DispatchPolicy} from './dispatch_policy.js';
-import type {TargetId} from '../ids/index.js';
+import type {PrefixIndex} from './prefix_index.js';
+import type {ServiceName, TargetId} from '../ids/index.js';
+import type {ServicePool} from './service_pool.js';
+import type {TargetLoad} from './target_load.js';
 
-/** What this node knows of its own work on targets. */
+/** What this node knows of its own work on targets, and of theirs. */
 export interface RoutingState {
   policy: DispatchPolicy;
-  readonly inFlight: Map<TargetId, number>;
+  readonly loads: Map<TargetId, TargetLoad>;
+  readonly pools: Map<ServiceName, ServicePool>;
+  readonly prefixes: PrefixIndex;
 }
--- a/src/core/routing/select_target.ts
+++ b/src/core/routing/select_target.ts
@@ -6,6 +6,7 @@
 export function selectTarget(
   step: Step,
   record: RequestRecord,
+  leaveFreeSlots = 0,
 ): Target | undefined {
-  return step.state.routing.policy.select(step, record);
+  return step.state.routing.policy.select(step, record, leaveFreeSlots);
 }
--- /dev/null
+++ b/src/core/routing/two_choices_policy.ts
@@ -0,0 +1,86 @@
+import type {DispatchPolicy} from './dispatch_policy.js';
+import type {RequestRecord} from '../requests/types.js';
+import type {ServicePool} from './service_pool.js';
+import type {Step} from '../state/types.js';
+import type {Target} from '../targets/types.js';
+import type {TargetId} from '../ids/index.js';
+import {isEligible} from './is_eligible.js';
+import {poolOf} from './pool_of.js';
+import {refreshTarget} from './refresh_target.js';
+import {scoreTarget} from './score_target.js';
+
+/** Targets drawn at random that are compared. */
+const CHOICES = 2;
+/** Draws that may miss before the request stays in the queue. */
+const MAX_DRAWS = 8;
+/** Holders of a cached prefix that are compared as well. */
+const MAX_HOLDERS = 2;
+
+/** Compares two random targets with free slots, and holders of the prompt's prefix; takes the best. */
+export class TwoChoicesPolicy implements DispatchPolicy {
+  select(
+    step: Step,
+    record: RequestRecord,
+    leaveFreeSlots: number,
+  ): Target | undefined {
+    const pool = poolOf(step, record.info.service);
+    if (pool.free.size === 0) return undefined;
+    let best: Target | undefined;
+    let bestScore = Infinity;
+    for (const targetId of drawCandidates(step, record, pool)) {
+      const target = step.state.targets.byId.get(targetId)!;
+      if (!isEligible(step, record, target, leaveFreeSlots)) continue;
+      const score = scoreTarget(step, record, target);
+      if (score >= bestScore) continue;
+      best = target;
+      bestScore = score;
+    }
+    return best;
+  }
+}
+
+/** Free holders of the longest prefix first, then random members with a free slot. */
+function* drawCandidates(
+  step: Step,
+  record: RequestRecord,
+  pool: ServicePool,
+): Generator<TargetId> {
+  yield* freeHolders(step, record, pool);
+  for (let draw = 0; draw < MAX_DRAWS && pool.free.size > 0; draw++) {
+    const targetId = pool.free.at(step.state.random.below(pool.free.size))!;
+    if (isStillFree(step, pool, targetId)) yield targetId;
+    if (draw + 1 >= CHOICES && pool.free.size > MAX_DRAWS) return;
+  }
+}
+
+function* freeHolders(
+  step: Step,
+  {info}: RequestRecord,
+  pool: ServicePool,
+): Generator<TargetId> {
+  if (!step.state.admission.options.prefixAffinity) return;
+  const longest = info.prefixHashes.at(-1);
+  const holders =
+    longest === undefined ? [] : step.state.routing.prefixes.holders(longest);
+  let left = MAX_HOLDERS;
+  for (const targetId of holders ?? []) {
+    if (!pool.free.has(targetId)) continue;
+    if (isStillFree(step, pool, targetId)) yield targetId;
+    if (--left <= 0) return;
+  }
+}
+
+/** Bars change without notice; a target that is gone or full leaves the set of free ones. */
+function isStillFree(
+  step: Step,
+  pool: ServicePool,
+  targetId: TargetId,
+): boolean {
+  if (!step.state.targets.byId.has(targetId)) {
+    pool.free.delete(targetId);
+    pool.isOutdated = true;
+    return false;
+  }
+  refreshTarget(step, targetId);
+  return pool.free.has(targetId);
+}
--- a/src/replay/policies/least_outstanding_policy.ts
+++ b/src/replay/policies/least_outstanding_policy.ts
@@ -2,6 +2,7 @@
 import type {RequestRecord} from '../../core/requests/types.js';
 import type {Step} from '../../core/state/types.js';
 import type {Target} from '../../core/targets/types.js';
+import {ownInFlight} from '../../core/routing/index.js';
 
 /** Baseline: takes the target with the least own work, full or not; equals in turn. */
 export class LeastOutstandingPolicy implements DispatchPolicy {
@@ -13,7 +14,7 @@
   }
 
   select(step: Step, record: RequestRecord): Target | undefined {
-    const {routing, targets} = step.state;
+    const {targets} = step.state;
     const ids = [...(targets.byService.get(record.info.service) ?? [])];
     const start = this.next++;
     let best: Target | undefined;
@@ -21,7 +22,7 @@
     for (let at = 0; at < ids.length; at++) {
       const target = targets.byId.get(ids[(start + at) % ids.length]!);
       if (!target || target.bar) continue;
-      const load = routing.inFlight.get(target.targetId) ?? 0;
+      const load = ownInFlight(step.state, target.targetId);
       if (load >= bestLoad) continue;
       best = target;
       bestLoad = load;
