--- a/src/core/admission/admission_state.ts
+++ b/src/core/admission/admission_state.ts
@@ -12,5 +12,7 @@
   readonly tickets: Map<RequestId, Ticket>;
   /** Services with waiting requests where a slot may have come free. */
   readonly ready: Set<ServiceName>;
+  /** Services whose short requests found no target since the last look. */
+  readonly shortWaiting: Set<ServiceName>;
   readonly lengths: LengthModel;
 }
--- a/src/core/admission/create_admission_state.ts
+++ b/src/core/admission/create_admission_state.ts
@@ -9,6 +9,7 @@
     queues: new Map(),
     tickets: new Map(),
     ready: new Set(),
+    shortWaiting: new Set(),
     lengths: new LengthModel(),
   };
 }
--- a/src/core/admission/next_dispatches.ts
+++ b/src/core/admission/next_dispatches.ts
@@ -38,7 +38,10 @@
     takeFrom(step, queue.long, {onlyAged: true}) ??
     takeFrom(step, queue.short) ??
     takeFrom(step, queue.long, {leaveFreeSlots});
-  if (!dispatch) return undefined;
+  if (!dispatch) {
+    if (queue.short.size > 0) step.state.admission.shortWaiting.add(service);
+    return undefined;
+  }
   queue.allRate.add(step.nowMs);
   const ticket = step.state.admission.tickets.get(
     dispatch.record.info.requestId,
--- a/src/core/admission/reduce_admission.ts
+++ b/src/core/admission/reduce_admission.ts
@@ -1,5 +1,6 @@
 import type {EventOf, NodeEvent} from '../events/types.js';
 import type {Step} from '../state/types.js';
+import {noteLongRunning} from './note_long_running.js';
 
 /** Admission's share of the reducer: lengths are learned, long streams are found while they run. */
 export function reduceAdmission(step: Step, event: NodeEvent): void {
@@ -22,6 +23,7 @@
   if (!ticket || ticket.isLong || !options.shortFirst) return;
   const tokens = ticket.record.deliveredTokens + event.tokens;
   ticket.isLong = tokens >= lengths.longTokens(ticket.record.info.service);
+  noteLongRunning(step, ticket.record, ticket.isLong);
 }
 
 function learn(step: Step, event: EventOf<'attemptEnded'>): void {
--- a/src/core/admission/select_pauses.ts
+++ b/src/core/admission/select_pauses.ts
@@ -1,10 +1,59 @@
 import type {RequestRecord} from '../requests/types.js';
+import type {ServiceName} from '../ids/index.js';
+import type {ServiceQueue} from './service_queue.js';
 import type {Step} from '../state/types.js';
+import type {Ticket} from './ticket.js';
+import {hasSlotOfOwn} from '../routing/index.js';
+import {queueOf} from './queue_of.js';
+
+/** Wait of a short request that pauses a long stream. */
+const PAUSE_AFTER_MS = 100;
+/** A stream is paused at most so often. */
+const MAX_PAUSES = 2;
+/** A stream runs at least so long before it is paused, or paused again. */
+const MIN_RUN_MS = 3000;
+/** Long streams that are looked at. */
+const MAX_TRIES = 8;
 
 /**
  * Chooses running long streams to pause, so that waiting short requests get their
- * slots. The caller cancels each attempt for `pause` and requeues the request.
+ * slots. The caller cancels each attempt and requeues the request.
  */
-export function selectPauses(_step: Step): RequestRecord[] {
-  return [];
+export function selectPauses(step: Step): RequestRecord[] {
+  const {options, shortWaiting} = step.state.admission;
+  if (!options.pauses) return [];
+  const pauses: RequestRecord[] = [];
+  for (const service of shortWaiting) {
+    const ticket = choosePause(step, service);
+    if (ticket) pauses.push(ticket.record);
+  }
+  shortWaiting.clear();
+  return pauses;
+}
+
+function choosePause(step: Step, service: ServiceName): Ticket | undefined {
+  const queue = queueOf(step, service);
+  if (!isShortWaiting(step, queue)) return undefined;
+  let tries = 0;
+  for (const ticket of queue.runningLong) {
+    if (mayPause(step, ticket)) return ticket;
+    if (++tries >= MAX_TRIES) return undefined;
+  }
+  return undefined;
+}
+
+function isShortWaiting(step: Step, queue: ServiceQueue): boolean {
+  for (const {ticket} of queue.short.candidates(1)) {
+    return step.nowMs - ticket.record.requeuedAtMs >= PAUSE_AFTER_MS;
+  }
+  return false;
+}
+
+function mayPause(step: Step, {record}: Ticket): boolean {
+  const {attempt, info} = record;
+  if (!attempt || attempt.firstTokenAtMs === undefined) return false;
+  if (!info.stream || info.kind !== 'model' || info.unrepeatable) return false;
+  if (record.pauses >= MAX_PAUSES || record.detached) return false;
+  if (step.nowMs - attempt.startedAtMs < MIN_RUN_MS) return false;
+  return hasSlotOfOwn(step, attempt.targetId);
 }
--- a/src/core/admission/service_queue.ts
+++ b/src/core/admission/service_queue.ts
@@ -1,4 +1,5 @@
 import type {OrganisationId} from '../ids/index.js';
+import type {Ticket} from './ticket.js';
 import {DecayedRate} from './decayed_rate.js';
 import {PriorityQueue} from './priority_queue.js';
 
@@ -6,6 +7,8 @@
 export class ServiceQueue {
   readonly short: PriorityQueue;
   readonly long: PriorityQueue;
+  /** Long streams that run, in the order in which they became known as long. */
+  readonly runningLong = new Set<Ticket>();
   /** Dispatches of short requests, and of all. */
   readonly shortRate = new DecayedRate();
   readonly allRate = new DecayedRate();
--- a/src/core/requests/dispatch_queued.ts
+++ b/src/core/requests/dispatch_queued.ts
@@ -7,6 +7,7 @@
 import {noteDispatched} from '../routing/index.js';
 import {noteOnceDispatched, noteOnceOver} from '../once/index.js';
 import {openAttempt} from './open_attempt.js';
+import {pauseRequests} from './pause_requests.js';
 import {refuseRequest} from './refuse_request.js';
 
 const RETRY_AFTER_MS = 1000;
@@ -15,7 +16,7 @@
 export function dispatchQueued(step: Step): void {
   for (;;) {
     const dispatches = nextDispatches(step);
-    if (dispatches.length === 0) return;
+    if (dispatches.length === 0 && !pauseRequests(step)) return;
     for (const dispatch of dispatches) {
       if (mayStart(step, dispatch)) startAttempt(step, dispatch);
     }
--- /dev/null
+++ b/src/core/requests/pause_requests.ts
@@ -0,0 +1,16 @@
+import type {Step} from '../state/types.js';
+import {cancelAttempt} from './cancel_attempt.js';
+import {requeueRequest, selectPauses} from '../admission/index.js';
+
+/** Takes long streams off their targets while short requests wait; true when there was one. */
+export function pauseRequests(step: Step): boolean {
+  const records = selectPauses(step);
+  for (const record of records) {
+    cancelAttempt(step, record);
+    record.phase = 'queued';
+    record.pauses += 1;
+    record.requeuedAtMs = step.nowMs;
+    requeueRequest(step, record);
+  }
+  return records.length > 0;
+}
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -1,4 +1,5 @@
 export {createRoutingState} from './create_routing_state.js';
+export {hasSlotOfOwn} from './has_slot_of_own.js';
 export {noteAttemptOver} from './note_attempt_over.js';
 export {noteDispatched} from './note_dispatched.js';
 export {noteFirstToken} from './note_first_token.js';
--- a/src/core/routing/note_attempt_over.ts
+++ b/src/core/routing/note_attempt_over.ts
@@ -3,7 +3,7 @@
 import type {Step} from '../state/types.js';
 import {learnSpeed} from './learn_speed.js';
 import {loadOf} from './load_of.js';
-import {markReady} from '../admission/index.js';
+import {markReady, noteLongRunning} from '../admission/index.js';
 import {noteFailure} from './note_failure.js';
 import {refreshTarget} from './refresh_target.js';
 
@@ -17,6 +17,7 @@
 ): void {
   const {attempt} = record;
   if (!attempt) return;
+  noteLongRunning(step, record, false);
   const load = loadOf(step, attempt.targetId);
   load.own.delete(attempt.attemptId);
   const {startedAtMs, firstTokenAtMs} = attempt;
--- a/src/core/routing/note_dispatched.ts
+++ b/src/core/routing/note_dispatched.ts
@@ -2,6 +2,7 @@
 import type {Step} from '../state/types.js';
 import type {Target} from '../targets/types.js';
 import {loadOf} from './load_of.js';
+import {noteLongRunning} from '../admission/index.js';
 import {refreshTarget} from './refresh_target.js';
 
 /** Takes a slot of a target for a request whose attempt was just made. */
@@ -12,5 +13,6 @@
 ): void {
   const {attemptId} = record.attempt!;
   loadOf(step, target.targetId).own.set(attemptId, step.nowMs);
+  noteLongRunning(step, record, true);
   refreshTarget(step, target.targetId);
 }
--- a/src/replay/load/request_outcome.ts
+++ b/src/replay/load/request_outcome.ts
@@ -7,6 +7,8 @@
   sends: number;
   /** Dispatches by the nodes. */
   attempts: number;
+  /** When a node first sent it to a target. */
+  dispatchedAtMs?: number;
   /** When an engine first ran it. */
   startedAtMs?: number;
   firstTokenAtMs?: number;
--- a/src/replay/load/virtual_targets.ts
+++ b/src/replay/load/virtual_targets.ts
@@ -67,7 +67,9 @@
     const engine = this.engines.get(effect.targetId)!;
     const live: LiveAttempt = {engine, requestId, isCancelled: false};
     this.attempts.set(attemptId, live);
-    this.outcomeOf(requestId).attempts += 1;
+    const outcome = this.outcomeOf(requestId);
+    outcome.attempts += 1;
+    outcome.dispatchedAtMs ??= this.world.time.nowMs;
     this.tell(node, 0, {type: 'attemptHeadSent', attemptId});
     this.world.time.after(LATENCY_MS, () => {
       if (!live.isCancelled) this.run(node, effect, live);
