Form replicas: target registry, stewards, planner, report polls, orders

Until now no node knew any VM or target. A node now lists VMs, polls their engines, follows the domains' documents and bars a target on any evidence against it; the steward of each fabric domain plans, loads, drains and releases by compare-and-swap on the domain's document.

--- /dev/null
+++ b/src/core/replicas/advance_document.ts
@@ -0,0 +1,50 @@
+import type {ReplicaEntry} from './replica_entry.js';
+import type {Step} from '../state/types.js';
+import type {Stewardship} from './stewardship.js';
+import {advanceEntry} from './advance_entry.js';
+import {applyAction} from './apply_action.js';
+import {recordAudit} from '../audit/index.js';
+
+/** The domain's replicas after planned steps and reports; undefined when nothing changes. */
+export function advanceDocument(
+  step: Step,
+  stewardship: Stewardship,
+): ReplicaEntry[] | undefined {
+  const before = stewardship.document!.replicas;
+  const planned = applyPlan(step, stewardship, before);
+  const after = planned.flatMap(entry => {
+    const next = advanceEntry(step, stewardship, entry);
+    return next ? [next] : [];
+  });
+  const isSame =
+    after.length === before.length &&
+    after.every((entry, index) => entry === before[index]);
+  return isSame ? undefined : after;
+}
+
+function applyPlan(
+  step: Step,
+  stewardship: Stewardship,
+  before: readonly ReplicaEntry[],
+): readonly ReplicaEntry[] {
+  const {replicas} = step.state;
+  let entries = before;
+  const left = [];
+  for (const action of replicas.actions) {
+    if (action.domain !== stewardship.domain) {
+      left.push(action);
+      continue;
+    }
+    const next = applyAction(step, stewardship, entries, action);
+    if (!next) continue;
+    entries = next;
+    recordAudit(step, {
+      who: 'system',
+      action: 'replica',
+      subject: action.kind === 'create' ? action.service : action.replicaId,
+      after: JSON.stringify(action),
+    });
+  }
+  replicas.actions = left;
+  return entries;
+}
--- /dev/null
+++ b/src/core/replicas/confirm_documents.ts
@@ -0,0 +1,10 @@
+import type {Step} from '../state/types.js';
+import {confirmPrefixWatch} from './confirm_prefix_watch.js';
+
+/** Reads the documents again after VMs came back from a long silence. */
+export function confirmDocuments(step: Step): void {
+  const {replicas, targets} = step.state;
+  if (targets.rereadAfterMs < replicas.confirmedAtMs) return;
+  if (targets.rereadAfterMs === -Infinity) return;
+  confirmPrefixWatch(step, replicas.documentWatch);
+}
--- a/src/core/replicas/create_replicas_state.ts
+++ b/src/core/replicas/create_replicas_state.ts
@@ -1,6 +1,22 @@
 import type {ReplicasState} from './replicas_state.js';
+import {createPrefixWatch} from './create_prefix_watch.js';
 
 /** Creates a view without documents. */
 export function createReplicasState(): ReplicasState {
-  return {documents: new Map()};
+  return {
+    documents: new Map(),
+    confirmedAtMs: -Infinity,
+    targetsByDomain: new Map(),
+    documentWatch: createPrefixWatch('domains/'),
+    stewardWatch: createPrefixWatch('stewards/'),
+    vacantSinceMs: new Map(),
+    lease: {safeUntilMs: 0, sentAtMs: 0, nextAtMs: 0},
+    stewardships: new Map(),
+    wantedSinceMs: new Map(),
+    actions: [],
+    loadQueue: [],
+    planner: 'deficit-first',
+    reconciledAtMs: 0,
+    plannedAtMs: 0,
+  };
 }
--- a/src/core/replicas/domain_document.ts
+++ b/src/core/replicas/domain_document.ts
@@ -1,20 +1,5 @@
-import type {DomainId, ReplicaId, ServiceName, VmId} from '../ids/index.js';
-
-interface ReplicaEntry {
-  readonly replicaId: ReplicaId;
-  /** Grows when its VMs are exchanged. */
-  readonly generation: number;
-  readonly service: ServiceName;
-  readonly model: string;
-  readonly version: string;
-  readonly adapters: readonly string[];
-  readonly vms: readonly VmId[];
-  readonly leader: VmId;
-  readonly slots: number;
-  /** Token under which its orders were given. */
-  readonly fencingToken: number;
-  readonly state: 'planned' | 'loading' | 'serving' | 'draining';
-}
+import type {DomainId} from '../ids/index.js';
+import type {ReplicaEntry} from './replica_entry.js';
 
 /** All replicas of one fabric domain: the only place that says which VM is in which. */
 export interface DomainDocument {
--- /dev/null
+++ b/src/core/replicas/is_released.ts
@@ -0,0 +1,22 @@
+import type {ReplicaEntry} from './replica_entry.js';
+import type {Step} from '../state/types.js';
+import type {Stewardship} from './stewardship.js';
+import type {VmId} from '../ids/index.js';
+import {entrySince} from './entry_since.js';
+import {isFresh, isLost} from '../targets/index.js';
+
+/** Whether a VM of a draining replica may be given away: its engine says so, or it has left the list. */
+export function isReleased(
+  step: Step,
+  stewardship: Stewardship,
+  entry: ReplicaEntry,
+  vmId: VmId,
+): boolean {
+  const {targets} = step.state;
+  if (stewardship.orders.has(vmId)) return false;
+  if (isLost(targets, vmId, step.nowMs)) return !targets.vms.has(vmId);
+  if (!isFresh(targets, vmId, step.nowMs)) return false;
+  const {report, trueAtMs} = targets.reports.get(vmId)!;
+  if (trueAtMs <= entrySince(step, stewardship, entry)) return false;
+  return report.assignment?.replicaId !== entry.replicaId;
+}
--- /dev/null
+++ b/src/core/replicas/keep_steward_lease.ts
@@ -0,0 +1,23 @@
+import type {Step} from '../state/types.js';
+import {STEWARD_TIMING} from './steward_timing.js';
+import {STORE_PRIORITY} from '../store/index.js';
+import {callStore} from '../state/index.js';
+
+const ANSWER_MS = 1000;
+
+/** Asks for a lease, or keeps the one there is alive. */
+export function keepStewardLease(step: Step): void {
+  const {lease} = step.state.replicas;
+  if (lease.operationId !== undefined || step.nowMs < lease.nextAtMs) return;
+  const {leaseId} = lease;
+  lease.sentAtMs = step.nowMs;
+  lease.nextAtMs = step.nowMs + STEWARD_TIMING.keepAliveMs;
+  lease.operationId = callStore(
+    step,
+    'replicas',
+    leaseId === undefined
+      ? {kind: 'grantLease', ttlMs: STEWARD_TIMING.leaseTtlMs}
+      : {kind: 'keepAlive', leaseId},
+    {priority: STORE_PRIORITY.lease, timeoutMs: ANSWER_MS},
+  );
+}
--- /dev/null
+++ b/src/core/replicas/plan/deficit_planner.ts
@@ -0,0 +1,22 @@
+import type {PlanAction} from './plan_action.js';
+import type {PlanView} from './plan_view.js';
+import type {ReplicaPlanner} from './replica_planner.js';
+import {PlanDraft} from './plan_draft.js';
+import {planAdaptations} from './plan_adaptations.js';
+import {planCreations} from './plan_creations.js';
+import {planExchanges} from './plan_exchanges.js';
+import {planRolls} from './plan_rolls.js';
+import {planSurplus} from './plan_surplus.js';
+
+/** Mends first, then builds in order of urgency where the fewest VMs are stranded. */
+export class DeficitPlanner implements ReplicaPlanner {
+  plan(view: PlanView): PlanAction[] {
+    const draft = new PlanDraft(view);
+    planSurplus(draft);
+    planExchanges(draft);
+    planAdaptations(draft);
+    planCreations(draft);
+    planRolls(draft);
+    return draft.actions;
+  }
+}
--- /dev/null
+++ b/src/core/replicas/plan/first_come_planner.ts
@@ -0,0 +1,49 @@
+import type {PlanAction} from './plan_action.js';
+import type {PlanReplica} from './plan_replica.js';
+import type {PlanView} from './plan_view.js';
+import type {ReplicaPlanner} from './replica_planner.js';
+import {PlanDraft} from './plan_draft.js';
+import {isWhole} from './is_whole.js';
+import {planRolls} from './plan_rolls.js';
+import {planSurplus} from './plan_surplus.js';
+
+/** Baseline for measurements: gives broken replicas up and rebuilds in order of name, in the first domain that fits. */
+export class FirstComePlanner implements ReplicaPlanner {
+  plan(view: PlanView): PlanAction[] {
+    const draft = new PlanDraft(view);
+    planSurplus(draft);
+    for (const replica of view.replicas) {
+      if (replica.entry.state !== 'draining' && !isWhole(replica)) {
+        giveUp(draft, replica);
+      }
+    }
+    createMissing(draft);
+    planRolls(draft);
+    return draft.actions;
+  }
+}
+
+function giveUp(draft: PlanDraft, {domain, entry}: PlanReplica): void {
+  const {replicaId} = entry;
+  draft.act({kind: 'drain', domain, replicaId, reason: 'lost'});
+}
+
+function createMissing(draft: PlanDraft): void {
+  const inOrder = [...draft.standings].sort((a, b) =>
+    a.service.name < b.service.name ? -1 : 1,
+  );
+  for (const standing of inOrder) {
+    const {name, vmsPerReplica} = standing.service;
+    for (; standing.missing > 0; standing.missing--) {
+      const domain = draft.domains.find(
+        one => draft.countFree(one) >= vmsPerReplica,
+      );
+      if (domain === undefined) {
+        standing.isBlocked = true;
+        break;
+      }
+      const vms = draft.takeFree(domain, vmsPerReplica);
+      draft.act({kind: 'create', domain, service: name, vms});
+    }
+  }
+}
--- /dev/null
+++ b/src/core/replicas/plan/is_whole.ts
@@ -0,0 +1,8 @@
+import type {PlanReplica} from './plan_replica.js';
+
+/** Whether no VM of the replica is lost or leaves. */
+export function isWhole({vms}: PlanReplica): boolean {
+  return vms.every(
+    ({condition}) => condition === 'free' || condition === 'sound',
+  );
+}
--- /dev/null
+++ b/src/core/replicas/plan/make_room.ts
@@ -0,0 +1,133 @@
+import type {DomainId} from '../../ids/index.js';
+import type {PlanDraft} from './plan_draft.js';
+import type {PlanReplica} from './plan_replica.js';
+import type {ServiceStanding} from './service_standing.js';
+import {isWhole} from './is_whole.js';
+
+interface Candidate {
+  readonly replica: PlanReplica;
+  readonly kind: 'drain' | 'retire';
+}
+
+/**
+ * Reserves a domain whose VMs will suffice for a missing replica: those that
+ * come free anyway, those of replicas that are broken, those of a smaller replica
+ * that fits elsewhere, and those of a less important service with replicas to spare.
+ */
+export function makeRoom(draft: PlanDraft, standing: ServiceStanding): boolean {
+  return (
+    awaitRoom(draft, standing) ||
+    dissolveBroken(draft, standing) ||
+    moveSmaller(draft, standing) ||
+    preempt(draft, standing)
+  );
+}
+
+function countLacking(
+  draft: PlanDraft,
+  {service}: ServiceStanding,
+  domain: DomainId,
+): number {
+  const have = draft.countFree(domain) + draft.countComing(domain);
+  return service.vmsPerReplica - have;
+}
+
+function awaitRoom(draft: PlanDraft, standing: ServiceStanding): boolean {
+  const {service} = standing;
+  const domain = draft.domains.find(
+    one => countLacking(draft, standing, one) <= 0,
+  );
+  if (domain === undefined) return false;
+  draft.reserve(domain, service.vmsPerReplica);
+  return true;
+}
+
+function dissolveBroken(draft: PlanDraft, standing: ServiceStanding): boolean {
+  for (const domain of draft.domains) {
+    const broken = draft.view.replicas.filter(
+      replica =>
+        replica.domain === domain &&
+        replica.entry.state !== 'draining' &&
+        !isWhole(replica) &&
+        !draft.isTouched(replica),
+    );
+    const usable = broken.reduce((sum, one) => sum + countSound(one), 0);
+    if (countLacking(draft, standing, domain) > usable) continue;
+    for (const replica of broken) {
+      if (countLacking(draft, standing, domain) <= 0) break;
+      giveUp(draft, {replica, kind: 'drain'}, 'dissolved');
+    }
+    draft.reserve(domain, standing.service.vmsPerReplica);
+    return true;
+  }
+  return false;
+}
+
+function moveSmaller(draft: PlanDraft, standing: ServiceStanding): boolean {
+  const needed = standing.service.vmsPerReplica;
+  const movable = draft.standings
+    .flatMap(one => one.current)
+    .filter(isWhole)
+    .filter(one => one.entry.state === 'serving' && !draft.isTouched(one))
+    .filter(one => one.vms.length < needed)
+    .filter(one => countLacking(draft, standing, one.domain) <= one.vms.length)
+    .filter(one => hasRoomElsewhere(draft, one))
+    .sort((a, b) => a.vms.length - b.vms.length || compareIds(a, b));
+  const replica = movable[0];
+  if (!replica) return false;
+  giveUp(draft, {replica, kind: 'retire'}, 'surplus');
+  draft.reserve(replica.domain, needed);
+  return true;
+}
+
+function preempt(draft: PlanDraft, standing: ServiceStanding): boolean {
+  const {service, serving} = standing;
+  if (serving >= Math.max(1, service.minServing)) return false;
+  for (const donor of [...draft.standings].reverse()) {
+    if (donor.service.priority >= service.priority) continue;
+    if (donor.serving - 1 < Math.max(1, donor.service.minServing)) continue;
+    const replica = donor.current.find(
+      one =>
+        one.entry.state === 'serving' &&
+        isWhole(one) &&
+        !draft.isTouched(one) &&
+        countLacking(draft, standing, one.domain) <= one.vms.length,
+    );
+    if (!replica) continue;
+    donor.serving -= 1;
+    giveUp(draft, {replica, kind: 'drain'}, 'preempted');
+    draft.reserve(replica.domain, service.vmsPerReplica);
+    return true;
+  }
+  return false;
+}
+
+function hasRoomElsewhere(draft: PlanDraft, replica: PlanReplica): boolean {
+  return draft.domains.some(
+    domain =>
+      domain !== replica.domain &&
+      draft.countFree(domain) >= replica.vms.length,
+  );
+}
+
+function giveUp(
+  draft: PlanDraft,
+  {replica, kind}: Candidate,
+  reason: 'dissolved' | 'preempted' | 'surplus',
+): void {
+  const {domain, entry} = replica;
+  const {replicaId} = entry;
+  if (kind === 'retire') draft.act({kind, domain, replicaId});
+  else draft.act({kind, domain, replicaId, reason});
+  draft.noteComing(replica);
+}
+
+function countSound({vms}: PlanReplica): number {
+  return vms.filter(
+    ({condition}) => condition === 'free' || condition === 'sound',
+  ).length;
+}
+
+function compareIds(a: PlanReplica, b: PlanReplica): number {
+  return a.entry.replicaId < b.entry.replicaId ? -1 : 1;
+}
--- /dev/null
+++ b/src/core/replicas/plan/plan_draft.ts
@@ -0,0 +1,69 @@
+import type {DomainId, VmId} from '../../ids/index.js';
+import type {PlanAction} from './plan_action.js';
+import type {PlanReplica} from './plan_replica.js';
+import type {PlanView} from './plan_view.js';
+import type {ServiceStanding} from './service_standing.js';
+import {resolveStandings} from './resolve_standings.js';
+
+/** A plan in the making: what is still free, and the steps so far. */
+export class PlanDraft {
+  readonly actions: PlanAction[] = [];
+  readonly standings: readonly ServiceStanding[];
+  readonly domains: readonly DomainId[];
+  private readonly free = new Map<DomainId, VmId[]>();
+  /** VMs that draining and retiring replicas will give back. */
+  private readonly coming = new Map<DomainId, number>();
+  private readonly touched = new Set<string>();
+
+  constructor(readonly view: PlanView) {
+    this.standings = resolveStandings(view);
+    this.domains = [...view.free.keys()].sort();
+    for (const [domain, vms] of view.free) {
+      this.free.set(domain, vms.map(vm => vm.vmId).sort());
+    }
+    for (const replica of view.replicas) {
+      if (replica.entry.state === 'draining') this.noteComing(replica);
+      else if (replica.entry.isRetiring) this.noteComing(replica);
+    }
+  }
+
+  countFree(domain: DomainId): number {
+    return this.free.get(domain)?.length ?? 0;
+  }
+
+  countComing(domain: DomainId): number {
+    return this.coming.get(domain) ?? 0;
+  }
+
+  takeFree(domain: DomainId, count: number): VmId[] {
+    return this.free.get(domain)?.splice(0, count) ?? [];
+  }
+
+  /** Sets VMs aside, free ones first, for a replica that is formed once all are free. */
+  reserve(domain: DomainId, count: number): void {
+    const taken = this.takeFree(domain, count).length;
+    this.coming.set(domain, this.countComing(domain) - (count - taken));
+  }
+
+  /** Adds a step on a replica; false when the replica has one already. */
+  act(action: PlanAction): boolean {
+    if (action.kind !== 'create') {
+      if (this.touched.has(action.replicaId)) return false;
+      this.touched.add(action.replicaId);
+    }
+    this.actions.push(action);
+    return true;
+  }
+
+  isTouched({entry}: PlanReplica): boolean {
+    return this.touched.has(entry.replicaId);
+  }
+
+  /** Counts a replica's VMs as coming free. */
+  noteComing({domain, vms}: PlanReplica): void {
+    const usable = vms.filter(
+      ({condition}) => condition === 'free' || condition === 'sound',
+    );
+    this.coming.set(domain, this.countComing(domain) + usable.length);
+  }
+}
--- /dev/null
+++ b/src/core/replicas/plan/plan_exchanges.ts
@@ -0,0 +1,35 @@
+import type {PlanDraft} from './plan_draft.js';
+import type {PlanReplica} from './plan_replica.js';
+import {isWhole} from './is_whole.js';
+
+/** Mends replicas with spare VMs of their own domain: only the spares load weights. */
+export function planExchanges(draft: PlanDraft): void {
+  for (const standing of draft.standings) {
+    for (const replica of standing.current) {
+      if (isWhole(replica) || standing.missing <= 0) continue;
+      if (exchange(draft, replica)) standing.missing -= 1;
+    }
+  }
+}
+
+/** Returns whether the replica will be mended, now or once its requests have ended. */
+function exchange(draft: PlanDraft, replica: PlanReplica): boolean {
+  const {entry, domain, vms, isIdle} = replica;
+  const out = vms.filter(
+    ({condition}) => condition !== 'free' && condition !== 'sound',
+  );
+  if (out.length === vms.length) return false;
+  if (draft.countFree(domain) < out.length) return false;
+  if (draft.isTouched(replica)) return true;
+  const spares = draft.takeFree(domain, out.length);
+  const isDead = out.some(({condition}) => condition !== 'leaving');
+  if (!isDead && !isIdle) return true; // its requests end first
+  draft.act({
+    kind: 'exchange',
+    domain,
+    replicaId: entry.replicaId,
+    out: out.map(vm => vm.vmId),
+    in: spares,
+  });
+  return true;
+}
--- /dev/null
+++ b/src/core/replicas/plan/plan_surplus.ts
@@ -0,0 +1,59 @@
+import type {PlanDraft} from './plan_draft.js';
+import type {PlanReplica} from './plan_replica.js';
+import type {ServiceStanding} from './service_standing.js';
+import {isWhole} from './is_whole.js';
+
+const STATE_RANK = {planned: 0, loading: 1, serving: 2, draining: 3} as const;
+
+/** Gives up what no file asks for. */
+export function planSurplus(draft: PlanDraft): void {
+  planRemoved(draft);
+  for (const standing of draft.standings) {
+    planExcess(draft, standing);
+  }
+}
+
+function planRemoved(draft: PlanDraft): void {
+  const known = new Set<string>(draft.view.services.map(one => one.name));
+  for (const {domain, entry, vms} of draft.view.replicas) {
+    if (entry.state === 'draining') continue;
+    const {replicaId} = entry;
+    if (!known.has(entry.service)) {
+      draft.act({kind: 'drain', domain, replicaId, reason: 'removed'});
+    } else if (vms.every(({condition}) => condition === 'gone')) {
+      draft.act({kind: 'drain', domain, replicaId, reason: 'lost'});
+    }
+  }
+}
+
+function planExcess(draft: PlanDraft, standing: ServiceStanding): void {
+  const {service, current} = standing;
+  const whole = current.filter(isWhole).length;
+  if (whole < service.replicas) return;
+  const victims = [...current]
+    .sort((a, b) => compareWorth(draft, a, b))
+    .slice(0, current.length - service.replicas);
+  for (const {domain, entry} of victims) {
+    const {replicaId} = entry;
+    draft.act({kind: 'drain', domain, replicaId, reason: 'surplus'});
+  }
+}
+
+/** Those that give the least, and whose domain gains the most room, come first. */
+function compareWorth(
+  draft: PlanDraft,
+  a: PlanReplica,
+  b: PlanReplica,
+): number {
+  return (
+    Number(isWhole(a)) - Number(isWhole(b)) ||
+    STATE_RANK[a.entry.state] - STATE_RANK[b.entry.state] ||
+    countLosses(b) - countLosses(a) ||
+    draft.countFree(b.domain) - draft.countFree(a.domain) ||
+    (a.entry.replicaId < b.entry.replicaId ? 1 : -1)
+  );
+}
+
+function countLosses({vms}: PlanReplica): number {
+  return vms.reduce((sum, vm) => sum + vm.losses, 0);
+}
--- /dev/null
+++ b/src/core/replicas/plan/plan_view.ts
@@ -0,0 +1,12 @@
+import type {DomainId} from '../../ids/index.js';
+import type {PlanReplica} from './plan_replica.js';
+import type {PlanService} from './plan_service.js';
+import type {PlanVm} from './plan_vm.js';
+
+/** All that a plan follows from. Nodes with equal views make equal plans. */
+export interface PlanView {
+  readonly services: readonly PlanService[];
+  readonly replicas: readonly PlanReplica[];
+  /** Free VMs of each fabric domain, sorted by id; every known domain has a list. */
+  readonly free: ReadonlyMap<DomainId, readonly PlanVm[]>;
+}
--- /dev/null
+++ b/src/core/replicas/plan/plan_vm.ts
@@ -0,0 +1,15 @@
+import type {DomainId, VmId} from '../../ids/index.js';
+
+/** A VM as the planner sees it. */
+export interface PlanVm {
+  readonly vmId: VmId;
+  readonly domain: DomainId;
+  /**
+   * free: may be put into a replica; sound: may stay in its replica but not join
+   * another; leaving: works, and will go; lost: silent for long; gone: lost and
+   * no longer listed.
+   */
+  readonly condition: 'free' | 'sound' | 'leaving' | 'lost' | 'gone';
+  /** Times it was lost lately. */
+  readonly losses: number;
+}
--- /dev/null
+++ b/src/core/targets/add_target.ts
@@ -0,0 +1,16 @@
+import type {Step} from '../state/types.js';
+import type {Target} from './target.js';
+import type {VmId} from '../ids/index.js';
+import {updateTarget} from './update_target.js';
+
+/** Adds a target, or replaces the one of the same name, barred until reports agree. */
+export function addTarget(step: Step, target: Target, leader: VmId): void {
+  const {targets} = step.state;
+  const {targetId, service} = target;
+  targets.byId.set(targetId, target);
+  targets.leaders.set(targetId, leader);
+  const ofService = targets.byService.get(service) ?? new Set();
+  targets.byService.set(service, ofService.add(targetId));
+  for (const vmId of target.vms) targets.targetByVm.set(vmId, targetId);
+  updateTarget(step, targetId);
+}
--- /dev/null
+++ b/src/core/targets/apply_vm_list.ts
@@ -0,0 +1,99 @@
+import type {Step} from '../state/types.js';
+import type {VmId} from '../ids/index.js';
+import type {VmRecord} from '../store/types.js';
+import {TARGET_TIMING} from './target_timing.js';
+import {isFresh} from './is_fresh.js';
+import {logEvent} from '../state/index.js';
+import {setPolls} from './set_polls.js';
+import {syncApplicationTarget} from './sync_application_target.js';
+import {updateTarget} from './update_target.js';
+
+const MIN_SHRUNK_VMS = 3;
+const SHRUNK_SHARE = 1 / 3;
+
+/**
+ * Takes a list of VMs over. The list lags and may be wrong: one that drops many
+ * VMs at once, which report all the same, is not followed until it repeats.
+ */
+export function applyVmList(step: Step, listed: readonly VmRecord[]): void {
+  const {targets} = step.state;
+  targets.list.readAtMs = step.nowMs;
+  const next = new Map(listed.map(record => [record.vmId, record]));
+  keepReporting(step, next);
+  const changed: VmId[] = [];
+  for (const [vmId, record] of next) {
+    if (noteListed(step, record)) changed.push(vmId);
+  }
+  for (const vmId of targets.vms.keys()) {
+    if (next.has(vmId)) continue;
+    targets.vms.delete(vmId);
+    targets.health.get(vmId)!.absentSinceMs = step.nowMs;
+    changed.push(vmId);
+  }
+  forgetDeparted(step);
+  for (const vmId of changed) {
+    const targetId = targets.targetByVm.get(vmId);
+    if (targetId) updateTarget(step, targetId);
+  }
+  setPolls(step);
+}
+
+/** Adds to a list that shrank too much the VMs that still report. */
+function keepReporting(step: Step, next: Map<VmId, VmRecord>): void {
+  const {targets} = step.state;
+  const dropped = [...targets.vms.values()].filter(
+    ({vmId}) => !next.has(vmId) && isFresh(targets, vmId, step.nowMs),
+  );
+  const limit = Math.max(MIN_SHRUNK_VMS, targets.vms.size * SHRUNK_SHARE);
+  const {list} = targets;
+  if (dropped.length < limit) {
+    delete list.shrunkSinceMs;
+    return;
+  }
+  if (list.shrunkSinceMs === undefined) {
+    list.shrunkSinceMs = step.nowMs;
+    logEvent(step, 'warn', 'targets', 'VM list lacks VMs that report', {
+      vms: dropped.length,
+    });
+  }
+  const repeatedMs = step.nowMs - list.shrunkSinceMs;
+  if (repeatedMs >= TARGET_TIMING.shrunkListMs) return;
+  for (const record of dropped) next.set(record.vmId, record);
+}
+
+/** Returns whether the record, or its presence, is new. */
+function noteListed(step: Step, record: VmRecord): boolean {
+  const {targets} = step.state;
+  const {vmId} = record;
+  const health = targets.health.get(vmId);
+  if (health) {
+    health.record = record;
+    delete health.absentSinceMs;
+  } else {
+    targets.health.set(vmId, {
+      record,
+      distrustedUntilMs: -Infinity,
+      staleSinceMs: step.nowMs,
+      steadySinceMs: -Infinity,
+      rereadAfterMs: -Infinity,
+      losses: 0,
+      lastLossAtMs: -Infinity,
+      isLost: false,
+    });
+  }
+  const last = targets.vms.get(vmId);
+  targets.vms.set(vmId, record);
+  syncApplicationTarget(step, record);
+  return last?.state !== record.state || last.address !== record.address;
+}
+
+function forgetDeparted(step: Step): void {
+  const {health, reports, vms, targetByVm} = step.state.targets;
+  for (const [vmId, {absentSinceMs}] of health) {
+    if (vms.has(vmId) || absentSinceMs === undefined) continue;
+    if (step.nowMs - absentSinceMs < TARGET_TIMING.departedKeepMs) continue;
+    if (targetByVm.has(vmId)) continue;
+    health.delete(vmId);
+    reports.delete(vmId);
+  }
+}
--- a/src/core/targets/create_targets_state.ts
+++ b/src/core/targets/create_targets_state.ts
@@ -7,5 +7,14 @@
     reports: new Map(),
     byId: new Map(),
     byService: new Map(),
+    health: new Map(),
+    targetByVm: new Map(),
+    leaders: new Map(),
+    toldLeavingAtMs: new Map(),
+    broken: new Set(),
+    list: {nextAtMs: 0, readAtMs: 0},
+    rereadAfterMs: -Infinity,
+    sweptAtMs: 0,
+    pollKey: '',
   };
 }
--- /dev/null
+++ b/src/core/targets/is_lost.ts
@@ -0,0 +1,19 @@
+import type {TargetsState} from './targets_state.js';
+import type {VmId} from '../ids/index.js';
+import {TARGET_TIMING} from './target_timing.js';
+import {isFresh} from './is_fresh.js';
+
+/** Whether a VM is taken for dead: silent for long, or silent and gone from the list. */
+export function isLost(
+  targets: TargetsState,
+  vmId: VmId,
+  nowMs: number,
+): boolean {
+  if (isFresh(targets, vmId, nowMs)) return false;
+  const health = targets.health.get(vmId);
+  if (!health || health.absentSinceMs !== undefined) return true;
+  const {staleSinceMs} = health;
+  return (
+    staleSinceMs !== undefined && nowMs - staleSinceMs >= TARGET_TIMING.lostMs
+  );
+}
--- /dev/null
+++ b/src/core/targets/note_poll_failed.ts
@@ -0,0 +1,15 @@
+import type {Step} from '../state/types.js';
+import type {VmId} from '../ids/index.js';
+import {noteSilence} from './note_silence.js';
+import {updateTarget} from './update_target.js';
+
+/** A refused poll says that no engine runs there: reports so far no longer count. */
+export function notePollFailed(step: Step, vmId: VmId, refused: boolean): void {
+  const {targets} = step.state;
+  const health = targets.health.get(vmId);
+  if (!health || !refused) return;
+  health.distrustedUntilMs = step.nowMs;
+  noteSilence(step, vmId, health);
+  const targetId = targets.targetByVm.get(vmId);
+  if (targetId) updateTarget(step, targetId);
+}
--- /dev/null
+++ b/src/core/targets/note_report.ts
@@ -0,0 +1,67 @@
+import type {EngineReport} from './engine_report.js';
+import type {Step} from '../state/types.js';
+import type {Target} from './target.js';
+import type {VmId} from '../ids/index.js';
+import {TARGET_TIMING} from './target_timing.js';
+import {isFresh} from './is_fresh.js';
+import {updateTarget} from './update_target.js';
+
+/** Takes a report over unless a newer one is known. */
+export function noteReport(
+  step: Step,
+  report: EngineReport,
+  ageMs: number,
+): void {
+  const {targets} = step.state;
+  const {vmId} = report;
+  const trueAtMs = step.nowMs - Math.max(0, ageMs);
+  const last = targets.reports.get(vmId);
+  if (last && isOlder(report, trueAtMs, last)) return;
+  targets.reports.set(vmId, {report, trueAtMs});
+  noteSound(step, vmId);
+  const targetId = targets.targetByVm.get(vmId);
+  if (targetId === undefined) return;
+  if (targets.leaders.get(targetId) === vmId) {
+    noteLoad(targets.byId.get(targetId)!, report, trueAtMs);
+  }
+  updateTarget(step, targetId);
+}
+
+function isOlder(
+  report: EngineReport,
+  trueAtMs: number,
+  last: {readonly report: EngineReport; readonly trueAtMs: number},
+): boolean {
+  if (last.report.bootId === report.bootId) {
+    return report.sequence <= last.report.sequence;
+  }
+  return trueAtMs <= last.trueAtMs;
+}
+
+/** Ends a silence. */
+function noteSound(step: Step, vmId: VmId): void {
+  const {targets} = step.state;
+  const health = targets.health.get(vmId);
+  if (!health || !isFresh(targets, vmId, step.nowMs)) return;
+  if (health.staleSinceMs === undefined) return;
+  const silenceMs = step.nowMs - health.staleSinceMs;
+  const isFirst = health.steadySinceMs === -Infinity;
+  if (!isFirst && silenceMs >= TARGET_TIMING.rereadAfterMs) {
+    health.rereadAfterMs = step.nowMs;
+    targets.rereadAfterMs = step.nowMs;
+  }
+  health.steadySinceMs = step.nowMs;
+  health.isLost = false;
+  delete health.staleSinceMs;
+}
+
+function noteLoad(
+  target: Target,
+  report: EngineReport,
+  trueAtMs: number,
+): void {
+  target.running = report.running;
+  target.queued = report.queued;
+  target.tokensPerSecond = report.tokensPerSecond;
+  target.reportedAtMs = trueAtMs;
+}
--- /dev/null
+++ b/src/core/targets/note_silence.ts
@@ -0,0 +1,25 @@
+import type {Step} from '../state/types.js';
+import type {VmHealth} from './vm_health.js';
+import type {VmId} from '../ids/index.js';
+import {TARGET_TIMING} from './target_timing.js';
+import {isFresh} from './is_fresh.js';
+import {isLost} from './is_lost.js';
+
+const LOSSES_FORGOTTEN_MS = 600_000;
+
+/** Notes that a VM has no fresh report, and counts it as lost once that lasts. */
+export function noteSilence(step: Step, vmId: VmId, health: VmHealth): void {
+  const {targets} = step.state;
+  if (isFresh(targets, vmId, step.nowMs)) return;
+  if (health.staleSinceMs === undefined) {
+    const trueAtMs = targets.reports.get(vmId)?.trueAtMs ?? step.nowMs;
+    const staleAtMs = trueAtMs + TARGET_TIMING.freshMs;
+    health.staleSinceMs = Math.min(step.nowMs, staleAtMs);
+  }
+  if (health.isLost || !isLost(targets, vmId, step.nowMs)) return;
+  health.isLost = true;
+  if (health.steadySinceMs === -Infinity) return; // never seen alive
+  const forgotten = step.nowMs - health.lastLossAtMs > LOSSES_FORGOTTEN_MS;
+  health.losses = forgotten ? 1 : health.losses + 1;
+  health.lastLossAtMs = step.nowMs;
+}
--- a/src/core/targets/reduce_targets.ts
+++ b/src/core/targets/reduce_targets.ts
@@ -1,5 +1,34 @@
 import type {NodeEvent} from '../events/types.js';
 import type {Step} from '../state/types.js';
+import {applyVmList} from './apply_vm_list.js';
+import {noteAttemptFailed} from './note_attempt_failed.js';
+import {notePollFailed} from './note_poll_failed.js';
+import {noteReport} from './note_report.js';
+import {readVmList} from './read_vm_list.js';
+import {sweepTargets} from './sweep_targets.js';
 
 /** The target registry's share of the reducer: VM lists, reports, bars. */
-export function reduceTargets(_step: Step, _event: NodeEvent): void {}
+export function reduceTargets(step: Step, event: NodeEvent): void {
+  switch (event.type) {
+    case 'tick':
+      readVmList(step);
+      sweepTargets(step);
+      return;
+    case 'storeResult': {
+      const {list} = step.state.targets;
+      if (event.area !== 'targets') return;
+      if (event.operationId !== list.operationId) return;
+      delete list.operationId;
+      const {outcome} = event;
+      if (outcome.kind === 'ok') applyVmList(step, outcome.vms ?? []);
+      return;
+    }
+    case 'targetReported':
+      return noteReport(step, event.report, event.ageMs);
+    case 'targetReportFailed':
+      return notePollFailed(step, event.vmId, event.refused ?? false);
+    case 'attemptFailed':
+      return noteAttemptFailed(step, event);
+    default:
+  }
+}
--- /dev/null
+++ b/src/core/targets/resolve_bar.ts
@@ -0,0 +1,73 @@
+import type {NodeState} from '../state/types.js';
+import type {Target} from './target.js';
+import type {TargetBar} from './target_bar.js';
+import type {VmId} from '../ids/index.js';
+import {TARGET_TIMING} from './target_timing.js';
+import {findEntry} from './find_entry.js';
+import {isFresh} from './is_fresh.js';
+import {matchesEntry} from './matches_entry.js';
+
+/** Why a target may get no new work now; undefined when nothing speaks against it. */
+export function resolveBar(
+  state: NodeState,
+  target: Target,
+  nowMs: number,
+): TargetBar | undefined {
+  return (
+    barByAnswer(state, target, nowMs) ??
+    barByVms(state, target, nowMs) ??
+    barByDocument(state, target)
+  );
+}
+
+function barByAnswer(
+  {targets}: NodeState,
+  {targetId}: Target,
+  nowMs: number,
+): TargetBar | undefined {
+  const toldAtMs = targets.toldLeavingAtMs.get(targetId);
+  if (toldAtMs === undefined) return undefined;
+  const believed = nowMs - toldAtMs < TARGET_TIMING.leavingBeliefMs;
+  return believed ? 'told-leaving' : undefined;
+}
+
+function barByVms(
+  {targets}: NodeState,
+  target: Target,
+  nowMs: number,
+): TargetBar | undefined {
+  for (const vmId of target.vms) {
+    const record = targets.vms.get(vmId);
+    if (!record) return 'vm-missing';
+    if (record.state === 'leaving') return 'vm-leaving';
+  }
+  for (const vmId of target.vms) {
+    if (!isFresh(targets, vmId, nowMs)) return 'no-fresh-report';
+    const {report} = targets.reports.get(vmId)!;
+    if (report.state === 'leaving') return 'vm-leaving';
+    if (report.state !== 'ready') return 'assignment-differs';
+  }
+  return undefined;
+}
+
+function barByDocument(
+  state: NodeState,
+  target: Target,
+): TargetBar | undefined {
+  if (target.kind === 'application') return undefined;
+  const entry = findEntry(state, target);
+  if (entry?.state !== 'serving') return 'document-not-serving';
+  const {reports} = state.targets;
+  const differs = (vmId: VmId) =>
+    !matchesEntry(reports.get(vmId)!.report.assignment, entry);
+  if (target.vms.some(differs)) return 'assignment-differs';
+  return needsReread(state, target) ? 'document-not-serving' : undefined;
+}
+
+/** After a long silence, only a document read since then is trusted. */
+function needsReread({targets, replicas}: NodeState, target: Target): boolean {
+  return target.vms.some(vmId => {
+    const rereadAfterMs = targets.health.get(vmId)?.rereadAfterMs ?? -Infinity;
+    return replicas.confirmedAtMs <= rereadAfterMs;
+  });
+}
--- /dev/null
+++ b/src/core/targets/sweep_targets.ts
@@ -0,0 +1,17 @@
+import type {Step} from '../state/types.js';
+import {TARGET_TIMING} from './target_timing.js';
+import {noteSilence} from './note_silence.js';
+import {updateTarget} from './update_target.js';
+
+/** Finds reports that have grown old since the last sweep. */
+export function sweepTargets(step: Step): void {
+  const {targets} = step.state;
+  if (step.nowMs - targets.sweptAtMs < TARGET_TIMING.sweepIntervalMs) return;
+  targets.sweptAtMs = step.nowMs;
+  for (const [vmId, health] of targets.health) {
+    noteSilence(step, vmId, health);
+  }
+  for (const targetId of targets.leaders.keys()) {
+    updateTarget(step, targetId);
+  }
+}
--- /dev/null
+++ b/src/core/targets/sync_model_targets.ts
@@ -0,0 +1,68 @@
+import type {DomainId, TargetId} from '../ids/index.js';
+import type {ReplicaEntry} from '../replicas/types.js';
+import type {Step} from '../state/types.js';
+import type {Target} from './target.js';
+import {addTarget} from './add_target.js';
+import {makeId} from '../ids/index.js';
+import {removeTarget} from './remove_target.js';
+import {updateTarget} from './update_target.js';
+
+/** Makes the targets of a fabric domain those of its document. */
+export function syncModelTargets(step: Step, domain: DomainId): void {
+  const {replicas, targets} = step.state;
+  const entries = replicas.documents.get(domain)?.replicas ?? [];
+  const wanted = new Map(
+    entries
+      .filter(entry => entry.state === 'serving' || entry.state === 'draining')
+      .map(entry => [resolveTargetId(entry), entry]),
+  );
+  for (const targetId of replicas.targetsByDomain.get(domain) ?? []) {
+    if (!wanted.has(targetId)) removeTarget(step, targetId);
+  }
+  replicas.targetsByDomain.set(domain, new Set(wanted.keys()));
+  for (const [targetId, entry] of wanted) {
+    if (targets.byId.has(targetId)) updateTarget(step, targetId);
+    else
+      addTarget(
+        step,
+        createTarget(step, targetId, entry, domain),
+        entry.leader,
+      );
+  }
+}
+
+/** Another set of VMs is another target. */
+function resolveTargetId({replicaId, generation}: ReplicaEntry): TargetId {
+  return makeId<TargetId>(`${replicaId}.${generation}`);
+}
+
+function createTarget(
+  {state, nowMs}: Step,
+  targetId: TargetId,
+  entry: ReplicaEntry,
+  domain: DomainId,
+): Target {
+  const {health, reports} = state.targets;
+  const record = health.get(entry.leader)?.record;
+  const seen = reports.get(entry.leader);
+  return {
+    targetId,
+    kind: 'model',
+    service: entry.service,
+    model: entry.model,
+    version: entry.version,
+    adapters: entry.adapters,
+    replicaId: entry.replicaId,
+    vms: entry.vms,
+    address: record?.address ?? '',
+    zone: record?.zone ?? state.self.zone,
+    domain,
+    slots: entry.slots,
+    running: seen?.report.running ?? 0,
+    queued: seen?.report.queued ?? 0,
+    tokensPerSecond: seen?.report.tokensPerSecond ?? 0,
+    reportedAtMs: seen?.trueAtMs ?? 0,
+    bar: 'no-fresh-report',
+    barChangedAtMs: nowMs,
+  };
+}
--- /dev/null
+++ b/src/core/targets/update_target.ts
@@ -0,0 +1,53 @@
+import type {Step} from '../state/types.js';
+import type {Target} from './target.js';
+import type {TargetId} from '../ids/index.js';
+import {countMetric, logEvent} from '../state/index.js';
+import {findEntry} from './find_entry.js';
+import {isFresh} from './is_fresh.js';
+import {isLost} from './is_lost.js';
+import {matchesEntry} from './matches_entry.js';
+import {moveAttempts} from '../requests/index.js';
+import {resolveBar} from './resolve_bar.js';
+
+/** Sets or clears a target's bar by what is known now, and moves streams off a broken one. */
+export function updateTarget(step: Step, targetId: TargetId): void {
+  const {targets} = step.state;
+  const target = targets.byId.get(targetId);
+  if (!target) return;
+  setBar(step, target);
+  if (!isBroken(step, target)) {
+    targets.broken.delete(targetId);
+    return;
+  }
+  if (targets.broken.has(targetId)) return;
+  targets.broken.add(targetId);
+  moveAttempts(step, targetId, 'target-lost');
+}
+
+function setBar(step: Step, target: Target): void {
+  const bar = resolveBar(step.state, target, step.nowMs);
+  if (bar === target.bar) return;
+  if (bar === undefined) delete target.bar;
+  else target.bar = bar;
+  target.barChangedAtMs = step.nowMs;
+  const {targetId, service} = target;
+  countMetric(step, 'targetBars', 1, {service, bar: bar ?? 'none'});
+  logEvent(step, 'info', 'targets', 'target bar changed', {
+    targetId,
+    service,
+    bar: bar ?? 'none',
+  });
+}
+
+/** A target is broken when a VM of it is lost, or surely is in something else. */
+function isBroken({state, nowMs}: Step, target: Target): boolean {
+  const {targets} = state;
+  if (target.vms.some(vmId => isLost(targets, vmId, nowMs))) return true;
+  if (target.kind === 'application') return false;
+  const entry = findEntry(state, target);
+  return target.vms.some(vmId => {
+    if (!entry || !isFresh(targets, vmId, nowMs)) return false;
+    const {report} = targets.reports.get(vmId)!;
+    return !matchesEntry(report.assignment, entry);
+  });
+}
--- a/src/standins/engine_standin.ts
+++ b/src/standins/engine_standin.ts
@@ -9,9 +9,8 @@
 import {EngineOrders} from './engine_orders.js';
 import {HttpService} from './http_service.js';
 import {PrefixCache} from './prefix_cache.js';
-import {createPrefixHashes} from '../targets/create_prefix_hashes.js';
+import {hashPrefixes, promptText} from '../core/requests/index.js';
 import {readJson} from './read_json.js';
-import {resolvePrompt} from '../targets/resolve_prompt.js';
 import {sendJson} from './send_json.js';
 
 const CHARACTERS_PER_TOKEN = 4;
@@ -197,8 +196,8 @@
     {chat, priority}: {chat: boolean; priority: number},
   ): void {
     const {options} = this;
-    const prompt = resolvePrompt(body);
-    const hashes = createPrefixHashes(prompt);
+    const prompt = promptText(body);
+    const hashes = hashPrefixes(prompt);
     const cachedShare =
       hashes.length && this.cache.countCached(hashes) / hashes.length;
     const promptTokens =
