Keep membership by leases, heartbeats and news between nodes

A node's record stands under a lease in the store; liveness comes from heartbeats: to every node up to 24, beyond that to three ring neighbours, whose findings spread as news. A later start wins over an earlier one of the same name. Entries leave out draining, silent and deaf nodes and are ranked by a weighted rendezvous hash.

--- a/src/core/entries/resolve_entries.ts
+++ b/src/core/entries/resolve_entries.ts
@@ -1,29 +1,81 @@
 import type {EntriesAnswer} from './entries_answer.js';
 import type {NodeState} from '../state/types.js';
-import {livePeers} from '../membership/index.js';
+import type {ZoneId} from '../ids/index.js';
+import {hashText, livePeers, readiness} from '../membership/index.js';
 
 const KEEP_MS = 10_000;
+const MAX_ENTRIES = 8;
+/** Entries of other zones, for a caller whose zone is lost while it keeps the answer. */
+const MIN_OTHER_ZONES = 3;
 
 interface EntriesQuery {
   readonly organisation?: string;
   readonly service?: string;
 }
 
-/** Lists the nodes that a caller should use; leaves out draining and suspected ones. */
+interface Candidate {
+  readonly nodeId: string;
+  readonly address: string;
+  readonly zone: ZoneId;
+  readonly load: number;
+}
+
+/**
+ * Lists the nodes that a caller should use; leaves out draining and suspected
+ * ones. The order is the same at every node for one organisation and service,
+ * but for the asked node's zone, which comes first.
+ */
 export function resolveEntries(
   state: NodeState,
-  _query: EntriesQuery,
+  query: EntriesQuery,
   nowMs: number,
 ): EntriesAnswer {
-  const {self} = state;
-  const peers = livePeers(state, nowMs).filter(p => p.phase === 'serving');
-  const entries = peers.map(p => ({address: p.callerAddress, zone: p.zone}));
-  if (!state.drain.draining) {
-    entries.unshift({address: self.callerAddress, zone: self.zone});
-  }
+  const candidates = listCandidates(state, nowMs);
+  const meanLoad =
+    candidates.reduce((sum, one) => sum + one.load, 0) / candidates.length;
+  const key = `${query.organisation ?? ''} ${query.service ?? ''} `;
+  const ranked = candidates
+    .map(one => ({...one, score: rank(key, one, meanLoad)}))
+    .sort((a, b) => b.score - a.score);
+  const own = ranked.filter(one => one.zone === state.self.zone);
+  const others = ranked.filter(one => one.zone !== state.self.zone);
+  const kept = own.slice(
+    0,
+    MAX_ENTRIES - Math.min(MIN_OTHER_ZONES, others.length),
+  );
   return {
-    entries,
+    entries: [...kept, ...others]
+      .slice(0, MAX_ENTRIES)
+      .map(({address, zone}) => ({address, zone})),
     keepMs: KEEP_MS,
     revision: state.config.document.revision,
   };
 }
+
+function listCandidates(state: NodeState, nowMs: number): Candidate[] {
+  const candidates: Candidate[] = livePeers(state, nowMs)
+    .filter(peer => peer.phase === 'serving')
+    .map(({nodeId, callerAddress, zone, queued, running}) => ({
+      nodeId,
+      address: callerAddress,
+      zone,
+      load: queued + running,
+    }));
+  if (!readiness(state, nowMs).ready) return candidates;
+  const {nodeId, callerAddress: address, zone} = state.self;
+  const load = state.requests.byId.size;
+  return [...candidates, {nodeId, address, zone, load}];
+}
+
+/** Weighted rendezvous hash: a node's share follows its weight, and others keep their places. */
+function rank(key: string, candidate: Candidate, meanLoad: number): number {
+  const weight = headroom(candidate.load, meanLoad);
+  return -weight / Math.log(hashText(key + candidate.nodeId));
+}
+
+/** In steps, so that small changes of load leave the order as it is. */
+function headroom(load: number, meanLoad: number): number {
+  if (load > 2 * meanLoad + 4) return 0.25;
+  if (load > 1.25 * meanLoad + 4) return 0.5;
+  return 1;
+}
--- /dev/null
+++ b/src/core/membership/check_silence.ts
@@ -0,0 +1,15 @@
+import type {Step} from '../state/types.js';
+import {isSuspected} from './is_suspected.js';
+
+/** Finds monitored peers that fell silent. */
+export function checkSilence(step: Step): void {
+  const {membership} = step.state;
+  for (const nodeId of membership.monitored) {
+    const peer = membership.peers.get(nodeId);
+    if (!peer || peer.suspectedAtMs !== undefined) continue;
+    if (!isSuspected(peer, step.nowMs)) continue;
+    peer.suspectedAtMs = step.nowMs;
+    membership.isRingStale = true;
+    membership.news.add(nodeId);
+  }
+}
--- /dev/null
+++ b/src/core/membership/describe_peer.ts
@@ -0,0 +1,28 @@
+import type {Peer} from './peer.js';
+import type {PeerMessageOf} from '../peers/types.js';
+import {isSuspected} from './is_suspected.js';
+
+type NodeNews = PeerMessageOf<'membership.news'>['nodes'][number];
+
+/** What this node tells others of a peer. */
+export function describePeer(peer: Peer, nowMs: number): NodeNews {
+  const {nodeId, incarnation, startedAtMs, sequence, zone, phase} = peer;
+  const {callerAddress, controlAddress, configRevision, queued, running} = peer;
+  return {
+    nodeId,
+    standing: {
+      incarnation,
+      startedAtMs,
+      sequence,
+      zone,
+      callerAddress,
+      controlAddress,
+      phase,
+      configRevision,
+      queued,
+      running,
+    },
+    silentMs: Math.max(0, nowMs - peer.heardAtMs),
+    suspected: isSuspected(peer, nowMs),
+  };
+}
--- a/src/core/membership/index.ts
+++ b/src/core/membership/index.ts
@@ -1,4 +1,11 @@
+export {MEMBERSHIP_TIMING} from './membership_timing.js';
 export {createMembershipState} from './create_membership_state.js';
+export {hasAuthority} from './has_authority.js';
+export {hashText} from './hash_text.js';
+export {isStoreUp} from './is_store_up.js';
+export {isSuspected} from './is_suspected.js';
 export {livePeers} from './live_peers.js';
+export {readiness} from './readiness.js';
 export {reduceMembership} from './reduce_membership.js';
+export {storeBackoffMs} from './store_backoff.js';
 export type * from './types.js';
--- /dev/null
+++ b/src/core/membership/is_calling.ts
@@ -0,0 +1,13 @@
+import type {MembershipCall} from './membership_call.js';
+import type {NodeState} from '../state/types.js';
+
+/** Whether a call for this purpose is under way. */
+export function isCalling(
+  state: NodeState,
+  ...purposes: readonly MembershipCall['purpose'][]
+): boolean {
+  for (const call of state.membership.calls.values()) {
+    if (purposes.includes(call.purpose)) return true;
+  }
+  return false;
+}
--- /dev/null
+++ b/src/core/membership/is_suspected.ts
@@ -0,0 +1,11 @@
+import type {Peer} from './peer.js';
+import {MEMBERSHIP_TIMING} from './membership_timing.js';
+
+/** Whether a peer is silent, or does not hear this node: nobody is sent to it. */
+export function isSuspected(peer: Peer, nowMs: number): boolean {
+  if (peer.suspectedAtMs !== undefined) return true;
+  if (peer.monitoredSinceMs === undefined) return false;
+  if (peer.isDeaf) return true;
+  const quietMs = nowMs - Math.max(peer.heardAtMs, peer.monitoredSinceMs);
+  return quietMs > MEMBERSHIP_TIMING.suspectAfterMs;
+}
--- /dev/null
+++ b/src/core/membership/join_peers.ts
@@ -0,0 +1,40 @@
+import type {NodeId, OperationId} from '../ids/index.js';
+import type {Step} from '../state/types.js';
+import {MEMBERSHIP_TIMING} from './membership_timing.js';
+import {isCalling} from './is_calling.js';
+import {isStoreUp} from './is_store_up.js';
+import {livePeers} from './live_peers.js';
+import {nextId} from '../state/index.js';
+import {seedPeers} from './seed_peers.js';
+
+const JOIN_TIMEOUT_MS = 1000;
+
+/** Without a store, a node that starts asks a seed peer, or one that it knows, for all others. */
+export function joinPeers(step: Step): void {
+  const {state, nowMs} = step;
+  const {membership, self} = state;
+  if (membership.hasView || isStoreUp(state, nowMs)) return;
+  if (nowMs < membership.nextJoinAtMs || isCalling(state, 'join')) return;
+  membership.nextJoinAtMs = nowMs + MEMBERSHIP_TIMING.joinIntervalMs;
+  const to = chooseAsked(step);
+  if (to === undefined) return;
+  const callId = nextId<OperationId>(step, 'join');
+  membership.calls.set(callId, {purpose: 'join', sentAtMs: nowMs});
+  step.effects.push({
+    type: 'peerAsk',
+    area: 'membership',
+    to,
+    callId,
+    timeoutMs: JOIN_TIMEOUT_MS,
+    message: {type: 'membership.join', nodeId: self.nodeId},
+  });
+}
+
+function chooseAsked(step: Step): NodeId | undefined {
+  const {state, nowMs} = step;
+  const known = livePeers(state, nowMs).map(peer => peer.nodeId);
+  const seeds = seedPeers(state).map(seed => seed.nodeId);
+  const candidates = [...known, ...seeds];
+  if (candidates.length === 0) return undefined;
+  return candidates[state.random.below(candidates.length)];
+}
--- /dev/null
+++ b/src/core/membership/membership_call.ts
@@ -0,0 +1,6 @@
+/** What a store call or a question of this area was for. */
+export interface MembershipCall {
+  readonly purpose:
+    'grant' | 'register' | 'keepAlive' | 'list' | 'watch' | 'join';
+  readonly sentAtMs: number;
+}
--- /dev/null
+++ b/src/core/membership/note_standing.ts
@@ -0,0 +1,74 @@
+import type {NodeId} from '../ids/index.js';
+import type {Peer} from './peer.js';
+import type {Standing} from './standing.js';
+import type {Step} from '../state/types.js';
+
+/** What a standing changed: `stale` is older than what is known, `changed` is worth passing on. */
+type Change = 'stale' | 'none' | 'changed';
+
+/** Takes in what a node says of itself. A later start wins; late messages of an older one change nothing. */
+export function noteStanding(
+  step: Step,
+  nodeId: NodeId,
+  standing: Standing,
+  heardAtMs: number,
+): Change {
+  const {membership, self} = step.state;
+  if (nodeId === self.nodeId) return noteSelf(step, standing);
+  const known = membership.peers.get(nodeId);
+  if (!known) {
+    membership.peers.set(nodeId, createPeer(step, nodeId, standing, heardAtMs));
+    return 'changed';
+  }
+  const isSame = known.incarnation === standing.incarnation;
+  if (!isSame && !isLater(standing, known)) return 'stale';
+  if (isSame && standing.sequence <= known.sequence) return 'stale';
+  const change =
+    !isSame ||
+    known.phase !== standing.phase ||
+    known.suspectedAtMs !== undefined
+      ? 'changed'
+      : 'none';
+  if (known.controlAddress !== standing.controlAddress) {
+    membership.arePeersStale = true;
+  }
+  Object.assign(known, standing);
+  known.heardAtMs = Math.max(known.heardAtMs, heardAtMs);
+  if (!isSame) known.heardUsAtMs = step.nowMs;
+  if (change === 'changed') membership.isRingStale = true;
+  delete known.suspectedAtMs;
+  return change;
+}
+
+/** Equal starts are told apart by name, so that all nodes choose the same one. */
+function isLater(standing: Standing, known: Peer): boolean {
+  if (standing.startedAtMs !== known.startedAtMs) {
+    return standing.startedAtMs > known.startedAtMs;
+  }
+  return standing.incarnation > known.incarnation;
+}
+
+function createPeer(
+  step: Step,
+  nodeId: NodeId,
+  standing: Standing,
+  heardAtMs: number,
+): Peer {
+  step.state.membership.isRingStale = true;
+  step.state.membership.arePeersStale = true;
+  return {
+    nodeId,
+    ...standing,
+    heardAtMs,
+    heardUsAtMs: step.nowMs,
+    isDeaf: false,
+  };
+}
+
+function noteSelf(step: Step, standing: Standing): Change {
+  const {membership, self} = step.state;
+  const {startedAtMs, incarnation} = standing;
+  if (incarnation === self.incarnation) return 'stale';
+  if (startedAtMs > membership.startedAtMs) membership.isSuperseded = true;
+  return 'stale';
+}
--- /dev/null
+++ b/src/core/membership/note_store_outcome.ts
@@ -0,0 +1,42 @@
+import type {EventOf} from '../events/types.js';
+import type {Step} from '../state/types.js';
+import {isStoreUp} from './is_store_up.js';
+import {logEvent} from '../state/index.js';
+
+/** Longest wait of a node for its less urgent calls once the store is back; grows with the nodes. */
+const RESUME_SPREAD_MS_PER_NODE = 50;
+const MIN_RESUME_SPREAD_MS = 1000;
+
+/** Learns from the result of any area's call whether the store answers. */
+export function noteStoreOutcome(
+  step: Step,
+  event: EventOf<'storeResult'>,
+): void {
+  const {state, nowMs} = step;
+  const {store} = state.membership;
+  const wasUp = isStoreUp(state, nowMs);
+  const {kind} = event.outcome;
+  if (kind === 'unavailable' || kind === 'unknown') {
+    store.failures += 1;
+    store.failingSinceMs ??= nowMs;
+    if (wasUp && !isStoreUp(state, nowMs)) {
+      logEvent(step, 'error', 'store', 'store does not answer');
+    }
+    return;
+  }
+  store.failures = 0;
+  if (!wasUp) resume(step);
+  delete store.failingSinceMs;
+}
+
+function resume(step: Step): void {
+  const {state, nowMs} = step;
+  const {store, peers} = state.membership;
+  const spreadMs = Math.max(
+    MIN_RESUME_SPREAD_MS,
+    RESUME_SPREAD_MS_PER_NODE * (peers.size + 1),
+  );
+  store.resumeAtMs = nowMs + state.random.next() * spreadMs;
+  const downMs = nowMs - (store.failingSinceMs ?? nowMs);
+  logEvent(step, 'warn', 'store', 'store answers again', {downMs});
+}
--- /dev/null
+++ b/src/core/membership/read_nodes.ts
@@ -0,0 +1,27 @@
+import type {Step} from '../state/types.js';
+import {MEMBERSHIP_TIMING} from './membership_timing.js';
+import {callMembershipStore} from './call_membership_store.js';
+import {isCalling} from './is_calling.js';
+import {nodeRecord} from './node_record.js';
+
+const {prefix} = nodeRecord;
+
+/** Reads the node records: a list now and then, and a watch where this node is a relay. */
+export function readNodes(step: Step): void {
+  const {state, nowMs} = step;
+  const {membership} = state;
+  if (nowMs < membership.store.resumeAtMs) return;
+  if (nowMs >= membership.nextListAtMs && !isCalling(state, 'list')) {
+    callMembershipStore(step, 'list', {kind: 'list', prefix});
+    return;
+  }
+  const {watchedVersion} = membership;
+  if (!membership.isRelay || watchedVersion === undefined) return;
+  if (nowMs < membership.nextWatchAtMs || isCalling(state, 'watch')) return;
+  callMembershipStore(step, 'watch', {
+    kind: 'watch',
+    prefix,
+    sinceVersion: watchedVersion,
+    timeoutMs: MEMBERSHIP_TIMING.watchTimeoutMs,
+  });
+}
--- /dev/null
+++ b/src/core/membership/spread_news.ts
@@ -0,0 +1,54 @@
+import type {NodeId} from '../ids/index.js';
+import type {PeerMessageOf} from '../peers/types.js';
+import type {Step} from '../state/types.js';
+import {MEMBERSHIP_TIMING} from './membership_timing.js';
+import {createStanding} from './create_standing.js';
+import {describePeer} from './describe_peer.js';
+import {isFullMesh} from './is_full_mesh.js';
+import {livePeers} from './live_peers.js';
+import {ringNeighbours} from './ring_neighbours.js';
+
+type NodeNews = PeerMessageOf<'membership.news'>['nodes'][number];
+
+/** Passes on, at the end of an event, what was new to this node in it. */
+export function spreadNews(step: Step): void {
+  const {membership, self} = step.state;
+  if (membership.news.size === 0) return;
+  const ids = [...membership.news];
+  membership.news.clear();
+  if (ids.includes(self.nodeId)) membership.sequence += 1;
+  const nodes = ids
+    .map(nodeId => describe(step, nodeId))
+    .filter(news => news !== undefined);
+  if (nodes.length === 0) return;
+  for (const to of receivers(step)) {
+    step.effects.push({
+      type: 'peerSend',
+      to,
+      message: {type: 'membership.news', nodes},
+      urgent: true,
+    });
+  }
+}
+
+function describe(step: Step, nodeId: NodeId): NodeNews | undefined {
+  const {state, nowMs} = step;
+  if (nodeId === state.self.nodeId) {
+    const standing = createStanding(state, nowMs);
+    return {nodeId, standing, silentMs: 0, suspected: false};
+  }
+  const peer = state.membership.peers.get(nodeId);
+  return peer && describePeer(peer, nowMs);
+}
+
+/** Ring neighbours reach every node in the end; the random ones make it quick. */
+function receivers(step: Step): readonly NodeId[] {
+  const {state, nowMs} = step;
+  const live = livePeers(state, nowMs).map(peer => peer.nodeId);
+  if (isFullMesh(state) || live.length === 0) return live;
+  const chosen = new Set(ringNeighbours(state, nowMs).after);
+  for (let n = 0; n < MEMBERSHIP_TIMING.newsFanOut; n++) {
+    chosen.add(live[state.random.below(live.length)]!);
+  }
+  return [...chosen];
+}
--- /dev/null
+++ b/src/core/membership/standing.ts
@@ -0,0 +1,5 @@
+import type {PeerMessageOf} from '../peers/types.js';
+
+/** What a node says of itself. */
+export type Standing =
+  PeerMessageOf<'membership.news'>['nodes'][number]['standing'];
--- a/src/core/peers/membership_message.ts
+++ b/src/core/peers/membership_message.ts
@@ -17,8 +17,9 @@
 }
 
 /** A peer's sign of life. */
-interface Heartbeat extends Standing {
+interface Heartbeat {
   readonly type: 'membership.heartbeat';
+  readonly standing: Standing;
   /** Last sequence that the sender has of the receiver; 0 for none. */
   readonly heardSequence: number;
 }
--- a/src/core/state/self_state.ts
+++ b/src/core/state/self_state.ts
@@ -18,4 +18,6 @@
   readonly callerAddress: string;
   readonly controlAddress: string;
   readonly roles: Roles;
+  /** Control addresses of peers to ask when the store is down at the start. */
+  readonly seedPeers?: readonly string[];
 }
--- a/src/peers/message_schemas.ts
+++ b/src/peers/message_schemas.ts
@@ -7,7 +7,7 @@
 const phase = z.enum(['starting', 'serving', 'draining']);
 const list = <T extends z.ZodType>(item: T) => z.array(item).max(MAX_LIST);
 
-const standing = {
+const standing = z.looseObject({
   incarnation: text,
   startedAtMs: count,
   sequence: count,
@@ -18,11 +18,11 @@
   configRevision: count,
   queued: count,
   running: count,
-};
+});
 
 const news = z.looseObject({
   nodeId: text,
-  standing: z.looseObject(standing),
+  standing,
   silentMs: count,
   suspected: z.boolean(),
 });
@@ -48,7 +48,7 @@
 export const MESSAGE_SCHEMAS: {
   readonly [T in PeerMessage['type']]: z.ZodType;
 } = {
-  'membership.heartbeat': z.looseObject({...standing, heardSequence: count}),
+  'membership.heartbeat': z.looseObject({standing, heardSequence: count}),
   'membership.join': z.looseObject({nodeId: text}),
   'membership.news': z.looseObject({nodes: list(news)}),
   'config.pull': z.looseObject({sinceRevision: count}),
--- a/src/replay/virtual_network.ts
+++ b/src/replay/virtual_network.ts
@@ -5,6 +5,8 @@
 import type {VirtualNode} from './virtual_node.js';
 import type {VirtualWorld} from './virtual_world.js';
 
+const SEED_PREFIX = 'seed:';
+
 /** Messages between nodes in virtual time; links can be cut one way. */
 export class VirtualNetwork implements VirtualFake {
   readonly types = ['peerSend', 'peerAsk', 'peerAnswer'] as const;
@@ -61,8 +63,17 @@
     deliver: (peer: VirtualNode) => void,
   ): void {
     this.world.time.after(this.latencyMs, () => {
-      const peer = this.world.nodes.get(to);
-      if (peer && this.isUp(from, to)) deliver(peer);
+      const peer = this.find(to);
+      if (peer && this.isUp(from, peer.state.self.nodeId)) deliver(peer);
     });
   }
+
+  /** Seed peers are known by address alone. */
+  private find(to: NodeId): VirtualNode | undefined {
+    if (!to.startsWith(SEED_PREFIX)) return this.world.nodes.get(to);
+    const address = to.slice(SEED_PREFIX.length);
+    return [...this.world.nodes.values()].find(
+      node => node.state.self.controlAddress === address,
+    );
+  }
 }
