--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -94,8 +94,11 @@
     } else if (path === '/metrics') {
       void this.sendMetrics(response);
     } else if (path === '/readyz') {
-      const readiness = resolveReadiness(this.context.state);
-      sendJson(response, readiness.ready ? 200 : 503, readiness);
+      const answer = resolveReadiness(
+        this.context.state,
+        this.context.clock.nowMs(),
+      );
+      sendJson(response, answer.ready ? 200 : 503, answer);
     } else {
       sendJson(response, 200, {status: 'ok'});
     }
--- a/src/control/resolve_readiness.ts
+++ b/src/control/resolve_readiness.ts
@@ -1,4 +1,5 @@
 import type {NodeState} from '../core/state/types.js';
+import {readiness} from '../core/membership/index.js';
 
 interface Readiness {
   readonly ready: boolean;
@@ -8,14 +9,8 @@
 }
 
 /** Says whether a node takes callers' requests, and if not, why. */
-export function resolveReadiness(state: NodeState): Readiness {
+export function resolveReadiness(state: NodeState, nowMs: number): Readiness {
   const {revision} = state.config.document;
-  if (state.drain.draining) {
-    return {ready: false, revision, reason: 'the node is draining'};
-  }
-  if (revision === 0) {
-    const reason = 'no configuration is known yet; publish one';
-    return {ready: false, revision, reason};
-  }
-  return {ready: true, revision};
+  const {ready, reason} = readiness(state, nowMs);
+  return ready ? {ready, revision} : {ready, revision, reason};
 }
--- a/src/replay/load/install_fleet.ts
+++ b/src/replay/load/install_fleet.ts
@@ -53,7 +53,10 @@
     queued: 0,
     running: 0,
     sequence: 0,
+    startedAtMs: 0,
     heardAtMs: Number.MAX_SAFE_INTEGER,
+    heardUsAtMs: Number.MAX_SAFE_INTEGER,
+    isDeaf: false,
   });
 }
 
