--- a/src/core/membership/create_standing.ts
+++ b/src/core/membership/create_standing.ts
@@ -6,7 +6,7 @@
 export function createStanding(state: NodeState, nowMs: number): Standing {
   const {self, membership, requests} = state;
   let queued = 0;
-  for (const queue of state.admission.queues.values()) queued += queue.length;
+  for (const queue of state.admission.queues.values()) queued += queue.size;
   return {
     incarnation: self.incarnation,
     startedAtMs: membership.startedAtMs,
--- a/test/support/once_world.ts
+++ b/test/support/once_world.ts
@@ -195,6 +195,9 @@
           running: 0,
           sequence: Number.MAX_SAFE_INTEGER,
           heardAtMs: Number.MAX_SAFE_INTEGER,
+          startedAtMs: 0,
+          heardUsAtMs: Number.MAX_SAFE_INTEGER,
+          isDeaf: false,
         });
       }
     }
