--- a/src/core/effects/effect.ts
+++ b/src/core/effects/effect.ts
@@ -76,6 +76,8 @@
   readonly type: 'peerSend';
   readonly to: NodeId;
   readonly message: PeerMessage;
+  /** Sends the exchange now, with all that waits for this peer. */
+  readonly urgent?: boolean;
 }
 
 interface PeerAsk {
@@ -116,6 +118,8 @@
   readonly address: string;
   readonly fencingToken: number;
   readonly timeoutMs: number;
+  /** Past this time no byte of the order may be written. */
+  readonly notAfterMs: number;
   /** Undefined: the engine releases what it has. */
   readonly assignment?: EngineAssignment;
 }
