Add the command line: node, validate, status, services, replicas, audit, drain

Thin commands over the settings, the file checks and the operators' client; each failure is one line that says what to do, with a documented exit code.

--- /dev/null
+++ b/src/cli/client/client_options.ts
@@ -0,0 +1,28 @@
+import type {Argv} from 'yargs';
+import {userInfo} from 'node:os';
+
+const DEFAULT_NODE = '127.0.0.1:8081';
+
+/** Adds the options of commands that ask a node. */
+export function clientOptions<T>(yargs: Argv<T>) {
+  return yargs
+    .option('node', {
+      type: 'string',
+      describe: 'Control address of any node (or RHUBARBSTILE_NODE)',
+      default: process.env['RHUBARBSTILE_NODE'] ?? DEFAULT_NODE,
+    })
+    .option('token', {
+      type: 'string',
+      describe: 'Operator token (better: RHUBARBSTILE_TOKEN)',
+    })
+    .option('operator', {
+      type: 'string',
+      describe: 'Name for the audit trail (or RHUBARBSTILE_OPERATOR)',
+      default: process.env['RHUBARBSTILE_OPERATOR'] ?? userInfo().username,
+    })
+    .option('json', {
+      type: 'boolean',
+      describe: 'Print one JSON document',
+      default: false,
+    });
+}
--- /dev/null
+++ b/src/cli/commands/audit_command.ts
@@ -0,0 +1,47 @@
+import type {AuditRecord} from '../../core/audit/types.js';
+import type {CommandModule} from 'yargs';
+import {Output} from '../output.js';
+import {askNode, clientOptions} from '../client/index.js';
+import {formatTable} from '../format_table.js';
+
+type Arguments = Parameters<typeof askNode>[0] & {
+  readonly json: boolean;
+  readonly limit: number;
+};
+
+interface AuditAnswer {
+  readonly records: readonly AuditRecord[];
+}
+
+/** `audit`: who changed what, newest last. */
+export const auditCommand: CommandModule<object, Arguments> = {
+  command: 'audit',
+  describe: 'Show who changed what and when',
+  builder: yargs =>
+    clientOptions(yargs)
+      .option('limit', {
+        type: 'number',
+        default: 50,
+        describe: 'Newest records to show',
+      })
+      .example('$0 audit --limit 10', ''),
+  handler: async options => {
+    const {limit} = options;
+    const answer = await askNode<AuditAnswer>(options, {kind: 'audit', limit});
+    new Output(options.json).print(answer, formatAudit(answer.records));
+  },
+};
+
+function formatAudit(records: readonly AuditRecord[]): string {
+  const rows = records.map(record => [
+    new Date(record.atMs).toISOString(),
+    record.who,
+    record.action,
+    record.subject,
+    record.before ?? '-',
+    record.after ?? '-',
+    record.node,
+  ]);
+  const columns = ['WHEN', 'WHO', 'ACTION', 'WHAT', 'BEFORE', 'AFTER', 'NODE'];
+  return formatTable(columns, rows);
+}
--- /dev/null
+++ b/src/cli/commands/drain_command.ts
@@ -0,0 +1,44 @@
+import type {CommandModule} from 'yargs';
+import type {StatusAnswer} from '../../core/operators/types.js';
+import {CliError} from '../cli_error.js';
+import {EXIT_CODE} from '../exit_code.js';
+import {Output} from '../output.js';
+import {askNode, clientOptions} from '../client/index.js';
+
+type Arguments = Parameters<typeof askNode>[0] & {
+  readonly json: boolean;
+  readonly name: string;
+};
+
+/** `drain NODE`: makes a node leave in an orderly way. */
+export const drainCommand: CommandModule<object, Arguments> = {
+  command: 'drain <name>',
+  describe: 'Make a node leave: it finishes its requests and exits',
+  builder: yargs =>
+    clientOptions(yargs)
+      .positional('name', {
+        type: 'string',
+        demandOption: true,
+        describe: 'Name of the node, as "status" lists it',
+      })
+      .example('$0 drain node-3 --node 10.0.0.1:8081', ''),
+  handler: async options => {
+    const {name} = options;
+    const address = await findNode(options);
+    const asked = {...options, node: address};
+    const answer = await askNode(asked, {kind: 'drain', node: name});
+    new Output(options.json).print(answer, `Node ${name} is draining.`);
+  },
+};
+
+/** The node itself has to be asked; any node knows its address. */
+async function findNode(options: Arguments): Promise<string> {
+  const status = await askNode<StatusAnswer>(options, {kind: 'status'});
+  const node = status.nodes.find(one => one.nodeId === options.name);
+  if (node) return node.controlAddress;
+  const names = status.nodes.map(one => one.nodeId).join(', ');
+  throw new CliError(`There is no node "${options.name}". Nodes: ${names}.`, {
+    exitCode: EXIT_CODE.refused,
+    data: {node: options.name},
+  });
+}
--- /dev/null
+++ b/src/cli/create_cli.ts
@@ -0,0 +1,42 @@
+import yargs, {type Argv} from 'yargs';
+import {CliError} from './cli_error.js';
+import {EXIT_CODE} from './exit_code.js';
+import {EXIT_CODE_HELP} from './exit_code_help.js';
+import {auditCommand} from './commands/audit_command.js';
+import {drainCommand} from './commands/drain_command.js';
+import {nodeCommand} from './commands/node_command.js';
+import {replicasCommand} from './commands/replicas_command.js';
+import {servicesCommand} from './commands/services_command.js';
+import {statusCommand} from './commands/status_command.js';
+import {validateCommand} from './commands/validate_command.js';
+
+/** Creates the command line with all commands. */
+export function createCli(words: readonly string[]): Argv {
+  return yargs([...words])
+    .scriptName('rhubarbstile')
+    .usage('$0 <command>\n\nServes large models that each span several VMs.')
+    .command(nodeCommand)
+    .command(validateCommand)
+    .command(statusCommand)
+    .command(servicesCommand)
+    .command(replicasCommand)
+    .command(auditCommand)
+    .command(drainCommand)
+    .demandCommand(1, 'Name a command.')
+    .recommendCommands()
+    .strict()
+    .fail(throwUsage)
+    .wrap(100)
+    .version()
+    .help()
+    .epilogue(EXIT_CODE_HELP);
+}
+
+/** Passes on failures of commands; the rest are wrong words on the command line. */
+function throwUsage(message: string, error?: Error): never {
+  if (error && error.name !== 'YError') throw error;
+  const hint = 'Run "rhubarbstile --help" for commands and options.';
+  throw new CliError(`${message ?? error?.message}\n${hint}`, {
+    exitCode: EXIT_CODE.usage,
+  });
+}
--- /dev/null
+++ b/src/cli/run_cli.ts
@@ -0,0 +1,23 @@
+import {CliError} from './cli_error.js';
+import {EXIT_CODE} from './exit_code.js';
+import {createCli} from './create_cli.js';
+
+/** Runs one command and returns its exit code; failures go to standard error. */
+export async function runCli(words: readonly string[]): Promise<number> {
+  try {
+    await createCli(words).parseAsync();
+    return EXIT_CODE.done;
+  } catch (error) {
+    const json = words.includes('--json');
+    if (error instanceof CliError) {
+      const {exitCode, data} = error.options;
+      const body = {error: error.message, exitCode, data};
+      process.stderr.write(
+        (json ? JSON.stringify(body) : error.message) + '\n',
+      );
+      return exitCode;
+    }
+    process.stderr.write(`${(error as Error)?.stack ?? String(error)}\n`);
+    return EXIT_CODE.failed;
+  }
+}
