--- a/src/core/operators/types.ts
+++ b/src/core/operators/types.ts
@@ -3,3 +3,7 @@
 export type {ReplicasAnswer} from './replicas_answer.js';
 export type {ServicesAnswer} from './services_answer.js';
 export type {StatusAnswer} from './status_answer.js';
+export type {ConfigHistoryAnswer} from './config_history_answer.js';
+export type {ConfigShowAnswer} from './config_show_answer.js';
+export type {PublishAnswer} from './publish_answer.js';
+export type {PublishRefusalDetails} from './publish_refusal_details.js';
