--- /dev/null
+++ b/test/support/create_peer.ts
@@ -0,0 +1,24 @@
+import type {Peer} from '../../src/core/membership/types.js';
+import {makeId} from '../../src/core/ids/index.js';
+
+/** A serving peer that is heard for ever, but for the given fields. */
+export function createPeer(fields: Partial<Peer> = {}): Peer {
+  const nodeId = fields.nodeId ?? makeId('peer');
+  return {
+    nodeId,
+    incarnation: makeId(`${nodeId}/1`),
+    startedAtMs: 0,
+    zone: makeId('a'),
+    callerAddress: '',
+    controlAddress: '',
+    phase: 'serving',
+    configRevision: 1,
+    queued: 0,
+    running: 0,
+    sequence: Number.MAX_SAFE_INTEGER,
+    heardAtMs: Number.MAX_SAFE_INTEGER,
+    heardUsAtMs: Number.MAX_SAFE_INTEGER,
+    isDeaf: false,
+    ...fields,
+  };
+}
--- a/test/support/once_world.ts
+++ b/test/support/once_world.ts
@@ -10,6 +10,7 @@
 import type {UndatedEvent} from '../../src/core/events/types.js';
 import type {Verdict} from '../../src/core/verdict/index.js';
 import type {VirtualNode} from '../../src/replay/index.js';
+import {createPeer} from './create_peer.js';
 import {MemoryPlatform} from '../../src/standins/memory_platform.js';
 import {TOKEN_SHA256, seedConfig, seedTarget} from './seed_state.js';
 import {VirtualNetwork, VirtualWorld} from '../../src/replay/index.js';
@@ -183,22 +184,8 @@
       for (const peer of this.world.nodes.values()) {
         if (peer === node) continue;
         const {nodeId, incarnation, zone} = peer.state.self;
-        node.state.membership.peers.set(nodeId, {
-          nodeId,
-          incarnation,
-          zone,
-          callerAddress: '',
-          controlAddress: '',
-          phase: 'serving',
-          configRevision: 1,
-          queued: 0,
-          running: 0,
-          sequence: Number.MAX_SAFE_INTEGER,
-          heardAtMs: Number.MAX_SAFE_INTEGER,
-          startedAtMs: 0,
-          heardUsAtMs: Number.MAX_SAFE_INTEGER,
-          isDeaf: false,
-        });
+        const known = createPeer({nodeId, incarnation, zone});
+        node.state.membership.peers.set(nodeId, known);
       }
     }
   }
--- a/test/support/test_cluster.ts
+++ b/test/support/test_cluster.ts
@@ -265,6 +265,7 @@
       await waitFor(
         `${node.name}${path}`,
         async () => {
+          if (node.process.exitCode !== null) throw new Error('node ended');
           const answer = await callHttp(`${node.callerUrl}${path}`);
           return answer.status === 200;
         },
--- a/test/units/operators/reduce_operators.test.ts
+++ b/test/units/operators/reduce_operators.test.ts
@@ -3,6 +3,7 @@
 import type {Effect} from '../../../src/core/effects/types.js';
 import type {OperatorRequest} from '../../../src/core/operators/types.js';
 import type {NodeState} from '../../../src/core/state/types.js';
+import {createPeer} from '../../support/create_peer.js';
 import {createNodeState} from '../../../src/core/state/index.js';
 import {makeId, type OperationId} from '../../../src/core/ids/index.js';
 import {reduce} from '../../../src/core/reduce.js';
@@ -48,19 +49,8 @@
 
 test('status lists the node itself and says which peers are silent', () => {
   const state = createState();
-  state.membership.peers.set(makeId('node-2'), {
-    nodeId: makeId('node-2'),
-    incarnation: makeId('node-2/1'),
-    zone: makeId('zone-b'),
-    callerAddress: '10.0.0.2:8080',
-    controlAddress: '10.0.0.2:8081',
-    phase: 'serving',
-    configRevision: 4,
-    queued: 1,
-    running: 2,
-    sequence: 1,
-    heardAtMs: -60_000,
-  });
+  const silent = createPeer({nodeId: makeId('node-2'), heardAtMs: -60_000});
+  state.membership.peers.set(silent.nodeId, silent);
   const answer = answerOf(ask(state, {kind: 'status'}));
   assert.equal(answer.kind, 'ok');
   const {nodes} = answer.data as {nodes: {nodeId: string; live: boolean}[]};
