Lend dispatch credits: a broker per group of targets deals out idle slots by demand

A broker, chosen by rendezvous hash, answers each node's demand four times a second with limits per target that no other node holds; slots freed by a node's own work stay with it meanwhile. Without a fresh answer for 1.5 s a node goes by reports again, and a new broker listens before it lends.

--- a/src/core/admission/default_scheduling.ts
+++ b/src/core/admission/default_scheduling.ts
@@ -11,5 +11,6 @@
   prefixAffinity: true,
   relativeSpeed: true,
   ejection: true,
+  credits: true,
   loadCorrection: true,
 };
--- a/src/core/admission/index.ts
+++ b/src/core/admission/index.ts
@@ -2,6 +2,7 @@
 export {createAdmissionState} from './create_admission_state.js';
 export {enqueueRequest} from './enqueue_request.js';
 export {noteLongRunning} from './note_long_running.js';
+export {queuedRequests} from './queued_requests.js';
 export {nextDispatches} from './next_dispatches.js';
 export {reduceAdmission} from './reduce_admission.js';
 export {removeQueuedRequest} from './remove_queued_request.js';
--- a/src/core/admission/scheduling_options.ts
+++ b/src/core/admission/scheduling_options.ts
@@ -18,6 +18,8 @@
   readonly relativeSpeed: boolean;
   /** Failing targets are left out for a while. */
   readonly ejection: boolean;
+  /** Brokers lend nodes credits for targets' slots; off: nodes go by reports alone. */
+  readonly credits: boolean;
   /** Reports are corrected by own dispatches since they were true. */
   readonly loadCorrection: boolean;
 }
--- /dev/null
+++ b/src/core/credits/credits_state.ts
@@ -0,0 +1,9 @@
+import type {CreditBook} from './credit_book.js';
+import type {CreditGroup} from './credit_group.js';
+import type {GroupKey} from './group_key.js';
+
+/** Credits that this node borrows, and those that it lends. */
+export interface CreditsState {
+  readonly groups: Map<GroupKey, CreditGroup>;
+  readonly books: Map<GroupKey, CreditBook>;
+}
--- /dev/null
+++ b/src/core/credits/group_key.ts
@@ -0,0 +1,4 @@
+import type {Branded} from '../ids/branded.js';
+
+/** Names a group of targets of one service: `<service>#<number>`. */
+export type GroupKey = Branded<'GroupKey'>;
--- /dev/null
+++ b/src/core/credits/group_of.ts
@@ -0,0 +1,18 @@
+import type {GroupKey} from './group_key.js';
+import type {ServiceName, TargetId} from '../ids/index.js';
+import {hashText} from './hash_text.js';
+import {makeId} from '../ids/index.js';
+
+/** Targets that one broker lends; hashing fills groups unevenly, so the mean is lower. */
+const GROUP_SIZE = 56;
+
+/** The group of a target in a service of so many targets. */
+export function groupOf(
+  service: ServiceName,
+  targetId: TargetId,
+  serviceSize: number,
+): GroupKey {
+  const groups = Math.max(1, Math.round(serviceSize / GROUP_SIZE));
+  const number = groups === 1 ? 0 : hashText(targetId) % groups;
+  return makeId<GroupKey>(`${service}#${number}`);
+}
--- /dev/null
+++ b/src/core/credits/lend_credits.ts
@@ -0,0 +1,109 @@
+import type {CreditBook} from './credit_book.js';
+import type {GroupKey} from './group_key.js';
+import type {NodeId, TargetId} from '../ids/index.js';
+import type {RoutingMessage} from '../peers/types.js';
+import type {Step} from '../state/types.js';
+import {findAllowedSlots} from '../routing/index.js';
+import {makeId} from '../ids/index.js';
+import {openBook} from './open_book.js';
+
+type Demand = Extract<RoutingMessage, {type: 'routing.demand'}>;
+type Credits = Extract<RoutingMessage, {type: 'routing.credits'}>;
+
+/** A new broker listens for so long before it lends: others may hold credits of another. */
+const LISTEN_MS = 600;
+/** Holders not heard of for so long hold nothing any more; longer than credits hold. */
+const HOLDER_EXPIRES_MS = 2000;
+
+/** Slots of one target as the broker counts them. */
+interface Lendable {
+  readonly targetId: TargetId;
+  readonly own: number;
+  /** Slots that this node could get beside its own work. */
+  idle: number;
+  given: number;
+  readonly slots: number;
+}
+
+/** Answers a node's demand: its own work, and its share of the group's idle slots. */
+export function lendCredits(step: Step, from: NodeId, demand: Demand): Credits {
+  const group = makeId<GroupKey>(demand.group);
+  const book = openBook(step, group);
+  forgetSilent(step, book);
+  const own = new Map(demand.own);
+  const holder = {
+    limits: book.holders.get(from)?.limits ?? new Map(),
+    own,
+    weight: 1 + demand.queued + demand.started,
+    heardAtMs: step.nowMs,
+  };
+  book.holders.set(from, holder);
+  if (step.nowMs - book.openedAtMs < LISTEN_MS) {
+    holder.limits = own;
+    return {type: 'routing.credits', group: demand.group};
+  }
+  const lendables = book.targets.map(id => countSlots(step, book, from, id));
+  deal(lendables, shareOf(step, book, from));
+  const limits = lendables
+    .map(one => [one.targetId, one.own + one.given] as const)
+    .filter(([, limit]) => limit > 0);
+  holder.limits = new Map(limits);
+  return {type: 'routing.credits', group: demand.group, limits};
+}
+
+function forgetSilent(step: Step, book: CreditBook): void {
+  for (const [nodeId, holder] of book.holders) {
+    if (step.nowMs - holder.heardAtMs < HOLDER_EXPIRES_MS) continue;
+    book.holders.delete(nodeId);
+  }
+}
+
+/** Counts what is left of a target beside what others hold and this node uses. */
+function countSlots(
+  step: Step,
+  book: CreditBook,
+  from: NodeId,
+  targetId: TargetId,
+): Lendable {
+  let others = 0;
+  for (const [nodeId, holder] of book.holders) {
+    if (nodeId === from) continue;
+    const used = holder.own.get(targetId) ?? 0;
+    others += Math.max(used, holder.limits.get(targetId) ?? 0);
+  }
+  const slots = findAllowedSlots(step, targetId);
+  const own = book.holders.get(from)!.own.get(targetId) ?? 0;
+  const idle = Math.max(0, slots - others - own);
+  return {targetId, own, idle, given: 0, slots};
+}
+
+/** The node's share of all idle slots of the group, by its demand; fractions by chance. */
+function shareOf(step: Step, book: CreditBook, from: NodeId): number {
+  let idle = 0;
+  for (const targetId of book.targets) {
+    let used = 0;
+    for (const holder of book.holders.values()) {
+      used += holder.own.get(targetId) ?? 0;
+    }
+    idle += Math.max(0, findAllowedSlots(step, targetId) - used);
+  }
+  let weights = 0;
+  for (const holder of book.holders.values()) weights += holder.weight;
+  const share = (idle * book.holders.get(from)!.weight) / weights;
+  return Math.floor(share + step.state.random.next());
+}
+
+/** Gives slots one at a time, from the targets with the largest idle share first. */
+function deal(lendables: Lendable[], share: number): void {
+  let left = share;
+  while (left > 0) {
+    const open = lendables.filter(one => one.idle > 0);
+    if (open.length === 0) return;
+    open.sort((a, b) => b.idle / b.slots - a.idle / a.slots);
+    for (const one of open.slice(0, left)) {
+      one.idle -= 1;
+      one.given += 1;
+      left -= 1;
+    }
+  }
+}
--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -4,6 +4,7 @@
 import {dispatchQueued, reduceRequests} from './requests/index.js';
 import {reduceAdmission} from './admission/index.js';
 import {reduceAudit} from './audit/index.js';
+import {reduceCredits} from './credits/index.js';
 import {reduceConfig} from './config/index.js';
 import {reduceDrain} from './drain/index.js';
 import {reduceMembership} from './membership/index.js';
@@ -21,6 +22,7 @@
   reduceReplicas,
   reduceTargets,
   reduceRouting,
+  reduceCredits,
   reduceQuarantine,
   reduceOnce,
   reduceAdmission,
--- a/src/core/routing/has_slot_of_own.ts
+++ b/src/core/routing/has_slot_of_own.ts
@@ -1,13 +1,12 @@
 import type {Step} from '../state/types.js';
 import type {TargetId} from '../ids/index.js';
-import {allowedSlots} from './allowed_slots.js';
+import {freeSlots} from './free_slots.js';
 import {loadOf} from './load_of.js';
-import {occupiedSlots} from './occupied_slots.js';
 
 /** Whether a slot given up on a target would be free for another request of this node. */
 export function hasSlotOfOwn(step: Step, targetId: TargetId): boolean {
   const target = step.state.targets.byId.get(targetId);
   if (!target) return false;
   const load = loadOf(step, targetId);
-  return occupiedSlots(load) <= allowedSlots(step, target, load);
+  return freeSlots(step, target, load) >= 0;
 }
--- a/src/core/routing/is_eligible.ts
+++ b/src/core/routing/is_eligible.ts
@@ -1,10 +1,9 @@
 import type {RequestRecord} from '../requests/types.js';
 import type {Step} from '../state/types.js';
 import type {Target} from '../targets/types.js';
-import {allowedSlots} from './allowed_slots.js';
+import {freeSlots} from './free_slots.js';
 import {loadOf} from './load_of.js';
 import {mayRunOn} from '../quarantine/index.js';
-import {occupiedSlots} from './occupied_slots.js';
 
 /** Whether a target can start a request now and leave so many slots free. */
 export function isEligible(
@@ -15,8 +14,7 @@
 ): boolean {
   const {info} = record;
   const load = loadOf(step, target.targetId);
-  const free = allowedSlots(step, target, load) - occupiedSlots(load);
-  if (free <= leaveFreeSlots) return false;
+  if (freeSlots(step, target, load) <= leaveFreeSlots) return false;
   if (record.failedTargets.has(target.targetId)) return false;
   if (!fitsAdapter(info.adapter, target)) return false;
   if (!fitsVersion(step, record, target)) return false;
--- a/src/core/routing/refresh_target.ts
+++ b/src/core/routing/refresh_target.ts
@@ -1,9 +1,8 @@
 import type {Step} from '../state/types.js';
 import type {TargetId} from '../ids/index.js';
-import {allowedSlots} from './allowed_slots.js';
+import {freeSlots} from './free_slots.js';
 import {loadOf} from './load_of.js';
 import {markReady} from '../admission/index.js';
-import {occupiedSlots} from './occupied_slots.js';
 
 /** Keeps a target among those with a free slot, or out of them. */
 export function refreshTarget(step: Step, targetId: TargetId): void {
@@ -12,7 +11,7 @@
   const pool = target && routing.pools.get(target.service);
   if (!target || !pool?.members.has(targetId)) return;
   const load = loadOf(step, targetId);
-  if (occupiedSlots(load) >= allowedSlots(step, target, load)) {
+  if (freeSlots(step, target, load) <= 0) {
     pool.free.delete(targetId);
     return;
   }
--- a/src/core/state/create_node_state.ts
+++ b/src/core/state/create_node_state.ts
@@ -1,6 +1,7 @@
 import {createAdmissionState} from '../admission/index.js';
 import {createAuditState} from '../audit/index.js';
 import {createConfigState} from '../config/index.js';
+import {createCreditsState} from '../credits/index.js';
 import {createDrainState} from '../drain/index.js';
 import {createLimitsState} from '../limits/index.js';
 import {createMembershipState} from '../membership/index.js';
@@ -23,6 +24,7 @@
     admission: createAdmissionState(),
     audit: createAuditState(),
     config: createConfigState(),
+    credits: createCreditsState(),
     drain: createDrainState(),
     limits: createLimitsState(),
     membership: createMembershipState(),
--- a/src/core/state/node_state.ts
+++ b/src/core/state/node_state.ts
@@ -1,6 +1,7 @@
 import type {AdmissionState} from '../admission/types.js';
 import type {AuditState} from '../audit/types.js';
 import type {ConfigState} from '../config/types.js';
+import type {CreditsState} from '../credits/types.js';
 import type {DrainState} from '../drain/types.js';
 import type {LimitsState} from '../limits/types.js';
 import type {MembershipState} from '../membership/types.js';
@@ -22,6 +23,7 @@
   readonly admission: AdmissionState;
   readonly audit: AuditState;
   readonly config: ConfigState;
+  readonly credits: CreditsState;
   readonly drain: DrainState;
   readonly limits: LimitsState;
   readonly membership: MembershipState;
--- a/src/peers/message_schemas.ts
+++ b/src/peers/message_schemas.ts
@@ -44,6 +44,8 @@
   tokensPerSecond: count,
 });
 
+const slots = z.tuple([text, count]);
+
 /** Shape of each message between nodes; fields that a later version adds pass. */
 export const MESSAGE_SCHEMAS: {
   readonly [T in PeerMessage['type']]: z.ZodType;
@@ -67,4 +69,14 @@
   'routing.reports': z.looseObject({
     reports: list(z.looseObject({report, ageMs: count})),
   }),
+  'routing.demand': z.looseObject({
+    group: text,
+    queued: count,
+    started: count,
+    own: list(slots),
+  }),
+  'routing.credits': z.looseObject({
+    group: text,
+    limits: list(slots).optional(),
+  }),
 };
--- a/src/replay/load/load_variants.ts
+++ b/src/replay/load/load_variants.ts
@@ -15,6 +15,7 @@
   prefixAffinity: false,
   relativeSpeed: false,
   ejection: false,
+  credits: false,
   loadCorrection: false,
 };
 
--- a/src/replay/load/request_outcome.ts
+++ b/src/replay/load/request_outcome.ts
@@ -14,5 +14,6 @@
   firstTokenAtMs?: number;
   endedAtMs?: number;
   refusals: number;
+  /** Attempts that a node ended: pauses, and runs past their deadline. */
   pauses: number;
 }
--- a/src/replay/load/run_load.ts
+++ b/src/replay/load/run_load.ts
@@ -4,6 +4,7 @@
 import type {NodeState} from '../../core/state/types.js';
 import type {RequestOutcome} from './request_outcome.js';
 import {VirtualCallers} from './virtual_callers.js';
+import {VirtualNetwork} from '../virtual_network.js';
 import {VirtualTargets} from './virtual_targets.js';
 import {VirtualWorld} from '../virtual_world.js';
 import {installFleet} from './install_fleet.js';
@@ -36,6 +37,7 @@
   const targets = new VirtualTargets(world, fleet, id => callers.outcomeOf(id));
   world.addFake(callers);
   world.addFake(targets);
+  world.addFake(new VirtualNetwork(world));
   for (let at = 0; at < fleet.nodes; at++) {
     const node = world.addNode(createSelf(at), seed + at);
     installFleet(node.state, fleet);
--- a/src/replay/load/virtual_targets.ts
+++ b/src/replay/load/virtual_targets.ts
@@ -121,6 +121,7 @@
     if (!live) return;
     this.world.time.after(LATENCY_MS, () => {
       live.isCancelled = true;
+      this.outcomeOf(live.requestId).pauses += 1;
       if (!this.attempts.delete(attemptId)) return;
       const had = this.delivered.get(live.requestId) ?? 0;
       const made = live.engine.cancel(attemptId);
