--- a/test/support/create_peer.ts
+++ b/test/support/create_peer.ts
@@ -1,9 +1,9 @@
 import type {Peer} from '../../src/core/membership/types.js';
-import {makeId} from '../../src/core/ids/index.js';
+import {makeId, type NodeId} from '../../src/core/ids/index.js';
 
 /** A serving peer that is heard for ever, but for the given fields. */
 export function createPeer(fields: Partial<Peer> = {}): Peer {
-  const nodeId = fields.nodeId ?? makeId('peer');
+  const nodeId = fields.nodeId ?? makeId<NodeId>('peer');
   return {
     nodeId,
     incarnation: makeId(`${nodeId}/1`),
--- a/test/units/operators/reduce_operators.test.ts
+++ b/test/units/operators/reduce_operators.test.ts
@@ -49,7 +49,7 @@
 
 test('status lists the node itself and says which peers are silent', () => {
   const state = createState();
-  const silent = createPeer({nodeId: makeId('node-2'), heardAtMs: -60_000});
+  const silent = createPeer({nodeId: makeId<NodeId>('node-2'), heardAtMs: -60_000});
   state.membership.peers.set(silent.nodeId, silent);
   const answer = answerOf(ask(state, {kind: 'status'}));
   assert.equal(answer.kind, 'ok');
