Drive stewards and engines in virtual time

A fake fleet beside the nodes: engines with and without fencing that load, freeze, die and restart, orders that arrive late, answers that proceed only while the whole replica is up.

--- /dev/null
+++ b/src/replay/fleet/index.ts
@@ -0,0 +1,3 @@
+export {FleetEngine} from './fleet_engine.js';
+export {FleetWorld} from './fleet_world.js';
+export {VirtualFleet} from './virtual_fleet.js';
