--- a/test/support/create_peer.ts
+++ b/src/replay/create_peer.ts
@@ -1,5 +1,5 @@
-import type {Peer} from '../../src/core/membership/types.js';
-import {makeId, type NodeId} from '../../src/core/ids/index.js';
+import type {Peer} from '../core/membership/types.js';
+import {makeId, type NodeId} from '../core/ids/index.js';
 
 /** A serving peer that is heard for ever, but for the given fields. */
 export function createPeer(fields: Partial<Peer> = {}): Peer {
--- a/src/replay/fleet/fleet_world.ts
+++ b/src/replay/fleet/fleet_world.ts
@@ -15,6 +15,7 @@
 import {VirtualNetwork} from '../virtual_network.js';
 import {VirtualStore} from '../virtual_store.js';
 import {VirtualWorld} from '../virtual_world.js';
+import {createPeer} from '../create_peer.js';
 import {createVms} from './create_vms.js';
 import {makeId} from '../../core/ids/index.js';
 
@@ -214,17 +215,9 @@
 }
 
 function addPeer(node: VirtualNode, self: SelfState): void {
-  node.state.membership.peers.set(self.nodeId, {
-    nodeId: self.nodeId,
-    incarnation: self.incarnation,
-    zone: self.zone,
-    callerAddress: self.callerAddress,
-    controlAddress: self.controlAddress,
-    phase: 'serving',
-    configRevision: 1,
-    queued: 0,
-    running: 0,
-    sequence: 0,
-    heardAtMs: Number.MAX_SAFE_INTEGER,
-  });
+  const {nodeId, incarnation, zone, callerAddress, controlAddress} = self;
+  node.state.membership.peers.set(
+    nodeId,
+    createPeer({nodeId, incarnation, zone, callerAddress, controlAddress}),
+  );
 }
--- a/test/support/once_world.ts
+++ b/test/support/once_world.ts
@@ -10,7 +10,7 @@
 import type {UndatedEvent} from '../../src/core/events/types.js';
 import type {Verdict} from '../../src/core/verdict/index.js';
 import type {VirtualNode} from '../../src/replay/index.js';
-import {createPeer} from './create_peer.js';
+import {createPeer} from '../../src/replay/create_peer.js';
 import {MemoryPlatform} from '../../src/standins/memory_platform.js';
 import {TOKEN_SHA256, seedConfig, seedTarget} from './seed_state.js';
 import {VirtualNetwork, VirtualWorld} from '../../src/replay/index.js';
