Publish, read and pass on the configuration in the core

A publication is checked as a whole, writes each changed text under its digest and then swaps config/head; the swap is the acceptance. Lost races rebase, or conflict when the same service changed since the base; a swap without an answer is found again by its publication id. Relays watch the head; other nodes learn of a higher revision from heartbeats and ask a peer for the changes since theirs. A node keeps its revision against a store that is behind, raises an alarm and writes its configuration back.

--- /dev/null
+++ b/src/core/config/config_head.ts
@@ -0,0 +1,19 @@
+import type {ConfigPublication} from './config_publication.js';
+
+interface HeadPart {
+  readonly digest: string;
+  /** Revision that last changed the part. */
+  readonly revision: number;
+}
+
+/** What `config/head` in the store says: the accepted configuration, by digests. */
+export interface ConfigHead {
+  readonly revision: number;
+  readonly parts: Readonly<Record<string, HeadPart>>;
+  /** Removed parts with the revision that removed them. */
+  readonly removed: Readonly<Record<string, number>>;
+  /** Removals up to this revision may have been dropped from `removed`. */
+  readonly floorRevision: number;
+  /** Latest publications, newest first; the first one made this head. */
+  readonly publications: readonly ConfigPublication[];
+}
--- /dev/null
+++ b/src/core/config/config_text.ts
@@ -0,0 +1,7 @@
+/** The text of one part, as published. */
+export interface ConfigText {
+  readonly text: string;
+  readonly digest: string;
+  /** Revision that last changed it. */
+  readonly revision: number;
+}
--- /dev/null
+++ b/src/core/config/publish/plan_job.ts
@@ -0,0 +1,78 @@
+import type {ConfigHead} from '../config_head.js';
+import type {HeadJob} from './head_job.js';
+import type {StoreEntry} from '../../store/types.js';
+import type {Step} from '../../state/types.js';
+import {acceptJob} from './accept_job.js';
+import {createNextHead} from './create_next_head.js';
+import {findConflicts} from './find_conflicts.js';
+import {finishJob} from './finish_job.js';
+import {headRecord} from '../head_record.js';
+import {localHead} from '../local_head.js';
+import {readTheirs} from './read_theirs.js';
+import {writeTexts} from './write_texts.js';
+
+const NO_HEAD: ConfigHead = {
+  revision: 0,
+  parts: {},
+  removed: {},
+  floorRevision: 0,
+  publications: [],
+};
+
+/** Plans the next head on top of the one in the store, anew after each lost race. */
+export function planJob(
+  step: Step,
+  job: HeadJob,
+  entry: StoreEntry | undefined,
+): void {
+  const {config} = step.state;
+  const stored = (entry && headRecord.read(entry.value)) ?? NO_HEAD;
+  job.headVersion = entry?.version ?? 0;
+  const accepted = stored.publications.find(
+    one => one.publicationId === job.publicationId,
+  );
+  if (accepted) {
+    acceptJob(step, job, stored, accepted);
+    return;
+  }
+  // A store that was restored is behind: what this node has in force goes first.
+  const isBehind = stored.revision < config.document.revision;
+  const head = isBehind ? localHead(config) : stored;
+  job.head = head;
+  job.baseRevision ??= head.revision;
+  if (job.kind === 'restore') planRestore(step, job, isBehind);
+  else planPublication(step, job, head, isBehind);
+}
+
+function planRestore(step: Step, job: HeadJob, isBehind: boolean): void {
+  if (!isBehind) {
+    finishJob(step, job);
+    return;
+  }
+  job.next = job.head!;
+  writeTexts(step, job, Object.keys(job.next.parts));
+}
+
+function planPublication(
+  step: Step,
+  job: HeadJob,
+  head: ConfigHead,
+  isBehind: boolean,
+): void {
+  const next = createNextHead(step, job, head);
+  const {changed} = next.publications[0]!;
+  const conflicts = findConflicts(job, head, changed);
+  if (conflicts.length > 0) {
+    readTheirs(step, job, head, conflicts);
+    return;
+  }
+  if (changed.length === 0 && !isBehind) {
+    finishJob(step, job, {
+      kind: 'ok',
+      data: {revision: head.revision, changed: [], isNew: false},
+    });
+    return;
+  }
+  job.next = next;
+  writeTexts(step, job, isBehind ? Object.keys(next.parts) : changed);
+}
--- /dev/null
+++ b/src/core/config/publish/swap_head.ts
@@ -0,0 +1,20 @@
+import type {HeadJob} from './head_job.js';
+import type {Step} from '../../state/types.js';
+import {callConfigStore} from '../call_config_store.js';
+import {headRecord} from '../head_record.js';
+
+/** Replaces the head, if nobody else did since it was read. This is the acceptance. */
+export function swapHead(step: Step, job: HeadJob): void {
+  job.phase = 'swapping';
+  delete job.retryAtMs;
+  callConfigStore(
+    step,
+    {purpose: 'job', jobId: job.jobId, step: 'swap'},
+    {
+      kind: 'compareAndSwap',
+      key: headRecord.key,
+      expectedVersion: job.headVersion,
+      value: headRecord.write(job.next!),
+    },
+  );
+}
--- /dev/null
+++ b/src/core/config/publish/tick_jobs.ts
@@ -0,0 +1,43 @@
+import type {HeadJob} from './head_job.js';
+import type {Step} from '../../state/types.js';
+import {CONFIG_TIMING} from '../config_timing.js';
+import {failJob} from './fail_job.js';
+import {readJobHead} from './read_job_head.js';
+
+const RESTORE_ID = 'restore';
+
+/** Retries jobs that wait, ends those that are late, and starts a restore that is due. */
+export function tickJobs(step: Step): void {
+  const {config} = step.state;
+  for (const job of config.jobs.values()) {
+    if (step.nowMs >= job.deadlineAtMs) failJob(step, job);
+    else if (job.retryAtMs !== undefined && step.nowMs >= job.retryAtMs) {
+      readJobHead(step, job);
+    }
+  }
+  const {restoreAtMs} = config;
+  if (restoreAtMs === undefined || step.nowMs < restoreAtMs) return;
+  delete config.restoreAtMs;
+  if (!config.jobs.has(RESTORE_ID)) startRestore(step);
+}
+
+function startRestore(step: Step): void {
+  const [latest] = step.state.config.publications;
+  const job: HeadJob = {
+    jobId: RESTORE_ID,
+    kind: 'restore',
+    operator: 'system',
+    publicationId: latest?.publicationId ?? '',
+    edits: [],
+    prune: false,
+    phase: 'reading',
+    headVersion: 0,
+    waiting: new Set(),
+    conflicts: [],
+    mayBeAccepted: false,
+    failures: 0,
+    deadlineAtMs: step.nowMs + CONFIG_TIMING.publishTimeoutMs,
+  };
+  step.state.config.jobs.set(job.jobId, job);
+  readJobHead(step, job);
+}
--- /dev/null
+++ b/src/core/config/read_head.ts
@@ -0,0 +1,39 @@
+import type {ConfigCall} from './config_call.js';
+import type {NodeState, Step} from '../state/types.js';
+import {CONFIG_TIMING} from './config_timing.js';
+import {callConfigStore} from './call_config_store.js';
+import {headRecord} from './head_record.js';
+
+const {key} = headRecord;
+
+/** Reads the head: once at the start; relays watch it, and read it now and then. */
+export function readHead(step: Step): void {
+  const {state, nowMs} = step;
+  const {config, membership} = state;
+  if (nowMs < membership.store.resumeAtMs) return;
+  const isWanted = !config.hasReadHead || membership.isRelay;
+  if (!isWanted) return;
+  if (nowMs >= config.nextHeadAtMs && !isCalling(state, 'head')) {
+    config.nextHeadAtMs = nowMs + CONFIG_TIMING.headIntervalMs;
+    callConfigStore(step, {purpose: 'head'}, {kind: 'get', key});
+  }
+  if (!membership.isRelay || !config.hasReadHead) return;
+  if (nowMs < config.nextWatchAtMs || isCalling(state, 'watch')) return;
+  callConfigStore(
+    step,
+    {purpose: 'watch'},
+    {
+      kind: 'watch',
+      prefix: key,
+      sinceVersion: config.headVersion,
+      timeoutMs: CONFIG_TIMING.watchTimeoutMs,
+    },
+  );
+}
+
+function isCalling(state: NodeState, purpose: ConfigCall['purpose']): boolean {
+  for (const call of state.config.calls.values()) {
+    if (call.purpose === purpose) return true;
+  }
+  return false;
+}
--- /dev/null
+++ b/src/core/config/text_record.ts
@@ -0,0 +1,17 @@
+import {digestText} from './digest_text.js';
+
+/** Reads and writes texts in the store, which holds JSON. */
+export const textRecord = {
+  write: (text: string): string => JSON.stringify({text}),
+
+  /** Undefined when it is not the text of that digest. */
+  read(value: string, digest: string): string | undefined {
+    try {
+      const {text} = JSON.parse(value) as {text?: unknown};
+      if (typeof text !== 'string') return undefined;
+      return digestText(text) === digest ? text : undefined;
+    } catch {
+      return undefined;
+    }
+  },
+};
--- a/src/core/membership/note_pause.ts
+++ b/src/core/membership/note_pause.ts
@@ -21,6 +21,7 @@
   membership.nextListAtMs = step.nowMs;
   membership.nextHeartbeatAtMs = step.nowMs;
   step.state.config.isCatchingUp = true;
+  step.state.config.catchUpSinceMs = 0;
   // The silence was this node's own.
   for (const peer of membership.peers.values()) {
     peer.heardAtMs += gapMs;
--- a/src/core/peers/config_message.ts
+++ b/src/core/peers/config_message.ts
@@ -1,18 +1,20 @@
-/** Asks for the changes since a revision. */
+import type {ConfigChange, ConfigPublication} from '../config/types.js';
+
+/** Asks for the changes since a revision; 0 asks for everything. */
 interface Pull {
   readonly type: 'config.pull';
   readonly sinceRevision: number;
 }
 
-/** Changes from one revision to another; a null text removes the service. */
+/** Changes from one revision to another. */
 interface Delta {
   readonly type: 'config.delta';
   readonly fromRevision: number;
   readonly toRevision: number;
-  readonly changes: readonly {
-    readonly key: string;
-    readonly text: string | null;
-  }[];
+  /** Removals up to this revision may be unknown to the sender. */
+  readonly floorRevision: number;
+  readonly changes: readonly ConfigChange[];
+  readonly publications: readonly ConfigPublication[];
 }
 
 /** The peer no longer holds the changes asked for. */
--- a/src/peers/message_schemas.ts
+++ b/src/peers/message_schemas.ts
@@ -44,6 +44,20 @@
   tokensPerSecond: count,
 });
 
+const change = z.looseObject({
+  key: text,
+  text: text.nullable(),
+  revision: count,
+});
+
+const publication = z.looseObject({
+  revision: count,
+  publicationId: text,
+  operator: text,
+  atMs: count,
+  changed: list(text),
+});
+
 /** Shape of each message between nodes; fields that a later version adds pass. */
 export const MESSAGE_SCHEMAS: {
   readonly [T in PeerMessage['type']]: z.ZodType;
@@ -55,7 +69,9 @@
   'config.delta': z.looseObject({
     fromRevision: count,
     toRevision: count,
-    changes: list(z.looseObject({key: text, text: text.nullable()})),
+    floorRevision: count,
+    changes: list(change),
+    publications: list(publication),
   }),
   'config.noHistory': z.looseObject({revision: count}),
   'once.ask': z.looseObject({onceKey: text, incarnation: text, claim: text}),
--- a/test/units/operators/reduce_operators.test.ts
+++ b/test/units/operators/reduce_operators.test.ts
@@ -59,7 +59,11 @@
     queued: 1,
     running: 2,
     sequence: 1,
+    startedAtMs: 0,
     heardAtMs: -60_000,
+    monitoredSinceMs: -60_000,
+    heardUsAtMs: -60_000,
+    isDeaf: false,
   });
   const answer = answerOf(ask(state, {kind: 'status'}));
   assert.equal(answer.kind, 'ok');
