--- a/test/units/operators/reduce_operators.test.ts
+++ b/test/units/operators/reduce_operators.test.ts
@@ -56,6 +56,8 @@
   const silent = createPeer({
     nodeId: makeId<NodeId>('node-2'),
     heardAtMs: -60_000,
+    monitoredSinceMs: -60_000,
+    heardUsAtMs: -60_000,
   });
   state.membership.peers.set(silent.nodeId, silent);
   const answer = answerOf(ask(state, {kind: 'status'}));
