--- a/src/cli/client/client_options.ts
+++ b/src/cli/client/client_options.ts
@@ -1,5 +1,6 @@
 import type {Argv} from 'yargs';
 import {userInfo} from 'node:os';
+import {EXIT_CODE_HELP} from '../exit_code_help.js';
 
 const DEFAULT_NODE = '127.0.0.1:8081';
 
@@ -24,5 +25,6 @@
       type: 'boolean',
       describe: 'Print one JSON document',
       default: false,
-    });
+    })
+    .epilogue(EXIT_CODE_HELP);
 }
--- a/src/cli/client/describe_failure.ts
+++ b/src/cli/client/describe_failure.ts
@@ -1,4 +1,4 @@
-import type {FileFault} from '../../core/config/files/index.js';
+import type {PublishRefusalDetails} from '../../core/operators/types.js';
 import type {OperatorFailure} from '../../operators/types.js';
 import {CliError} from '../cli_error.js';
 import {EXIT_CODE} from '../exit_code.js';
@@ -20,9 +20,8 @@
     );
   }
   const {error, details} = failure;
-  const faults = readFaults(details).map(formatFault);
   const line = `${error.title}: ${error.message} ${error.hint}`;
-  return new CliError([...faults, line].join('\n'), {
+  return new CliError([...formatDetails(details), line].join('\n'), {
     exitCode: exitCodeOf(failure.error),
     data: failure,
   });
@@ -42,8 +41,15 @@
     : EXIT_CODE.outcomeNotKnown;
 }
 
-/** The faults that a node found in a publication. */
-function readFaults(details: unknown): FileFault[] {
-  const faults = (details as {faults?: unknown} | undefined)?.faults;
-  return Array.isArray(faults) ? (faults as FileFault[]) : [];
+/** What a node says of a refused publication: faults, or both texts of a conflict. */
+function formatDetails(details: unknown): string[] {
+  const {faults = [], conflicts = []} = (details ??
+    {}) as PublishRefusalDetails;
+  const texts = conflicts.flatMap(({key, yours, theirs, revision}) => [
+    `--- ${key}, in force at revision ${revision}`,
+    theirs ?? '(removed)',
+    `+++ ${key}, yours`,
+    yours,
+  ]);
+  return [...faults.map(formatFault), ...texts];
 }
--- /dev/null
+++ b/src/cli/commands/config_show_command.ts
@@ -0,0 +1,50 @@
+import type {CommandModule} from 'yargs';
+import type {ConfigShowAnswer} from '../../core/operators/types.js';
+import {CliError} from '../cli_error.js';
+import {EXIT_CODE} from '../exit_code.js';
+import {Output} from '../output.js';
+import {askNode, clientOptions} from '../client/index.js';
+
+type Arguments = Parameters<typeof askNode>[0] & {
+  readonly json: boolean;
+  readonly service?: string | undefined;
+  readonly revision?: number | undefined;
+};
+type Files = ConfigShowAnswer['files'];
+
+/** `config show [SERVICE]`: the files in force. */
+export const configShowCommand: CommandModule<object, Arguments> = {
+  command: 'show [service]',
+  describe: 'Show the files in force, or one service',
+  builder: yargs =>
+    clientOptions(yargs)
+      .positional('service', {
+        type: 'string',
+        describe: 'Name of a service, or "organisations"',
+      })
+      .option('revision', {type: 'number', describe: 'An earlier revision'})
+      .example('$0 config show chat', '')
+      .example('$0 config show --revision 12 --json', ''),
+  handler: async options => {
+    const {revision} = options;
+    const answer = await askNode<ConfigShowAnswer>(options, {
+      kind: 'configShow',
+      ...(revision !== undefined && {revision}),
+    });
+    const files = selectFiles(answer.files, options.service);
+    const texts = files.map(({key, text}) => `# ${key}\n${text.trimEnd()}\n`);
+    const text = [`# revision ${answer.revision}`, ...texts].join('\n');
+    new Output(options.json).print({...answer, files}, text);
+  },
+};
+
+function selectFiles(files: Files, service?: string): Files {
+  if (service === undefined) return files;
+  const found = files.filter(file => file.key === service);
+  if (found.length > 0) return found;
+  const keys = files.map(file => file.key).join(', ') || 'none';
+  throw new CliError(`There is no service "${service}". In force: ${keys}.`, {
+    exitCode: EXIT_CODE.refused,
+    data: {service},
+  });
+}
--- a/src/cli/commands/node_command.ts
+++ b/src/cli/commands/node_command.ts
@@ -1,5 +1,6 @@
 import type {Argv, CommandModule} from 'yargs';
 import {CliError} from '../cli_error.js';
+import {EXIT_CODE_HELP} from '../exit_code_help.js';
 import {EXIT_CODE} from '../exit_code.js';
 import {createNode} from '../../runtime/index.js';
 import {formatFault} from '../../core/config/files/index.js';
@@ -15,6 +16,7 @@
   describe: 'Run a node; SIGTERM drains it and it exits with 0',
   builder: (yargs: Argv) =>
     yargs
+      .epilogue(EXIT_CODE_HELP)
       .option('settings', {
         type: 'string',
         demandOption: true,
--- a/src/cli/commands/validate_command.ts
+++ b/src/cli/commands/validate_command.ts
@@ -1,5 +1,6 @@
 import type {Argv, CommandModule} from 'yargs';
 import {CliError} from '../cli_error.js';
+import {EXIT_CODE_HELP} from '../exit_code_help.js';
 import {EXIT_CODE} from '../exit_code.js';
 import {Output} from '../output.js';
 import {collectFiles, requireValid} from '../files/index.js';
@@ -15,6 +16,7 @@
   describe: 'Check service, organisation and settings files; sends nothing',
   builder: (yargs: Argv) =>
     yargs
+      .epilogue(EXIT_CODE_HELP)
       .positional('paths', {
         type: 'string',
         array: true,
--- a/src/cli/create_cli.ts
+++ b/src/cli/create_cli.ts
@@ -3,8 +3,11 @@
 import {EXIT_CODE} from './exit_code.js';
 import {EXIT_CODE_HELP} from './exit_code_help.js';
 import {auditCommand} from './commands/audit_command.js';
+import {configCommand} from './commands/config_command.js';
 import {drainCommand} from './commands/drain_command.js';
 import {nodeCommand} from './commands/node_command.js';
+import {publishCommand} from './commands/publish_command.js';
+import {replayCommand} from './replay/index.js';
 import {replicasCommand} from './commands/replicas_command.js';
 import {servicesCommand} from './commands/services_command.js';
 import {statusCommand} from './commands/status_command.js';
@@ -17,11 +20,14 @@
     .usage('$0 <command>\n\nServes large models that each span several VMs.')
     .command(nodeCommand)
     .command(validateCommand)
+    .command(publishCommand)
+    .command(configCommand)
     .command(statusCommand)
     .command(servicesCommand)
     .command(replicasCommand)
     .command(auditCommand)
     .command(drainCommand)
+    .command(replayCommand)
     .demandCommand(1, 'Name a command.')
     .recommendCommands()
     .strict()
--- a/src/cli/exit_code.ts
+++ b/src/cli/exit_code.ts
@@ -8,4 +8,5 @@
   notAuthenticated: 5,
   refused: 6,
   outcomeNotKnown: 7,
+  notEverywhere: 8,
 } as const;
--- a/src/cli/exit_code_help.ts
+++ b/src/cli/exit_code_help.ts
@@ -7,4 +7,5 @@
   4  node or platform not reachable
   5  operator token refused
   6  refused; nothing was changed
-  7  outcome not known; look before trying again`;
+  7  outcome not known; look before trying again
+  8  accepted, but not yet in force at every live node`;
