--- /dev/null
+++ b/src/core/routing/refresh_target.ts
@@ -0,0 +1,20 @@
+import type {Step} from '../state/types.js';
+import type {TargetId} from '../ids/index.js';
+import {freeSlots} from './free_slots.js';
+import {loadOf} from './load_of.js';
+import {markReady} from '../admission/index.js';
+
+/** Keeps a target among those with a free slot, or out of them. */
+export function refreshTarget(step: Step, targetId: TargetId): void {
+  const {routing, targets} = step.state;
+  const target = targets.byId.get(targetId);
+  const pool = target && routing.pools.get(target.service);
+  if (!target || !pool?.members.has(targetId)) return;
+  const load = loadOf(step, targetId);
+  if (freeSlots(step, target, load) <= 0) {
+    pool.free.delete(targetId);
+    return;
+  }
+  pool.free.add(targetId);
+  markReady(step, target.service);
+}
