--- a/test/units/operators/reduce_operators.test.ts
+++ b/test/units/operators/reduce_operators.test.ts
@@ -5,7 +5,11 @@
 import type {NodeState} from '../../../src/core/state/types.js';
 import {createPeer} from '../../support/create_peer.js';
 import {createNodeState} from '../../../src/core/state/index.js';
-import {makeId, type OperationId} from '../../../src/core/ids/index.js';
+import {
+  makeId,
+  type NodeId,
+  type OperationId,
+} from '../../../src/core/ids/index.js';
 import {reduce} from '../../../src/core/reduce.js';
 
 const roles = {
@@ -49,7 +53,10 @@
 
 test('status lists the node itself and says which peers are silent', () => {
   const state = createState();
-  const silent = createPeer({nodeId: makeId<NodeId>('node-2'), heardAtMs: -60_000});
+  const silent = createPeer({
+    nodeId: makeId<NodeId>('node-2'),
+    heardAtMs: -60_000,
+  });
   state.membership.peers.set(silent.nodeId, silent);
   const answer = answerOf(ask(state, {kind: 'status'}));
   assert.equal(answer.kind, 'ok');
