--- a/test/units/operators/reduce_operators.test.ts
+++ b/test/units/operators/reduce_operators.test.ts
@@ -3,7 +3,7 @@
 import type {Effect} from '../../../src/core/effects/types.js';
 import type {OperatorRequest} from '../../../src/core/operators/types.js';
 import type {NodeState} from '../../../src/core/state/types.js';
-import {createPeer} from '../../support/create_peer.js';
+import {createPeer} from '../../../src/replay/create_peer.js';
 import {createNodeState} from '../../../src/core/state/index.js';
 import {
   makeId,
