--- a/src/core/credits/lend_credits.ts
+++ b/src/core/credits/lend_credits.ts
@@ -11,9 +11,9 @@
 type Credits = Extract<RoutingMessage, {type: 'routing.credits'}>;
 
 /** A new broker listens for so long before it lends: others may hold credits of another. */
-const LISTEN_MS = 600;
+const LISTEN_MS = 1200;
 /** Holders not heard of for so long hold nothing any more; longer than credits hold. */
-const HOLDER_EXPIRES_MS = 2000;
+const HOLDER_EXPIRES_MS = 3500;
 
 /** Slots of one target as the broker counts them. */
 interface Lendable {
--- a/src/core/credits/send_demands.ts
+++ b/src/core/credits/send_demands.ts
@@ -11,9 +11,9 @@
 import {takeCredits} from './take_credits.js';
 
 /** Time between two demands of a node for one group. */
-const DEMAND_INTERVAL_MS = 250;
+const DEMAND_INTERVAL_MS = 1000;
 /** The same while requests wait. */
-const BUSY_INTERVAL_MS = 250;
+const BUSY_INTERVAL_MS = 500;
 
 /** Asks the broker of each group that this node uses for credits, when it is time. */
 export function sendDemands(step: Step): void {
--- a/src/core/credits/take_credits.ts
+++ b/src/core/credits/take_credits.ts
@@ -6,7 +6,7 @@
 import {refreshTarget} from '../routing/index.js';
 
 /** How long credits hold without a further answer. */
-const CREDITS_HOLD_MS = 1500;
+const CREDITS_HOLD_MS = 2500;
 
 /** Puts a broker's answer in force. */
 export function takeCredits(
