--- a/src/peers/message_schemas.ts
+++ b/src/peers/message_schemas.ts
@@ -7,7 +7,7 @@
 const phase = z.enum(['starting', 'serving', 'draining']);
 const list = <T extends z.ZodType>(item: T) => z.array(item).max(MAX_LIST);
 
-const standing = {
+const standing = z.looseObject({
   incarnation: text,
   startedAtMs: count,
   sequence: count,
@@ -18,11 +18,11 @@
   configRevision: count,
   queued: count,
   running: count,
-};
+});
 
 const news = z.looseObject({
   nodeId: text,
-  standing: z.looseObject(standing),
+  standing,
   silentMs: count,
   suspected: z.boolean(),
 });
@@ -46,18 +46,34 @@
 
 const slots = z.tuple([text, count]);
 
+const change = z.looseObject({
+  key: text,
+  text: text.nullable(),
+  revision: count,
+});
+
+const publication = z.looseObject({
+  revision: count,
+  publicationId: text,
+  operator: text,
+  atMs: count,
+  changed: list(text),
+});
+
 /** Shape of each message between nodes; fields that a later version adds pass. */
 export const MESSAGE_SCHEMAS: {
   readonly [T in PeerMessage['type']]: z.ZodType;
 } = {
-  'membership.heartbeat': z.looseObject({...standing, heardSequence: count}),
+  'membership.heartbeat': z.looseObject({standing, heardSequence: count}),
   'membership.join': z.looseObject({nodeId: text}),
   'membership.news': z.looseObject({nodes: list(news)}),
   'config.pull': z.looseObject({sinceRevision: count}),
   'config.delta': z.looseObject({
     fromRevision: count,
     toRevision: count,
-    changes: list(z.looseObject({key: text, text: text.nullable()})),
+    floorRevision: count,
+    changes: list(change),
+    publications: list(publication),
   }),
   'config.noHistory': z.looseObject({revision: count}),
   'once.ask': z.looseObject({onceKey: text, incarnation: text, claim: text}),
