--- a/src/cli/client/describe_failure.ts
+++ b/src/cli/client/describe_failure.ts
@@ -45,11 +45,11 @@
 function formatDetails(details: unknown): string[] {
   const {faults = [], conflicts = []} = (details ??
     {}) as PublishRefusalDetails;
-  const texts = conflicts.flatMap(({key, yours, theirs, revision}) => [
-    `--- ${key}, in force at revision ${revision}`,
-    theirs ?? '(removed)',
-    `+++ ${key}, yours`,
-    yours,
+  const texts = conflicts.flatMap(conflict => [
+    `--- ${conflict.service}, by ${conflict.theirOperator} at revision ${conflict.theirRevision}`,
+    conflict.theirs ?? '(removed)',
+    `+++ ${conflict.service}, yours`,
+    conflict.yours ?? '(removed)',
   ]);
   return [...faults.map(formatFault), ...texts];
 }
--- a/src/cli/commands/config_history_command.ts
+++ b/src/cli/commands/config_history_command.ts
@@ -30,14 +30,11 @@
 };
 
 function formatHistory(publications: Publications): string {
-  const rows = publications.map(({revision, atMs, operator, changes}) => [
+  const rows = publications.map(({revision, atMs, operator, changed}) => [
     revision,
     new Date(atMs).toISOString(),
     operator,
-    changes
-      .filter(({change}) => change !== 'unchanged')
-      .map(({key, change}) => `${change} ${key}`)
-      .join(', '),
+    changed.join(', '),
   ]);
   return formatTable(['REVISION', 'WHEN', 'WHO', 'CHANGES'], rows);
 }
--- a/src/cli/commands/config_show_command.ts
+++ b/src/cli/commands/config_show_command.ts
@@ -8,7 +8,6 @@
 type Arguments = Parameters<typeof askNode>[0] & {
   readonly json: boolean;
   readonly service?: string | undefined;
-  readonly revision?: number | undefined;
 };
 type Files = ConfigShowAnswer['files'];
 
@@ -22,17 +21,14 @@
         type: 'string',
         describe: 'Name of a service, or "organisations"',
       })
-      .option('revision', {type: 'number', describe: 'An earlier revision'})
       .example('$0 config show chat', '')
-      .example('$0 config show --revision 12 --json', ''),
+      .example('$0 config show --json', ''),
   handler: async options => {
-    const {revision} = options;
     const answer = await askNode<ConfigShowAnswer>(options, {
       kind: 'configShow',
-      ...(revision !== undefined && {revision}),
     });
     const files = selectFiles(answer.files, options.service);
-    const texts = files.map(({key, text}) => `# ${key}\n${text.trimEnd()}\n`);
+    const texts = files.map(({name, text}) => `# ${name}\n${text.trimEnd()}\n`);
     const text = [`# revision ${answer.revision}`, ...texts].join('\n');
     new Output(options.json).print({...answer, files}, text);
   },
@@ -40,9 +36,9 @@
 
 function selectFiles(files: Files, service?: string): Files {
   if (service === undefined) return files;
-  const found = files.filter(file => file.key === service);
+  const found = files.filter(file => file.name === service);
   if (found.length > 0) return found;
-  const keys = files.map(file => file.key).join(', ') || 'none';
+  const keys = files.map(file => file.name).join(', ') || 'none';
   throw new CliError(`There is no service "${service}". In force: ${keys}.`, {
     exitCode: EXIT_CODE.refused,
     data: {service},
--- a/src/cli/commands/publish_command.ts
+++ b/src/cli/commands/publish_command.ts
@@ -79,8 +79,10 @@
   return files;
 }
 
-function formatAnswer({revision, changes}: PublishAnswer): string {
-  const lines = changes.map(({key, change}) => `  ${change}: ${key}`);
+function formatAnswer({revision, changed}: PublishAnswer): string {
+  if (changed.length === 0)
+    return `Revision ${revision} has these files already.`;
+  const lines = changed.map(key => `  changed: ${key}`);
   return [`Revision ${revision} is accepted.`, ...lines].join('\n');
 }
 
--- a/src/core/config/answer_config_question.ts
+++ b/src/core/config/answer_config_question.ts
@@ -1,3 +1,7 @@
+import type {
+  ConfigHistoryAnswer,
+  ConfigShowAnswer,
+} from '../operators/types.js';
 import type {EventOf} from '../events/types.js';
 import type {Step} from '../state/types.js';
 import {configKey} from './config_key.js';
@@ -19,30 +23,17 @@
   step.effects.push({type: 'operatorAnswer', operationId, answer});
 }
 
-function showConfig(step: Step) {
-  const {document, texts, publications} = step.state.config;
-  const services = [...texts].flatMap(([key, {text, revision}]) => {
-    const name = configKey.serviceName(key);
-    return name === undefined ? [] : [{name, revision, text}];
-  });
-  const organisations = texts.get(configKey.organisations);
-  return {
-    revision: document.revision,
-    publication: publications[0],
-    services: services.sort((a, b) => (a.name < b.name ? -1 : 1)),
-    ...(organisations && {
-      organisations: {
-        revision: organisations.revision,
-        text: organisations.text,
-      },
-    }),
-  };
+function showConfig(step: Step): ConfigShowAnswer {
+  const {document, texts} = step.state.config;
+  const files = [...texts].map(([key, {text, revision}]) => ({
+    name: configKey.serviceName(key) ?? key,
+    revision,
+    text,
+  }));
+  files.sort((a, b) => (a.name < b.name ? -1 : 1));
+  return {revision: document.revision, files};
 }
 
-function showHistory(step: Step, limit: number) {
-  const {document, publications} = step.state.config;
-  return {
-    revision: document.revision,
-    publications: publications.slice(0, limit),
-  };
+function showHistory(step: Step, limit: number): ConfigHistoryAnswer {
+  return {publications: step.state.config.publications.slice(0, limit)};
 }
--- a/src/core/config/publish/head_job.ts
+++ b/src/core/config/publish/head_job.ts
@@ -1,3 +1,4 @@
+import type {ConfigConflict} from '../config_conflict.js';
 import type {ConfigHead} from '../config_head.js';
 import type {OperationId} from '../../ids/index.js';
 
@@ -7,15 +8,6 @@
   readonly text: string | null;
 }
 
-/** A same-service change by another publication; both texts, null for a removal. */
-interface Conflict {
-  readonly service: string;
-  readonly yours: string | null;
-  readonly theirs: string | null;
-  readonly theirRevision: number;
-  readonly theirOperator: string;
-}
-
 /**
  * Moves `config/head`: a publication, or the restoring of a store that lost
  * what nodes have in force. Texts are written first, then the head is swapped;
@@ -40,7 +32,7 @@
   next?: ConfigHead;
   /** Keys whose texts are being written or read. */
   readonly waiting: Set<string>;
-  readonly conflicts: Conflict[];
+  readonly conflicts: ConfigConflict[];
   /** A swap had no answer: it may have taken effect. */
   mayBeAccepted: boolean;
   readonly deadlineAtMs: number;
--- a/src/core/operators/config_history_answer.ts
+++ b/src/core/operators/config_history_answer.ts
@@ -1,14 +1,6 @@
-import type {PublishAnswer} from './publish_answer.js';
-
-interface Publication {
-  readonly revision: number;
-  readonly atMs: number;
-  readonly operator: string;
-  readonly publicationId: string;
-  readonly changes: PublishAnswer['changes'];
-}
+import type {ConfigPublication} from '../config/types.js';
 
 /** Answer to `configHistory`: accepted publications, newest first. */
 export interface ConfigHistoryAnswer {
-  readonly publications: readonly Publication[];
+  readonly publications: readonly ConfigPublication[];
 }
--- a/src/core/operators/operator_request.ts
+++ b/src/core/operators/operator_request.ts
@@ -15,7 +15,7 @@
       /** Services without a file in this publication are removed. */
       readonly prune: boolean;
     }
-  | {readonly kind: 'configShow'; readonly revision?: number}
+  | {readonly kind: 'configShow'}
   | {readonly kind: 'configHistory'; readonly limit: number}
   | {readonly kind: 'status'}
   | {readonly kind: 'services'}
--- a/src/core/operators/publish_answer.ts
+++ b/src/core/operators/publish_answer.ts
@@ -1,11 +1,6 @@
-interface Change {
-  /** Name of a service, or `organisations`. */
-  readonly key: string;
-  readonly change: 'added' | 'changed' | 'removed' | 'unchanged';
-}
-
 /** Answer to an accepted `publish`. */
 export interface PublishAnswer {
   readonly revision: number;
-  readonly changes: readonly Change[];
+  /** Keys of the parts that changed, see `configKey`; empty: the files were in force already. */
+  readonly changed: readonly string[];
 }
--- a/src/operators/operator_request_schema.ts
+++ b/src/operators/operator_request_schema.ts
@@ -19,10 +19,7 @@
       files: z.array(FILE).max(MAX_FILES),
       prune: z.boolean().default(false),
     }),
-    z.strictObject({
-      kind: z.literal('configShow'),
-      revision: z.int().min(0).optional(),
-    }),
+    z.strictObject({kind: z.literal('configShow')}),
     z.strictObject({
       kind: z.literal('configHistory'),
       limit: limit(DEFAULT_HISTORY),
--- a/test/support/test_cluster.ts
+++ b/test/support/test_cluster.ts
@@ -171,7 +171,11 @@
       await this.startNode(at, platformPort, ports.pop()!, ports.pop()!);
     }
     await this.waitForNodes('/healthz');
-    await this.publish(this.options.files ?? SERVICE_FILES);
+    // A node refuses to publish until it has read the store once.
+    await waitFor('the first publication', async () => {
+      await this.publish(this.options.files ?? SERVICE_FILES);
+      return true;
+    });
     await this.waitForNodes('/readyz');
   }
 
