--- a/src/core/limits/take_retry.ts
+++ b/src/core/limits/take_retry.ts
@@ -1,7 +1,9 @@
 import type {RequestInfo} from '../requests/types.js';
 import type {Step} from '../state/types.js';
+import {retriesOf} from './retries_of.js';
 
-/** Takes a retry from the service's budget; false when it is used up. */
-export function takeRetry(_step: Step, _info: RequestInfo): boolean {
-  return true;
+/** Takes a retry from the service's budget, a tenth of first tries; false when it is used up. */
+export function takeRetry(step: Step, info: RequestInfo): boolean {
+  if (!step.state.admission.options.retryBudget) return true;
+  return retriesOf(step, info).take();
 }
