--- a/test/support/call_http.ts
+++ b/test/support/call_http.ts
@@ -1,5 +1,7 @@
 import {request, type IncomingHttpHeaders} from 'node:http';
 
+const LIMIT_MS = 30_000; // longer than every deadline of the test services
+
 interface CallOptions {
   readonly method?: string;
   readonly headers?: Readonly<Record<string, string>>;
@@ -30,6 +32,9 @@
       agent: false,
       ...(options.signal && {signal: options.signal}),
     });
+    call.setTimeout(LIMIT_MS, () => {
+      call.destroy(new Error(`no answer from ${url} for ${LIMIT_MS} ms`));
+    });
     call.on('error', reject);
     call.on('response', response => {
       let body = '';
