--- a/src/callers/send_info.ts
+++ b/src/callers/send_info.ts
@@ -17,7 +17,7 @@
   } else if (url === '/healthz') {
     sendJson(response, 200, {alive: true});
   } else if (url === '/readyz') {
-    const readiness = resolveReadiness(context.state);
+    const readiness = resolveReadiness(context.state, context.clock.nowMs());
     sendJson(response, readiness.ready ? 200 : 503, readiness);
   } else {
     return false;
