Check a broker's credits against reports, and replay an overload

A broker that is not heard by all, or of which there are two, sees the lasting excess of a target's reports over what its holders told, and lends that much less. Brokers need not be ready to take callers; one that knows no target of a group lends nothing and leaves nodes to reports. A node uses at most two groups of a large service.

The overload trace: demand five times the usual one for 8 s, three in ten requests of it from one small organisation, two engines that refuse.

--- a/src/core/credits/broker_candidates.ts
+++ b/src/core/credits/broker_candidates.ts
@@ -2,10 +2,10 @@
 import type {Step} from '../state/types.js';
 import {livePeers} from '../membership/index.js';
 
-/** Nodes that may broker: those that serve, as this node sees them. */
+/** Nodes that may broker: those that stay, as this node sees them. */
 export function brokerCandidates(step: Step): NodeId[] {
   const {self} = step.state;
   const peers = livePeers(step.state, step.nowMs);
-  const serving = peers.filter(peer => peer.phase === 'serving');
-  return [self.nodeId, ...serving.map(peer => peer.nodeId)];
+  const staying = peers.filter(peer => peer.phase !== 'draining');
+  return [self.nodeId, ...staying.map(peer => peer.nodeId)];
 }
--- a/src/core/credits/broker_of.ts
+++ b/src/core/credits/broker_of.ts
@@ -1,6 +1,6 @@
 import type {GroupKey} from './group_key.js';
 import type {NodeId} from '../ids/index.js';
-import {hashText} from './hash_text.js';
+import {hashText} from '../membership/index.js';
 
 /** The broker of a group by rendezvous hash; views that differ make two brokers for a while. */
 export function brokerOf(group: GroupKey, nodes: readonly NodeId[]): NodeId {
--- a/src/core/credits/credit_book.ts
+++ b/src/core/credits/credit_book.ts
@@ -13,6 +13,8 @@
 export interface CreditBook {
   readonly openedAtMs: number;
   readonly holders: Map<NodeId, Holder>;
+  /** Latest counts of work beyond what holders said, by target. */
+  readonly excess: Map<TargetId, number[]>;
   /** Targets of the group, and the size of the service when they were listed. */
   targets: readonly TargetId[];
   serviceSize: number;
--- a/src/core/credits/group_of.ts
+++ b/src/core/credits/group_of.ts
@@ -1,6 +1,6 @@
 import type {GroupKey} from './group_key.js';
 import type {ServiceName, TargetId} from '../ids/index.js';
-import {hashText} from './hash_text.js';
+import {hashText} from '../membership/index.js';
 import {makeId} from '../ids/index.js';
 
 /** Targets that one broker lends; hashing fills groups unevenly, so the mean is lower. */
@@ -13,6 +13,6 @@
   serviceSize: number,
 ): GroupKey {
   const groups = Math.max(1, Math.round(serviceSize / GROUP_SIZE));
-  const number = groups === 1 ? 0 : hashText(targetId) % groups;
+  const number = groups === 1 ? 0 : Math.floor(hashText(targetId) * groups);
   return makeId<GroupKey>(`${service}#${number}`);
 }
--- a/src/core/credits/lend_credits.ts
+++ b/src/core/credits/lend_credits.ts
@@ -38,7 +38,8 @@
     heardAtMs: step.nowMs,
   };
   book.holders.set(from, holder);
-  if (step.nowMs - book.openedAtMs < LISTEN_MS) {
+  const isNew = step.nowMs - book.openedAtMs < LISTEN_MS;
+  if (isNew || book.targets.length === 0) {
     holder.limits = own;
     return {type: 'routing.credits', group: demand.group};
   }
@@ -65,7 +66,8 @@
   from: NodeId,
   targetId: TargetId,
 ): Lendable {
-  let others = 0;
+  const latest = book.excess.get(targetId) ?? [0];
+  let others = Math.max(0, Math.min(...latest));
   for (const [nodeId, holder] of book.holders) {
     if (nodeId === from) continue;
     const used = holder.own.get(targetId) ?? 0;
--- a/src/core/credits/open_book.ts
+++ b/src/core/credits/open_book.ts
@@ -19,6 +19,7 @@
     book = {
       openedAtMs: step.nowMs,
       holders: new Map(),
+      excess: new Map(),
       targets: [],
       serviceSize: 0,
       listedAtMs: -Infinity,
--- a/src/core/credits/send_demands.ts
+++ b/src/core/credits/send_demands.ts
@@ -4,7 +4,6 @@
 import type {Step} from '../state/types.js';
 import {brokerCandidates} from './broker_candidates.js';
 import {brokerOf} from './broker_of.js';
-import {groupOf} from './group_of.js';
 import {lendCredits} from './lend_credits.js';
 import {ownInFlight, poolOf} from '../routing/index.js';
 import {queuedRequests} from '../admission/index.js';
@@ -17,27 +16,38 @@
 
 /** Asks the broker of each group that this node uses for credits, when it is time. */
 export function sendDemands(step: Step): void {
-  const {queues} = step.state.admission;
+  const due = dueGroups(step);
+  if (due.length === 0) return;
   const nodes = brokerCandidates(step);
-  for (const service of queues.keys()) {
-    const members = groupMembers(step, service);
-    for (const [key, targetIds] of members) {
-      sendDemand(step, {key, service, targetIds, nodes});
+  for (const {key, service, targetIds} of due) {
+    sendDemand(step, {key, service, targetIds, nodes});
+  }
+}
+
+function dueGroups(step: Step): readonly DueGroup[] {
+  const due: DueGroup[] = [];
+  for (const service of step.state.admission.queues.keys()) {
+    for (const [key, targetIds] of poolOf(step, service).groups) {
+      const {nextDemandAtMs} = openGroup(step, key);
+      if (step.nowMs >= nextDemandAtMs) due.push({key, service, targetIds});
     }
   }
+  return due;
 }
 
-interface DemandOptions {
+interface DueGroup {
   readonly key: GroupKey;
   readonly service: ServiceName;
   readonly targetIds: readonly TargetId[];
+}
+
+interface DemandOptions extends DueGroup {
   readonly nodes: readonly NodeId[];
 }
 
 function sendDemand(step: Step, options: DemandOptions): void {
   const {key, service, targetIds, nodes} = options;
   const group = openGroup(step, key);
-  if (step.nowMs < group.nextDemandAtMs) return;
   const queued = queuedRequests(step, service);
   const intervalMs = queued > 0 ? BUSY_INTERVAL_MS : DEMAND_INTERVAL_MS;
   group.nextDemandAtMs = step.nowMs + intervalMs;
@@ -79,19 +89,3 @@
   groups.set(key, group);
   return group;
 }
-
-/** Targets that this node uses, by group. */
-function groupMembers(
-  step: Step,
-  service: ServiceName,
-): Map<GroupKey, TargetId[]> {
-  const groups = new Map<GroupKey, TargetId[]>();
-  const size = step.state.targets.byService.get(service)?.size ?? 0;
-  for (const targetId of poolOf(step, service).members) {
-    const key = groupOf(service, targetId, size);
-    const others = groups.get(key);
-    if (others) others.push(targetId);
-    else groups.set(key, [targetId]);
-  }
-  return groups;
-}
--- a/src/core/routing/apply_report.ts
+++ b/src/core/routing/apply_report.ts
@@ -3,6 +3,7 @@
 import type {TargetLoad} from './target_load.js';
 import {learnSpeed} from './learn_speed.js';
 import {loadOf} from './load_of.js';
+import {noteExcess} from '../credits/index.js';
 import {refreshTarget} from './refresh_target.js';
 
 /** How long a report may be on its way. */
@@ -20,6 +21,7 @@
     const msPerToken = (1000 * target.running) / target.tokensPerSecond;
     learnSpeed(step, target.targetId, msPerToken);
   }
+  noteExcess(step, target);
   refreshTarget(step, target.targetId);
 }
 
--- a/src/core/routing/find_target.ts
+++ b/src/core/routing/find_target.ts
@@ -3,12 +3,13 @@
 import type {TargetId, VmId} from '../ids/index.js';
 import {makeId} from '../ids/index.js';
 
-/** The target that a VM's message is about: the replica it leads, or the VM itself. */
+/** The target that a VM's message is about: of the replica that the VM leads, or of the VM alone. */
 export function findTarget(
   step: Step,
   {vmId}: {readonly vmId: VmId},
 ): Target | undefined {
   const {targets} = step.state;
-  const replicaId = targets.reports.get(vmId)?.report.assignment?.replicaId;
-  return targets.byId.get(makeId<TargetId>(replicaId ?? vmId));
+  const targetId = targets.targetByVm.get(vmId) ?? makeId<TargetId>(vmId);
+  const leader = targets.leaders.get(targetId) ?? vmId;
+  return leader === vmId ? targets.byId.get(targetId) : undefined;
 }
--- a/src/core/routing/pool_of.ts
+++ b/src/core/routing/pool_of.ts
@@ -1,11 +1,15 @@
-import {createHash} from 'node:crypto';
+import type {GroupKey} from '../credits/types.js';
 import type {NodeState, Step} from '../state/types.js';
 import type {ServiceName, TargetId} from '../ids/index.js';
 import {ServicePool} from './service_pool.js';
+import {groupOf} from '../credits/index.js';
+import {hashText} from '../membership/index.js';
 import {refreshTarget} from './refresh_target.js';
 
 /** Targets of one service that a node uses; more gain nothing and cost memory. */
 const MAX_MEMBERS = 128;
+/** Groups that a node uses of a service with more targets. */
+const MAX_GROUPS = 2;
 /** A pool is made anew at most this often. */
 const MIN_AGE_MS = 1000;
 
@@ -16,7 +20,7 @@
   const size = targets.byService.get(service)?.size ?? 0;
   if (known && !isStale(step, known, size)) return known;
   const members = chooseMembers(step.state, service);
-  const pool = new ServicePool(members, size, step.nowMs);
+  const pool = new ServicePool(service, members, size, step.nowMs);
   if (known) forgetOthers(step, known, pool);
   routing.pools.set(service, pool);
   for (const targetId of pool.members) refreshTarget(step, targetId);
@@ -29,22 +33,25 @@
   return pool.isOutdated;
 }
 
-/** All targets, or those that hash closest to this node, so that nodes spread over all. */
+/** All targets, or those of the groups that hash closest to this node, so that nodes spread over all. */
 function chooseMembers(
   state: NodeState,
   service: ServiceName,
 ): readonly TargetId[] {
   const ids = [...(state.targets.byService.get(service) ?? [])];
   if (ids.length <= MAX_MEMBERS) return ids;
-  const ranked = ids.map(id => ({id, rank: rankOf(state, id)}));
-  ranked.sort((a, b) => a.rank - b.rank);
-  return ranked.slice(0, MAX_MEMBERS).map(({id}) => id);
-}
-
-function rankOf(state: NodeState, targetId: TargetId): number {
-  const hash = createHash('sha256');
-  hash.update(`${state.self.nodeId} ${targetId}`);
-  return hash.digest().readUInt32BE();
+  const byGroup = new Map<GroupKey, TargetId[]>();
+  for (const targetId of ids) {
+    const key = groupOf(service, targetId, ids.length);
+    const others = byGroup.get(key);
+    if (others) others.push(targetId);
+    else byGroup.set(key, [targetId]);
+  }
+  const rank = (key: GroupKey) => hashText(`${state.self.nodeId} ${key}`);
+  return [...byGroup]
+    .sort(([a], [b]) => rank(a) - rank(b))
+    .slice(0, MAX_GROUPS)
+    .flatMap(([, members]) => members);
 }
 
 /** Forgets accounts of targets that no longer exist. */
--- a/src/replay/load/load_fleet.ts
+++ b/src/replay/load/load_fleet.ts
@@ -21,12 +21,21 @@
   readonly untilMs: number;
 }
 
+/** A target that takes no requests for a while and says so. */
+interface Refuser {
+  readonly service: string;
+  readonly engine: number;
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
 /** Nodes, targets and organisations of a load trace; part of its head. */
 export interface LoadFleet {
   readonly nodes: number;
   readonly services: readonly LoadService[];
   readonly organisations: readonly LoadOrganisation[];
   readonly stragglers: readonly Straggler[];
+  readonly refusers: readonly Refuser[];
   readonly reportIntervalMs: number;
   readonly reportLagMs: number;
   /** The crest of demand: requests sent within it are measured apart. */
--- a/src/replay/load/run_load.ts
+++ b/src/replay/load/run_load.ts
@@ -5,6 +5,7 @@
 import type {RequestOutcome} from './request_outcome.js';
 import {VirtualCallers} from './virtual_callers.js';
 import {VirtualNetwork} from '../virtual_network.js';
+import {VirtualStore} from '../virtual_store.js';
 import {VirtualTargets} from './virtual_targets.js';
 import {VirtualWorld} from '../virtual_world.js';
 import {installFleet} from './install_fleet.js';
@@ -38,6 +39,7 @@
   world.addFake(callers);
   world.addFake(targets);
   world.addFake(new VirtualNetwork(world));
+  world.addFake(new VirtualStore(world));
   for (let at = 0; at < fleet.nodes; at++) {
     const node = world.addNode(createSelf(at), seed + at);
     installFleet(node.state, fleet);
--- a/src/replay/load/virtual_targets.ts
+++ b/src/replay/load/virtual_targets.ts
@@ -30,6 +30,7 @@
 export class VirtualTargets implements VirtualFake {
   readonly types = ['startAttempt', 'cancelAttempt'] as const;
   readonly engines = new Map<TargetId, VirtualEngine>();
+  private readonly refusing = new Set<TargetId>();
   private readonly attempts = new Map<AttemptId, LiveAttempt>();
   /** Tokens that a request's caller has from earlier attempts. */
   private readonly delivered = new Map<RequestId, number>();
@@ -46,6 +47,7 @@
       }
     }
     this.planStragglers();
+    this.planRefusers();
   }
 
   /** Starts the reports; each engine has its own phase. */
@@ -72,7 +74,20 @@
     outcome.dispatchedAtMs ??= this.world.time.nowMs;
     this.tell(node, 0, {type: 'attemptHeadSent', attemptId});
     this.world.time.after(LATENCY_MS, () => {
-      if (!live.isCancelled) this.run(node, effect, live);
+      if (live.isCancelled) return;
+      if (this.refusing.has(effect.targetId)) this.refuse(node, effect);
+      else this.run(node, effect, live);
+    });
+  }
+
+  private refuse(node: VirtualNode, effect: EffectOf<'startAttempt'>): void {
+    const {attemptId} = effect;
+    this.attempts.delete(attemptId);
+    this.tell(node, LATENCY_MS, {
+      type: 'attemptFailed',
+      attemptId,
+      tokens: 0,
+      failure: {verdict: 'not-run', cause: 'target-refused', status: 503},
     });
   }
 
@@ -177,6 +192,14 @@
     );
   }
 
+  private planRefusers(): void {
+    for (const one of this.fleet.refusers) {
+      const id = makeId<TargetId>(`${one.service}-${one.engine}`);
+      this.world.time.after(one.fromMs, () => this.refusing.add(id));
+      this.world.time.after(one.untilMs, () => this.refusing.delete(id));
+    }
+  }
+
   private planStragglers(): void {
     for (const one of this.fleet.stragglers) {
       const id = makeId<TargetId>(`${one.service}-${one.engine}`);
--- a/src/replay/policies/least_outstanding_policy.ts
+++ b/src/replay/policies/least_outstanding_policy.ts
@@ -22,6 +22,7 @@
     for (let at = 0; at < ids.length; at++) {
       const target = targets.byId.get(ids[(start + at) % ids.length]!);
       if (!target || target.bar) continue;
+      if (record.failedTargets.has(target.targetId)) continue;
       const load = ownInFlight(step.state, target.targetId);
       if (load >= bestLoad) continue;
       best = target;
--- a/src/replay/policies/round_robin_policy.ts
+++ b/src/replay/policies/round_robin_policy.ts
@@ -17,7 +17,8 @@
     const ids = [...(targets.byService.get(record.info.service) ?? [])];
     for (let tries = 0; tries < ids.length; tries++) {
       const target = targets.byId.get(ids[this.next++ % ids.length]!);
-      if (target && !target.bar) return target;
+      if (!target || target.bar) continue;
+      if (!record.failedTargets.has(target.targetId)) return target;
     }
     return undefined;
   }
--- a/src/replay/scenarios/load_scenario.ts
+++ b/src/replay/scenarios/load_scenario.ts
@@ -1,12 +1,13 @@
 import type {LoadFleet} from '../load/load_fleet.js';
 import type {LoadMeasures} from '../load/load_measures.js';
-import type {LoadRequest} from '../load/load_request.js';
+import type {LoadLine} from '../load/load_line.js';
 import type {LoadVariant} from '../load/load_variant.js';
 import type {Scenario} from './scenario.js';
 import type {ScenarioReport} from './scenario_report.js';
 import type {Trace} from './trace.js';
 import {LOAD_VARIANTS} from '../load/load_variants.js';
 import {measureLoad} from '../load/measure_load.js';
+import {parseLoadLine} from '../load/parse_load_line.js';
 import {runLoad} from '../load/run_load.js';
 
 /** How many of the variants run without `--compare`: the system and both baselines. */
@@ -52,7 +53,8 @@
 
 function runVariant(trace: Trace, variant: LoadVariant): LoadMeasures {
   const fleet = trace.head['fleet'] as LoadFleet;
-  const requests = trace.lines as readonly LoadRequest[];
+  const lines = trace.lines as readonly LoadLine[];
+  const requests = lines.map(parseLoadLine);
   const {seed} = trace.head;
   const outcomes = runLoad({fleet, requests, seed, prepare: variant.prepare});
   return measureLoad(fleet, outcomes);
--- a/src/replay/scenarios/scenarios.ts
+++ b/src/replay/scenarios/scenarios.ts
@@ -4,6 +4,7 @@
 const ALL: readonly Scenario[] = [
   new LoadScenario('crest'),
   new LoadScenario('long-and-short'),
+  new LoadScenario('overload'),
 ];
 
 /** Every scenario by the name that trace heads give in `scenario`. */
--- a/src/replay/traces/generate_load_trace.ts
+++ b/src/replay/traces/generate_load_trace.ts
@@ -1,12 +1,11 @@
 import type {LoadFleet} from '../load/load_fleet.js';
-import type {LoadRequest} from '../load/load_request.js';
+import type {LoadLine} from '../load/load_line.js';
 import type {LoadTracePlan} from './load_trace_plan.js';
 import type {Random} from '../../core/random/index.js';
 import {createRandom} from '../../core/random/index.js';
 
 const CLIENTS_PER_WEIGHT = 6;
 const PREFIXES_PER_ORGANISATION = 4;
-const SHORT_DEADLINE_MS = 10_000;
 const LONG_DEADLINE_MS = 240_000;
 const SHORT_MEDIAN_TOKENS = 45;
 const SHORT_SPREAD = 0.7;
@@ -35,6 +34,11 @@
   ['owners', 1],
 ] as const;
 
+interface DrawnClient {
+  readonly client: string;
+  readonly prefix: number;
+}
+
 /** Writes a load trace: a head with the fleet and the stated outcomes, then requests in order. */
 export function generateLoadTrace(plan: LoadTracePlan): string {
   const random = createRandom(plan.seed);
@@ -87,6 +91,12 @@
     stragglers: [
       {service: 'chat', engine: 11, slowdown: 3, fromMs: 5000, untilMs},
     ],
+    refusers: plan.refusers.map(engine => ({
+      service: 'chat',
+      engine,
+      fromMs: plan.warmMs,
+      untilMs: plan.warmMs + plan.crestMs,
+    })),
     reportIntervalMs: 500,
     reportLagMs: 100,
     crestFromMs: plan.warmMs,
@@ -95,7 +105,7 @@
 }
 
 /** Long streams that began before the trace, spread over its first seconds. */
-function drawUnderWay(plan: LoadTracePlan, random: Random): LoadRequest[] {
+function drawUnderWay(plan: LoadTracePlan, random: Random): LoadLine[] {
   const perSecond = plan.usualPerSecond * plan.longShare;
   const count = Math.round((perSecond * LONG_MEAN_MS) / 1000);
   return Array.from({length: count}, (_, at) => {
@@ -105,10 +115,10 @@
   });
 }
 
-function drawArrivals(plan: LoadTracePlan, random: Random): LoadRequest[] {
+function drawArrivals(plan: LoadTracePlan, random: Random): LoadLine[] {
   const crestEndMs = plan.warmMs + plan.crestMs;
   const endMs = crestEndMs + plan.afterMs;
-  const requests: LoadRequest[] = [];
+  const requests: LoadLine[] = [];
   let atMs = 2000;
   for (;;) {
     const isCrest = atMs >= plan.warmMs && atMs < crestEndMs;
@@ -116,7 +126,11 @@
     const meanMs = 1000 / (plan.usualPerSecond * factor);
     atMs += -Math.log(1 - random.next()) * meanMs;
     if (atMs >= endMs) return requests;
-    requests.push(drawRequest(plan, random, Math.round(atMs)));
+    const isBurst = isCrest && random.next() < (plan.burst?.share ?? 0);
+    const request = isBurst
+      ? drawShort(random, Math.round(atMs), plan.burst!.organisation)
+      : drawRequest(plan, random, Math.round(atMs));
+    requests.push(request);
   }
 }
 
@@ -124,49 +138,45 @@
   plan: LoadTracePlan,
   random: Random,
   atMs: number,
-): LoadRequest {
+): LoadLine {
   if (random.next() < APPLICATION_SHARE) return drawApplication(random, atMs);
   return random.next() < plan.longShare
     ? drawLong(random, atMs)
     : drawShort(random, atMs);
 }
 
-function drawApplication(random: Random, atMs: number): LoadRequest {
+function drawApplication(random: Random, atMs: number): LoadLine {
   return {
     atMs,
     client: drawClient(random).client,
     service: 'stock',
     promptTokens: 0,
     outputTokens: 1 + random.below(4),
-    deadlineMs: SHORT_DEADLINE_MS,
   };
 }
 
-function drawShort(random: Random, atMs: number): LoadRequest {
-  const {client, prefix} = drawClient(random);
+function drawShort(random: Random, atMs: number, burst?: string): LoadLine {
+  const {client, prefix} = drawClient(random, burst);
   const size =
     SHORT_MEDIAN_TOKENS * Math.exp(SHORT_SPREAD * drawNormal(random));
   const isStated = random.next() < STATED_SHARE;
   return {
     atMs,
     client,
-    service: 'chat',
     promptTokens: 100 + random.below(900),
     outputTokens: Math.min(SHORT_MAX_TOKENS, Math.max(4, Math.round(size))),
     ...(isStated ? {maxOutputTokens: STATED_SHORT_LIMIT} : {}),
     prefix,
-    deadlineMs: SHORT_DEADLINE_MS,
   };
 }
 
-function drawLong(random: Random, atMs: number): LoadRequest {
+function drawLong(random: Random, atMs: number): LoadLine {
   const {client, prefix} = drawClient(random);
   const size = LONG_MIN_TOKENS / Math.pow(1 - random.next(), 1 / LONG_TAIL);
   const isStated = random.next() < STATED_SHARE;
   return {
     atMs,
     client,
-    service: 'chat',
     promptTokens: 300 + random.below(1500),
     outputTokens: Math.min(LONG_MAX_TOKENS, Math.round(size)),
     ...(isStated ? {maxOutputTokens: STATED_LONG_LIMIT} : {}),
@@ -176,19 +186,27 @@
 }
 
 /** Larger organisations have more clients. */
-function drawClient(random: Random): {client: string; prefix: string} {
+function drawClient(random: Random, burst?: string): DrawnClient {
+  if (burst !== undefined) return createClient(random, burst, 1);
   const total = ORGANISATIONS.reduce((sum, [, weight]) => sum + weight, 0);
   let left = random.below(total);
   for (const [name, weight] of ORGANISATIONS) {
     left -= weight;
     if (left >= 0) continue;
-    const client = `${name}/${random.below(weight * CLIENTS_PER_WEIGHT)}`;
-    const prefix = `${name}:${random.below(PREFIXES_PER_ORGANISATION)}`;
-    return {client, prefix};
+    return createClient(random, name, weight);
   }
   throw new Error('weights are not positive');
 }
 
+function createClient(
+  random: Random,
+  name: string,
+  weight: number,
+): DrawnClient {
+  const client = `${name}/${random.below(weight * CLIENTS_PER_WEIGHT)}`;
+  return {client, prefix: random.below(PREFIXES_PER_ORGANISATION)};
+}
+
 function drawNormal(random: Random): number {
   const radius = Math.sqrt(-2 * Math.log(1 - random.next()));
   return radius * Math.cos(2 * Math.PI * random.next());
--- a/src/replay/traces/load_trace_plan.ts
+++ b/src/replay/traces/load_trace_plan.ts
@@ -10,5 +10,9 @@
   readonly crestFactor: number;
   /** Share of requests that are long. */
   readonly longShare: number;
+  /** Organisation that sends a share of the crest's requests beside its usual ones. */
+  readonly burst?: {readonly organisation: string; readonly share: number};
+  /** Engines of the model service that take no requests during the crest. */
+  readonly refusers: readonly number[];
   readonly outcomes: Readonly<Record<string, {min?: number; max?: number}>>;
 }
--- a/src/replay/traces/load_trace_plans.ts
+++ b/src/replay/traces/load_trace_plans.ts
@@ -9,6 +9,7 @@
   usualPerSecond: 80,
   crestFactor: 2.6,
   longShare: 0.03,
+  refusers: [],
   outcomes: {},
 };
 
@@ -21,10 +22,25 @@
   usualPerSecond: 60,
   crestFactor: 1.4,
   longShare: 0.08,
+  refusers: [],
+  outcomes: {},
+};
+
+const OVERLOAD: LoadTracePlan = {
+  scenario: 'overload',
+  seed: 20260406,
+  warmMs: 12_000,
+  crestMs: 8_000,
+  afterMs: 10_000,
+  usualPerSecond: 80,
+  crestFactor: 5,
+  longShare: 0.03,
+  burst: {organisation: 'festival-shop', share: 0.3},
+  refusers: [20, 41],
   outcomes: {},
 };
 
 /** Plans of the committed load traces, by name. */
 export const LOAD_TRACE_PLANS: ReadonlyMap<string, LoadTracePlan> = new Map(
-  [CREST, LONG_AND_SHORT].map(plan => [plan.scenario, plan]),
+  [CREST, LONG_AND_SHORT, OVERLOAD].map(plan => [plan.scenario, plan]),
 );
