Check the promises about VMs and replicas as engines see them

Found and mended on the way: a view of an empty store missed the first key ever written; a node that was paused dispatched by reports from before the pause; two stewards that judged VMs differently waited for each other to drain a surplus replica, or to build a missing one (the steward's spares now stand in the domain's document, and the choice of a surplus replica follows from documents alone); a steward cut off from all engines kept its domain.

--- a/src/core/replicas/advance_document.ts
+++ b/src/core/replicas/advance_document.ts
@@ -3,6 +3,7 @@
 import type {Stewardship} from './stewardship.js';
 import {advanceEntry} from './advance_entry.js';
 import {applyAction} from './apply_action.js';
+import {resolveSpares} from './resolve_spares.js';
 import {recordAudit} from '../audit/index.js';
 
 /** The domain's replicas after planned steps and reports; undefined when nothing changes. */
@@ -10,7 +11,7 @@
   step: Step,
   stewardship: Stewardship,
 ): ReplicaEntry[] | undefined {
-  const before = stewardship.document!.replicas;
+  const {replicas: before, spares} = stewardship.document!;
   const planned = applyPlan(step, stewardship, before);
   const after = planned.flatMap(entry => {
     const next = advanceEntry(step, stewardship, entry);
@@ -19,7 +20,9 @@
   const isSame =
     after.length === before.length &&
     after.every((entry, index) => entry === before[index]);
-  return isSame ? undefined : after;
+  if (!isSame) return after;
+  const next = resolveSpares(step, stewardship.domain, after, spares);
+  return next.join(' ') === spares.join(' ') ? undefined : after;
 }
 
 function applyPlan(
--- a/src/core/replicas/advance_prefix_watch.ts
+++ b/src/core/replicas/advance_prefix_watch.ts
@@ -10,7 +10,7 @@
 /** Sends the next list or watch when none is under way. */
 export function advancePrefixWatch(step: Step, watch: PrefixWatch): void {
   if (watch.operationId !== undefined || step.nowMs < watch.nextAtMs) return;
-  watch.kind = watch.revision === 0 ? 'list' : 'watch';
+  watch.kind = watch.isListed ? 'watch' : 'list';
   watch.sentAtMs = step.nowMs;
   const {prefix, revision: sinceVersion} = watch;
   const timeoutMs = STEWARD_TIMING.watchMs;
--- a/src/core/replicas/apply_action.ts
+++ b/src/core/replicas/apply_action.ts
@@ -3,6 +3,7 @@
 import type {ReplicaId, VmId} from '../ids/index.js';
 import type {Step} from '../state/types.js';
 import type {Stewardship} from './stewardship.js';
+import {isFreeVm} from './is_free_vm.js';
 import {nextId} from '../state/index.js';
 
 /** The domain's replicas after a planned step; undefined when the step no longer applies. */
@@ -15,6 +16,7 @@
   if (action.kind === 'create') {
     const service = findService(step, action.service);
     if (!service || overlaps(replicas, action.vms)) return undefined;
+    if (!areFree(step, action.vms)) return undefined;
     const entry = createEntry(step, service, action.vms, fencingToken);
     return [...replicas, entry];
   }
@@ -47,6 +49,7 @@
       return {...entry, adapters, slots};
     }
     case 'exchange':
+      if (!areFree(step, action.in)) return undefined;
       return exchangeVms(entry, action, fencingToken);
   }
 }
@@ -91,6 +94,10 @@
   return service?.kind === 'model' ? service : undefined;
 }
 
+function areFree({state, nowMs}: Step, vms: readonly VmId[]): boolean {
+  return vms.every(vmId => isFreeVm(state, vmId, nowMs));
+}
+
 function overlaps(
   replicas: readonly ReplicaEntry[],
   vms: readonly VmId[],
--- a/src/core/replicas/apply_prefix_result.ts
+++ b/src/core/replicas/apply_prefix_result.ts
@@ -53,7 +53,7 @@
 ): string[] {
   if (version < watch.revision) {
     forgetNewer(step, watch, version);
-    watch.revision = 0; // lists next
+    watch.isListed = false;
     return [];
   }
   return finish(watch, entries, version, watch.sentAtMs);
@@ -65,7 +65,8 @@
   version: number,
   sentAtMs: number,
 ): string[] {
-  watch.revision = Math.max(watch.revision, version, 1);
+  watch.isListed = true;
+  watch.revision = Math.max(watch.revision, version);
   watch.confirmedAtMs = Math.max(watch.confirmedAtMs, sentAtMs);
   const changed: string[] = [];
   for (const entry of entries) {
--- a/src/core/replicas/build_plan_view.ts
+++ b/src/core/replicas/build_plan_view.ts
@@ -3,9 +3,7 @@
 import type {PlanReplica, PlanService, PlanView, PlanVm} from './plan/types.js';
 import type {ReplicaEntry} from './replica_entry.js';
 import type {TargetsState} from '../targets/types.js';
-import type {VmHealth} from '../targets/types.js';
-import {STEWARD_TIMING} from './steward_timing.js';
-import {isFresh, isLost} from '../targets/index.js';
+import {isLost} from '../targets/index.js';
 
 const ABSENCE_BELIEVED_MS = 10_000;
 
@@ -14,22 +12,16 @@
   const {replicas, targets, config} = state;
   const free = new Map<DomainId, PlanVm[]>();
   const entries: PlanReplica[] = [];
-  const taken = new Set<VmId>();
-  for (const {domain, replicas: listed} of replicas.documents.values()) {
-    free.set(domain, []);
-    for (const entry of listed) {
-      for (const vmId of entry.vms) taken.add(vmId);
+  for (const document of replicas.documents.values()) {
+    const {domain, spares = []} = document;
+    free.set(
+      domain,
+      spares.map(vmId => ({vmId, domain, condition: 'free'})),
+    );
+    for (const entry of document.replicas) {
       entries.push(createReplica(targets, entry, domain, nowMs));
     }
   }
-  for (const [vmId, health] of targets.health) {
-    const {domain} = health.record;
-    if (domain === undefined || taken.has(vmId)) continue;
-    if (!isFree(targets, vmId, health, nowMs)) continue;
-    const vms = free.get(domain) ?? [];
-    vms.push({vmId, domain, condition: 'free', losses: health.losses});
-    free.set(domain, vms);
-  }
   const services = [...config.document.services.values()].filter(
     (service): service is PlanService => service.kind === 'model',
   );
@@ -46,7 +38,6 @@
     vmId,
     domain,
     condition: resolveCondition(targets, vmId, nowMs),
-    losses: targets.health.get(vmId)?.losses ?? 0,
   }));
   const leader = targets.reports.get(entry.leader)?.report;
   const isIdle = leader?.running === 0 && leader.queued === 0;
@@ -73,24 +64,3 @@
     targets.reports.get(vmId)?.report.state === 'leaving';
   return isLeaving ? 'leaving' : 'sound';
 }
-
-function isFree(
-  targets: TargetsState,
-  vmId: VmId,
-  health: VmHealth,
-  nowMs: number,
-): boolean {
-  const {record, losses, steadySinceMs} = health;
-  if (record.kind !== 'engine' || record.state !== 'live') return false;
-  if (!targets.vms.has(vmId) || !isFresh(targets, vmId, nowMs)) return false;
-  const {report} = targets.reports.get(vmId)!;
-  if (report.state !== 'idle' || report.assignment) return false;
-  return nowMs - steadySinceMs >= resolveHoldMs(losses);
-}
-
-/** A VM that was lost must be steady for longer each time before it is used again. */
-function resolveHoldMs(losses: number): number {
-  if (losses === 0) return 0;
-  const holdMs = STEWARD_TIMING.holdBaseMs * 2 ** (losses - 1);
-  return Math.min(holdMs, STEWARD_TIMING.holdMaxMs);
-}
--- /dev/null
+++ b/src/core/replicas/check_cut_off.ts
@@ -0,0 +1,21 @@
+import type {Step} from '../state/types.js';
+import {STEWARD_TIMING} from './steward_timing.js';
+import {dropAuthority} from './drop_authority.js';
+import {isFresh} from '../targets/index.js';
+
+/** A steward that hears no engine at all is cut off itself: another node should try. */
+export function checkCutOff(step: Step): void {
+  const {replicas, targets} = step.state;
+  const hears = [...targets.reports.keys()].some(vmId =>
+    isFresh(targets, vmId, step.nowMs),
+  );
+  if (hears || targets.vms.size === 0) {
+    delete replicas.cutOffSinceMs;
+    return;
+  }
+  replicas.cutOffSinceMs ??= step.nowMs;
+  const forMs = step.nowMs - replicas.cutOffSinceMs;
+  if (forMs < STEWARD_TIMING.cutOffMs) return;
+  if (replicas.stewardships.size === 0) return;
+  dropAuthority(step, 'no engine is heard');
+}
--- a/src/core/replicas/claim_domains.ts
+++ b/src/core/replicas/claim_domains.ts
@@ -14,7 +14,7 @@
 /** Becomes steward of domains that have none, best placed candidate first. */
 export function claimDomains(step: Step): void {
   const {replicas} = step.state;
-  if (replicas.stewardWatch.revision === 0) return;
+  if (!replicas.stewardWatch.isListed) return;
   for (const domain of listDomains(step)) {
     if (replicas.stewardships.has(domain)) continue;
     const holder = replicas.stewardWatch.entries.get(stewardKey(domain));
--- a/src/core/replicas/create_prefix_watch.ts
+++ b/src/core/replicas/create_prefix_watch.ts
@@ -8,6 +8,7 @@
     sentAtMs: 0,
     confirmSentAtMs: 0,
     nextAtMs: 0,
+    isListed: false,
     revision: 0,
     confirmedAtMs: -Infinity,
     entries: new Map(),
--- a/src/core/replicas/note_steward_result.ts
+++ b/src/core/replicas/note_steward_result.ts
@@ -42,10 +42,18 @@
     const key = stewardKey(stewardship.domain);
     callStewardStore(step, stewardship, 'read-claim', {kind: 'get', key});
   } else {
+    if (outcome.kind === 'conflict') noteHolder(step, outcome.current);
     dropStewardship(step, stewardship, 'claim failed');
   }
 }
 
+function noteHolder({state}: Step, holder: StoreEntry | undefined): void {
+  const {entries} = state.replicas.stewardWatch;
+  if (!holder) return;
+  const known = entries.get(holder.key)?.version ?? 0;
+  if (holder.version > known) entries.set(holder.key, holder);
+}
+
 function noteClaimRead(
   step: Step,
   stewardship: Stewardship,
--- a/src/core/replicas/plan/plan_surplus.ts
+++ b/src/core/replicas/plan/plan_surplus.ts
@@ -31,7 +31,7 @@
   const whole = current.filter(isWhole).length;
   if (whole < service.replicas) return;
   const victims = [...current]
-    .sort((a, b) => compareWorth(draft, a, b))
+    .sort(compareWorth)
     .slice(0, current.length - service.replicas);
   for (const {domain, entry} of victims) {
     const {replicaId} = entry;
@@ -39,21 +39,15 @@
   }
 }
 
-/** Those that give the least, and whose domain gains the most room, come first. */
-function compareWorth(
-  draft: PlanDraft,
-  a: PlanReplica,
-  b: PlanReplica,
-): number {
+/**
+ * Those that give the least come first, then those mended most often. Stewards
+ * must choose alike, so that only what the documents say decides.
+ */
+function compareWorth(a: PlanReplica, b: PlanReplica): number {
   return (
     Number(isWhole(a)) - Number(isWhole(b)) ||
     STATE_RANK[a.entry.state] - STATE_RANK[b.entry.state] ||
-    countLosses(b) - countLosses(a) ||
-    draft.countFree(b.domain) - draft.countFree(a.domain) ||
+    b.entry.generation - a.entry.generation ||
     (a.entry.replicaId < b.entry.replicaId ? 1 : -1)
   );
 }
-
-function countLosses({vms}: PlanReplica): number {
-  return vms.reduce((sum, vm) => sum + vm.losses, 0);
-}
--- a/src/core/replicas/plan/plan_vm.ts
+++ b/src/core/replicas/plan/plan_vm.ts
@@ -10,6 +10,4 @@
    * no longer listed.
    */
   readonly condition: 'free' | 'sound' | 'leaving' | 'lost' | 'gone';
-  /** Times it was lost lately. */
-  readonly losses: number;
 }
--- a/src/core/replicas/prefix_watch.ts
+++ b/src/core/replicas/prefix_watch.ts
@@ -12,7 +12,9 @@
   sentAtMs: number;
   confirmSentAtMs: number;
   nextAtMs: number;
-  /** Store-wide revision that the view reflects; 0 before the first list. */
+  /** Whether the whole prefix was read, so that changes suffice. */
+  isListed: boolean;
+  /** Store-wide revision that the view reflects. */
   revision: number;
   /** The view was current at this time. */
   confirmedAtMs: number;
--- a/src/core/replicas/reduce_replicas.ts
+++ b/src/core/replicas/reduce_replicas.ts
@@ -3,6 +3,7 @@
 import {advancePrefixWatch} from './advance_prefix_watch.js';
 import {applyPrefixResult} from './apply_prefix_result.js';
 import {checkAuthority} from './check_authority.js';
+import {checkCutOff} from './check_cut_off.js';
 import {claimDomains} from './claim_domains.js';
 import {confirmDocuments} from './confirm_documents.js';
 import {dropAuthority} from './drop_authority.js';
@@ -39,7 +40,8 @@
   }
   advancePrefixWatch(step, replicas.stewardWatch);
   if (replicas.stewardships.size > 0) keepStewardLease(step);
-  claimDomains(step);
+  checkCutOff(step);
+  if (replicas.cutOffSinceMs === undefined) claimDomains(step);
   reconcile(step);
 }
 
--- a/src/core/replicas/replicas_state.ts
+++ b/src/core/replicas/replicas_state.ts
@@ -30,6 +30,8 @@
   loadQueue: readonly QueuedLoad[];
   /** How replicas are planned; `first-come` is a baseline for measurements. */
   planner: 'deficit-first' | 'first-come';
+  /** Since when no engine at all has been heard. */
+  cutOffSinceMs?: number;
   reconciledAtMs: number;
   plannedAtMs: number;
 }
--- a/src/core/replicas/steward_timing.ts
+++ b/src/core/replicas/steward_timing.ts
@@ -10,6 +10,8 @@
   orderSettleMs: 1000,
   /** Head start of each better placed candidate for a domain without steward. */
   candidateStepMs: 1500,
+  /** A steward that hears no engine for this long gives up. */
+  cutOffMs: 5000,
   reconcileMs: 250,
   planMs: 500,
   watchMs: 10_000,
--- a/src/core/replicas/write_document.ts
+++ b/src/core/replicas/write_document.ts
@@ -4,6 +4,7 @@
 import type {Stewardship} from './stewardship.js';
 import {callStewardStore} from './call_steward_store.js';
 import {documentKey} from './document_key.js';
+import {resolveSpares} from './resolve_spares.js';
 import {nextId} from '../state/index.js';
 
 /** Replaces the domain's document, unless another write came first. */
@@ -14,7 +15,19 @@
 ): void {
   const {domain, fencingToken, version} = stewardship;
   const writerNonce = nextId<OperationId>(step, 'w');
-  stewardship.writing = {domain, fencingToken, replicas, writerNonce};
+  const spares = resolveSpares(
+    step,
+    domain,
+    replicas,
+    stewardship.document?.spares ?? [],
+  );
+  stewardship.writing = {
+    domain,
+    fencingToken,
+    replicas,
+    spares,
+    writerNonce,
+  };
   callStewardStore(step, stewardship, 'write', {
     kind: 'compareAndSwap',
     key: documentKey(domain),
--- a/src/core/targets/create_targets_state.ts
+++ b/src/core/targets/create_targets_state.ts
@@ -15,6 +15,7 @@
     list: {nextAtMs: 0, readAtMs: 0},
     rereadAfterMs: -Infinity,
     sweptAtMs: 0,
+    lastEventAtMs: 0,
     pollKey: '',
   };
 }
--- a/src/core/targets/reduce_targets.ts
+++ b/src/core/targets/reduce_targets.ts
@@ -9,11 +9,10 @@
 
 /** The target registry's share of the reducer: VM lists, reports, bars. */
 export function reduceTargets(step: Step, event: NodeEvent): void {
+  sweepTargets(step);
   switch (event.type) {
     case 'tick':
-      readVmList(step);
-      sweepTargets(step);
-      return;
+      return readVmList(step);
     case 'storeResult': {
       const {list} = step.state.targets;
       if (event.area !== 'targets') return;
--- a/src/core/targets/targets_state.ts
+++ b/src/core/targets/targets_state.ts
@@ -40,6 +40,7 @@
   /** Latest time after which some target needs its document read again. */
   rereadAfterMs: number;
   sweptAtMs: number;
+  lastEventAtMs: number;
   /** Key of the last `setPolls` effect. */
   pollKey: string;
 }
--- a/src/replay/fleet/virtual_fleet.ts
+++ b/src/replay/fleet/virtual_fleet.ts
@@ -44,7 +44,7 @@
     () => LATENCY_MS;
   /** Whether a node reaches an engine now. */
   isUp: (node: VirtualNode, vmId: VmId) => boolean = () => true;
-  /** Sees each order as an engine carries it out. */
+  /** Sees each order before an engine carries it out, or refuses it. */
   onOrder: (
     engine: FleetEngine,
     order: EffectOf<'sendOrder'>,
@@ -56,6 +56,8 @@
   polls = 0;
   private readonly pollsOf = new Map<VirtualNode, Polls>();
   private readonly attempts = new Map<AttemptId, LiveAttempt>();
+  /** Cancelled on their way to an engine. */
+  private readonly cancelled = new Set<AttemptId>();
 
   constructor(
     private readonly world: VirtualWorld,
@@ -76,7 +78,12 @@
     if (effect.type === 'setPolls') this.setPolls(node, effect);
     if (effect.type === 'sendOrder') this.sendOrder(node, effect);
     if (effect.type === 'startAttempt') this.start(node, effect);
-    if (effect.type === 'cancelAttempt') this.cancel(effect.attemptId);
+    if (effect.type === 'cancelAttempt') {
+      if (!this.attempts.has(effect.attemptId)) {
+        this.cancelled.add(effect.attemptId);
+      }
+      this.cancel(effect.attemptId);
+    }
   }
 
   /** Whether all engines of a leader's assignment are up and say the same. */
@@ -145,6 +152,8 @@
         time.after(LATENCY_MS, () => {
           const ageMs = time.nowMs - sentAtMs;
           const type = 'targetReported';
+          // A frozen node reads the answer later, when it is too old to count.
+          if (!node.isRunning) return;
           finish(() => node.dispatch({type, report, ageMs}));
         });
       });
@@ -169,8 +178,8 @@
     time.after(timeoutMs, () => finish('unknown'));
     time.after(this.orderDelayMs(node, order), () => {
       engine.deliver(() => {
+        this.onOrder(engine, order, node);
         const outcome = engine.take(order);
-        if (outcome === 'done') this.onOrder(engine, order, node);
         time.after(LATENCY_MS, () => finish(outcome));
       });
     });
@@ -195,6 +204,7 @@
     engine: FleetEngine,
     attemptId: AttemptId,
   ): void {
+    if (this.cancelled.delete(attemptId)) return;
     const isLeader = engine.assignment?.leader === engine.record.vmId;
     if (engine.isLeaving) {
       this.refuse(node, attemptId, 'target-leaving');
--- /dev/null
+++ b/test/units/replicas/replica_safety.test.ts
@@ -0,0 +1,65 @@
+import assert from 'node:assert/strict';
+import {suite, test} from 'node:test';
+import fc from 'fast-check';
+import {FleetChecks} from '../../support/fleet_checks.js';
+import {FleetWorld} from '../../../src/replay/fleet/index.js';
+import {
+  endFaults,
+  fleetFaults,
+  scheduleFaults,
+} from '../../support/fleet_faults.js';
+
+const SERVICES = [
+  {name: 'feeding', replicas: 2, vmsPerReplica: 3, minServing: 1},
+  {name: 'letters', replicas: 2, vmsPerReplica: 2, priority: 1},
+];
+const SPAN_MS = 40_000;
+const STEP_MS = 50;
+const HEAL_MS = 150_000;
+const NUM_RUNS = 20;
+
+function createWorld(seed: number): FleetWorld {
+  return new FleetWorld({
+    seed,
+    nodes: 3,
+    domains: 2,
+    vmsPerDomain: 7,
+    services: SERVICES,
+  });
+}
+
+function sendRequests(world: FleetWorld): void {
+  const {nowMs} = world;
+  const service = SERVICES[(nowMs / STEP_MS) % 2]!.name;
+  const node = world.nodes[Math.floor(nowMs / STEP_MS / 2) % 3]!;
+  world.request(node, service);
+}
+
+suite('replica safety', () => {
+  test('no VM in two replicas, no request to a broken one, and back to the stated state', () => {
+    const schedules = fc.tuple(fc.nat(), fleetFaults(SPAN_MS));
+    const property = fc.property(schedules, ([seed, faults]) => {
+      const world = createWorld(seed);
+      const checks = new FleetChecks(world);
+      world.run(15_000);
+      scheduleFaults(world, faults);
+      world.watch(SPAN_MS + 25_000, STEP_MS, () => {
+        checks.look();
+        sendRequests(world);
+      });
+      endFaults(world);
+      world.watch(HEAL_MS, 500, () => checks.look());
+      assert.deepEqual(checks.faults, []);
+      for (const node of world.nodes) {
+        for (const {name, replicas} of SERVICES) {
+          const serving = world.countServing(name, node);
+          assert.equal(serving, replicas, `${name} at the end`);
+        }
+      }
+    });
+    fc.assert(property, {
+      numRuns: Number(process.env['RUNS'] ?? 20),
+      endOnFailure: true,
+    });
+  });
+});
