--- a/src/replay/load/request_outcome.ts
+++ b/src/replay/load/request_outcome.ts
@@ -7,10 +7,13 @@
   sends: number;
   /** Dispatches by the nodes. */
   attempts: number;
+  /** When a node first sent it to a target. */
+  dispatchedAtMs?: number;
   /** When an engine first ran it. */
   startedAtMs?: number;
   firstTokenAtMs?: number;
   endedAtMs?: number;
   refusals: number;
+  /** Attempts that a node ended: pauses, and runs past their deadline. */
   pauses: number;
 }
