--- a/src/standins/engine_standin.ts
+++ b/src/standins/engine_standin.ts
@@ -9,7 +9,8 @@
 import {EngineOrders} from './engine_orders.js';
 import {HttpService} from './http_service.js';
 import {PrefixCache} from './prefix_cache.js';
-import {hashPrefixes, promptText} from '../core/requests/index.js';
+import {createPrefixHashes} from '../targets/create_prefix_hashes.js';
+import {resolvePrompt} from '../targets/resolve_prompt.js';
 import {readJson} from './read_json.js';
 import {sendJson} from './send_json.js';
 
@@ -196,8 +197,8 @@
     {chat, priority}: {chat: boolean; priority: number},
   ): void {
     const {options} = this;
-    const prompt = promptText(body);
-    const hashes = hashPrefixes(prompt);
+    const prompt = resolvePrompt(body);
+    const hashes = createPrefixHashes(prompt);
     const cachedShare =
       hashes.length && this.cache.countCached(hashes) / hashes.length;
     const promptTokens =
--- a/test/units/replicas/replica_safety.test.ts
+++ b/test/units/replicas/replica_safety.test.ts
@@ -57,9 +57,6 @@
         }
       }
     });
-    fc.assert(property, {
-      numRuns: Number(process.env['RUNS'] ?? 20),
-      endOnFailure: true,
-    });
+    fc.assert(property, {numRuns: NUM_RUNS});
   });
 });
