Take test ports below the system's own range

Cause: one start of 30 failed with EADDRINUSE: a port found free was taken by an outgoing connection of another process before the node opened it.

--- a/test/support/free_ports.ts
+++ b/test/support/free_ports.ts
@@ -1,17 +1,28 @@
-import {createServer, type AddressInfo} from 'node:net';
+import {createServer} from 'node:net';
 
-/** Finds loopback ports that were free a moment ago. */
+// Below the range from which the system takes ports of its own choice, so that
+// no outgoing connection takes a port between its check and its use.
+const FIRST_PORT = 10_000;
+const RANGES = 200;
+const PORTS_PER_RANGE = 100;
+
+let next = 0;
+
+/** Finds loopback ports that were free a moment ago; each process has a range of its own. */
 export async function freePorts(count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({length: count}, listen));
-  const ports = servers.map(s => (s.address() as AddressInfo).port);
-  await Promise.all(servers.map(s => new Promise(done => s.close(done))));
+  const base = FIRST_PORT + (process.pid % RANGES) * PORTS_PER_RANGE;
+  const ports: number[] = [];
+  while (ports.length < count) {
+    const port = base + (next++ % PORTS_PER_RANGE);
+    if (await isFree(port)) ports.push(port);
+  }
   return ports;
 }
 
-function listen() {
-  return new Promise<ReturnType<typeof createServer>>((resolve, reject) => {
+function isFree(port: number): Promise<boolean> {
+  return new Promise(resolve => {
     const server = createServer();
-    server.once('error', reject);
-    server.listen(0, '127.0.0.1', () => resolve(server));
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
   });
 }
