--- a/src/peers/message_schemas.ts
+++ b/src/peers/message_schemas.ts
@@ -44,6 +44,8 @@
   tokensPerSecond: count,
 });
 
+const slots = z.tuple([text, count]);
+
 const change = z.looseObject({
   key: text,
   text: text.nullable(),
@@ -83,4 +85,14 @@
   'routing.reports': z.looseObject({
     reports: list(z.looseObject({report, ageMs: count})),
   }),
+  'routing.demand': z.looseObject({
+    group: text,
+    queued: count,
+    started: count,
+    own: list(slots),
+  }),
+  'routing.credits': z.looseObject({
+    group: text,
+    limits: list(slots).optional(),
+  }),
 };
