Bound each node's store calls to its share of the fleet's rate

The share follows the number of live nodes; calls wait by priority, low ones in half of a bounded queue, and a call that waited past its time-out is not sent. Budget refusals do not count as an outage. Peer links are made when first used. Settings gain seedPeers and fleetCallsPerSecond.

--- a/src/core/membership/note_store_outcome.ts
+++ b/src/core/membership/note_store_outcome.ts
@@ -16,6 +16,7 @@
   const {store} = state.membership;
   const wasUp = isStoreUp(state, nowMs);
   const {kind} = event.outcome;
+  if (kind === 'unavailable' && event.outcome.cause === 'budget') return;
   if (kind === 'unavailable' || kind === 'unknown') {
     store.failures += 1;
     store.failingSinceMs ??= nowMs;
--- a/src/core/store/store_outcome.ts
+++ b/src/core/store/store_outcome.ts
@@ -30,6 +30,8 @@
 /** The call did not reach the store; nothing was changed. */
 interface Unavailable {
   readonly kind: 'unavailable';
+  /** Set when this node's own call budget held the call back. */
+  readonly cause?: 'budget';
 }
 
 /** What became of a call to the platform. */
--- a/src/peers/peer_client.ts
+++ b/src/peers/peer_client.ts
@@ -2,9 +2,11 @@
 import type {Effect, EffectOf} from '../core/effects/types.js';
 import type {EffectHandler, NodeContext} from '../runtime/types.js';
 import type {NodeId} from '../core/ids/index.js';
+import {LRUCache} from 'lru-cache';
 import {PeerLink} from './peer_link.js';
 
 const MAX_SOCKETS_PER_PEER = 6;
+const MAX_LINKS = 128;
 
 /** Sends this node's messages to peers, batched into one exchange per peer and second. */
 export class PeerClient implements EffectHandler {
@@ -13,7 +15,12 @@
     keepAlive: true,
     maxSockets: MAX_SOCKETS_PER_PEER,
   });
-  private readonly links = new Map<NodeId, PeerLink>();
+  private addresses = new Map<NodeId, string>();
+  /** Made when first used, and dropped when long unused: most nodes talk to few. */
+  private readonly links = new LRUCache<NodeId, PeerLink>({
+    max: MAX_LINKS,
+    dispose: link => link.destroy(),
+  });
 
   constructor(private readonly context: NodeContext) {}
 
@@ -22,7 +29,7 @@
       this.setPeers(effect.peers);
     } else if (effect.type === 'peerSend') {
       const {to, message, urgent = false} = effect;
-      this.links.get(to)?.send(message, urgent);
+      this.link(to)?.send(message, urgent);
     } else if (effect.type === 'peerAsk') {
       void this.ask(effect);
     }
@@ -34,24 +41,30 @@
   }
 
   destroy(): void {
-    for (const link of this.links.values()) link.destroy();
     this.links.clear();
     this.agent.destroy();
   }
 
   private setPeers(peers: EffectOf<'setPeers'>['peers']): void {
-    const wanted = new Map(peers.map(peer => [peer.nodeId, peer.address]));
-    for (const [nodeId, link] of this.links) {
-      if (wanted.get(nodeId) === link.address) continue;
-      link.destroy();
-      this.links.delete(nodeId);
-    }
-    for (const [nodeId, address] of wanted) {
-      if (!this.links.has(nodeId)) this.links.set(nodeId, this.link(address));
+    this.addresses = new Map(peers.map(peer => [peer.nodeId, peer.address]));
+    for (const [nodeId, link] of this.links.entries()) {
+      if (this.addresses.get(nodeId) !== link.address) {
+        this.links.delete(nodeId);
+      }
     }
   }
 
-  private link(address: string): PeerLink {
+  private link(to: NodeId): PeerLink | undefined {
+    const known = this.links.get(to);
+    if (known) return known;
+    const address = this.addresses.get(to);
+    if (address === undefined) return undefined;
+    const link = this.createLink(address);
+    this.links.set(to, link);
+    return link;
+  }
+
+  private createLink(address: string): PeerLink {
     const {settings, metrics} = this.context;
     return new PeerLink({
       self: settings.node.nodeId,
@@ -67,7 +80,7 @@
 
   private async ask(effect: EffectOf<'peerAsk'>): Promise<void> {
     const {area, callId, to} = effect;
-    const message = await this.links.get(to)?.ask(effect);
+    const message = await this.link(to)?.ask(effect);
     this.context.events.dispatch({
       type: 'peerAnswered',
       area,
--- a/src/platform/store_runner.ts
+++ b/src/platform/store_runner.ts
@@ -2,45 +2,83 @@
 import type {Effect, EffectOf} from '../core/effects/types.js';
 import type {EffectHandler, NodeContext} from '../runtime/types.js';
 import type {PlatformStore, StoreOutcome} from '../core/store/types.js';
+import {STORE_PRIORITY} from '../core/store/index.js';
+import {callShare} from './call_share.js';
 
 const CONCURRENCY = 64;
 const BUDGET_INTERVAL_MS = 100;
+const MAX_QUEUED = 512;
+/** Calls below the stewards' get half of the queue, so that they cannot fill it. */
+const MAX_QUEUED_LOW = MAX_QUEUED / 2;
+/** The share follows the number of live nodes once it is off by more than this. */
+const SHARE_TOLERANCE = 0.2;
+const CLOSE_TIMEOUT_MS = 2000;
 
 /** Performs store calls in order of priority within the node's call budget. */
 export class StoreRunner implements EffectHandler {
   readonly types = ['store'] as const;
-  private readonly lane: PQueue;
+  private share: number;
+  private lane: PQueue;
+  private readonly open = new Set<Promise<unknown>>();
 
   constructor(
     private readonly context: NodeContext,
     private readonly store: PlatformStore,
   ) {
-    const {maxCallsPerSecond} = context.settings.platform;
-    const perInterval = (maxCallsPerSecond * BUDGET_INTERVAL_MS) / 1000;
-    this.lane = new PQueue({
-      concurrency: CONCURRENCY,
-      interval: BUDGET_INTERVAL_MS,
-      intervalCap: Math.max(1, Math.floor(perInterval)),
-    });
+    this.share = this.currentShare();
+    this.lane = createLane(this.share);
   }
 
   handle(effect: Effect): void {
     const call = effect as EffectOf<'store'>;
-    void this.lane.add(() => this.perform(call), {priority: call.priority});
+    this.followShare();
+    const isLow = call.priority < STORE_PRIORITY.steward;
+    const limit = isLow ? MAX_QUEUED_LOW : MAX_QUEUED;
+    if (this.lane.size >= limit) {
+      this.answer(call, {kind: 'unavailable', cause: 'budget'});
+      return;
+    }
+    const queuedAtMs = this.context.clock.nowMs();
+    const done = this.lane.add(() => this.perform(call, queuedAtMs), {
+      priority: call.priority,
+    });
+    if (call.operation.kind === 'watch') return; // nothing waits for its end
+    this.open.add(done);
+    void done.then(() => this.open.delete(done));
   }
 
+  /** Ends the calls under way and those that wait, within a bound. */
   async close(): Promise<void> {
-    this.lane.clear();
-    await this.lane.onIdle();
+    let timer: NodeJS.Timeout | undefined;
+    const late = new Promise(resolve => {
+      timer = setTimeout(resolve, CLOSE_TIMEOUT_MS);
+    });
+    await Promise.race([Promise.all(this.open), late]);
+    clearTimeout(timer);
+    this.destroy();
   }
 
   destroy(): void {
     this.lane.clear();
   }
 
-  private async perform(call: EffectOf<'store'>): Promise<void> {
-    const outcome = await this.store.call(call.operation, call.timeoutMs);
-    this.count(call, outcome);
+  private async perform(
+    call: EffectOf<'store'>,
+    queuedAtMs: number,
+  ): Promise<void> {
+    const waitedMs = this.context.clock.nowMs() - queuedAtMs;
+    if (waitedMs > call.timeoutMs) {
+      this.answer(call, {kind: 'unavailable', cause: 'budget'});
+      return;
+    }
+    this.answer(call, await this.store.call(call.operation, call.timeoutMs));
+  }
+
+  private answer(call: EffectOf<'store'>, outcome: StoreOutcome): void {
+    this.context.metrics.count('storeCalls', 1, {
+      kind: call.operation.kind,
+      outcome: outcome.kind,
+    });
     this.context.events.dispatch({
       type: 'storeResult',
       area: call.area,
@@ -49,10 +87,27 @@
     });
   }
 
-  private count(call: EffectOf<'store'>, outcome: StoreOutcome): void {
-    this.context.metrics.count('storeCalls', 1, {
-      kind: call.operation.kind,
-      outcome: outcome.kind,
-    });
+  private currentShare(): number {
+    const {settings, state} = this.context;
+    return callShare(settings.platform, state.membership.peers.size + 1);
   }
+
+  /** A lane's rate is fixed, so a new one takes the calls from now on. */
+  private followShare(): void {
+    const share = this.currentShare();
+    if (Math.abs(share - this.share) <= SHARE_TOLERANCE * this.share) return;
+    this.share = share;
+    this.lane = createLane(share);
+  }
+}
+
+function createLane(callsPerSecond: number): PQueue {
+  const perInterval = (callsPerSecond * BUDGET_INTERVAL_MS) / 1000;
+  // Below one call in an interval, the interval grows instead.
+  const interval = BUDGET_INTERVAL_MS * Math.max(1, 1 / perInterval);
+  return new PQueue({
+    concurrency: CONCURRENCY,
+    interval,
+    intervalCap: Math.max(1, Math.floor(perInterval)),
+  });
 }
--- a/src/settings/parse_settings.ts
+++ b/src/settings/parse_settings.ts
@@ -66,7 +66,7 @@
 }
 
 function createNodeSettings(node: Parsed<'node'>): Settings['node'] {
-  const {name, zone, region, callerAddress, controlAddress} = node;
+  const {name, zone, region, callerAddress, controlAddress, seedPeers} = node;
   const has = (role: (typeof node.roles)[number]) => node.roles.includes(role);
   return {
     nodeId: name,
@@ -74,6 +74,7 @@
     region,
     callerAddress,
     controlAddress,
+    seedPeers,
     roles: {
       entry: has('entry'),
       relay: has('relay'),
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -5,6 +5,8 @@
   readonly address: string;
   /** Calls a second that this node may make; a waiting watch counts as one. */
   readonly maxCallsPerSecond: number;
+  /** Calls a second that all nodes together may make; each takes an equal share. */
+  readonly fleetCallsPerSecond: number;
 }
 
 interface LimitSettings {
--- a/src/settings/settings_schema.ts
+++ b/src/settings/settings_schema.ts
@@ -15,6 +15,7 @@
 const ROLES = ['entry', 'relay', 'observer', 'broker', 'steward'] as const;
 const LEVELS = ['debug', 'info', 'warn', 'error'] as const;
 const DEFAULT_CALLS_PER_SECOND = 100;
+const DEFAULT_FLEET_CALLS_PER_SECOND = 1500;
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 const DEFAULT_MAX_HEADER_BYTES = 16 * 1024;
 const DEFAULT_REQUEST_TIMEOUT_MS = 30_000;
@@ -37,6 +38,10 @@
     region: nameField(),
     callerAddress: addressField(),
     controlAddress: addressField(),
+    seedPeers: listField(addressField(), {
+      items: 'control addresses (host:port)',
+      least: 0,
+    }).default([]),
     roles: listField(choiceField(ROLES), {
       items: `roles (${ROLES.join(', ')})`,
       least: 1,
@@ -47,6 +52,9 @@
     maxCallsPerSecond: integerField(10, 10_000).default(
       DEFAULT_CALLS_PER_SECOND,
     ),
+    fleetCallsPerSecond: integerField(10, 1_000_000).default(
+      DEFAULT_FLEET_CALLS_PER_SECOND,
+    ),
   }),
   limits: z.strictObject({
     maxBody: sizeField('1KB', '256MB').default(DEFAULT_MAX_BODY_BYTES),
