Keep the audit trail in the store within a fixed number of keys

Each node appends to one of 64 segments by compare-and-swap, at most once a second, at audit priority. A segment keeps 256 records; the system's own go first, so that orders never push out operators' changes. One shared tail was ruled out: every node would contend for it. Records wait in memory through a store outage, at most 1000; a draining node writes them before it ends.

With the dropping of records found on a re-read switched off, 'a write whose answer is lost leaves each record once' fails.

--- a/src/cli/commands/audit_command.ts
+++ b/src/cli/commands/audit_command.ts
@@ -1,4 +1,4 @@
-import type {AuditRecord} from '../../core/audit/types.js';
+import type {AuditAnswer} from '../../core/operators/types.js';
 import type {CommandModule} from 'yargs';
 import {Output} from '../output.js';
 import {askNode, clientOptions} from '../client/index.js';
@@ -9,10 +9,6 @@
   readonly limit: number;
 };
 
-interface AuditAnswer {
-  readonly records: readonly AuditRecord[];
-}
-
 /** `audit`: who changed what, newest last. */
 export const auditCommand: CommandModule<object, Arguments> = {
   command: 'audit',
@@ -28,11 +24,11 @@
   handler: async options => {
     const {limit} = options;
     const answer = await askNode<AuditAnswer>(options, {kind: 'audit', limit});
-    new Output(options.json).print(answer, formatAudit(answer.records));
+    new Output(options.json).print(answer, formatAudit(answer));
   },
 };
 
-function formatAudit(records: readonly AuditRecord[]): string {
+function formatAudit({records, waiting, dropped}: AuditAnswer): string {
   const rows = records.map(record => [
     new Date(record.atMs).toISOString(),
     record.who,
@@ -43,5 +39,7 @@
     record.node,
   ]);
   const columns = ['WHEN', 'WHO', 'ACTION', 'WHAT', 'BEFORE', 'AFTER', 'NODE'];
-  return formatTable(columns, rows);
+  const table = formatTable(columns, rows);
+  if (waiting + dropped === 0) return table;
+  return `${table}\n${waiting} records are not written yet, ${dropped} were dropped.`;
 }
--- a/src/core/audit/audit_record.ts
+++ b/src/core/audit/audit_record.ts
@@ -1,5 +1,7 @@
 /** One line of the audit trail. */
 export interface AuditRecord {
+  /** Unique over all nodes, so that a record written twice is kept once. */
+  readonly recordId: string;
   readonly atMs: number;
   readonly node: string;
   /** Operator name, or `system`. */
--- a/src/core/audit/record_audit.ts
+++ b/src/core/audit/record_audit.ts
@@ -1,11 +1,35 @@
 import type {AuditRecord} from './audit_record.js';
 import type {Step} from '../state/types.js';
+import {countMetric, nextId} from '../state/index.js';
+import {dropOldest} from './drop_oldest.js';
 
-/** Adds a record to the audit trail. */
+const MAX_WAITING = 1000;
+const MAX_TEXT_LENGTH = 500;
+
+/** Adds a record to the audit trail; it reaches the store with the next batch. */
 export function recordAudit(
   step: Step,
-  record: Omit<AuditRecord, 'atMs' | 'node'>,
+  record: Omit<AuditRecord, 'atMs' | 'node' | 'recordId'>,
 ): void {
-  const node = step.state.self.nodeId;
-  step.state.audit.waiting.push({...record, node, atMs: step.nowMs});
+  const {audit, self} = step.state;
+  const {before, after, ...rest} = record;
+  audit.waiting.push({
+    ...rest,
+    ...(before !== undefined && {before: shorten(before)}),
+    ...(after !== undefined && {after: shorten(after)}),
+    recordId: nextId(step, 'au'),
+    node: self.nodeId,
+    atMs: Math.round(step.nowMs),
+  });
+  if (audit.waiting.length <= MAX_WAITING) return;
+  const kept = dropOldest(audit.waiting, MAX_WAITING);
+  audit.waiting.splice(0, Infinity, ...kept);
+  audit.dropped += 1;
+  countMetric(step, 'auditDropped', 1);
+}
+
+function shorten(text: string): string {
+  return text.length <= MAX_TEXT_LENGTH
+    ? text
+    : text.slice(0, MAX_TEXT_LENGTH) + '…';
 }
--- a/src/core/audit/reduce_audit.ts
+++ b/src/core/audit/reduce_audit.ts
@@ -1,5 +1,37 @@
-import type {NodeEvent} from '../events/types.js';
+import type {EventOf, NodeEvent} from '../events/types.js';
 import type {Step} from '../state/types.js';
+import {STORE_PRIORITY} from '../store/index.js';
+import {answerQuestion} from './answer_question.js';
+import {callStore} from '../state/index.js';
+import {noteWriteResult} from './note_write_result.js';
+import {writeWaiting} from './write_waiting.js';
 
-/** The audit trail's share of the reducer: writes waiting records to the store. */
-export function reduceAudit(_step: Step, _event: NodeEvent): void {}
+const LIST_TIMEOUT_MS = 5000;
+
+/** The audit trail's share of the reducer: writes waiting records, answers operators. */
+export function reduceAudit(step: Step, event: NodeEvent): void {
+  if (event.type === 'operatorAsked') {
+    ask(step, event);
+  } else if (event.type === 'storeResult' && event.area === 'audit') {
+    noteWriteResult(step, event);
+    answerQuestion(step, event);
+    writeWaiting(step);
+  } else if (event.type === 'tick') {
+    writeWaiting(step);
+  }
+}
+
+function ask(
+  step: Step,
+  {operationId, request}: EventOf<'operatorAsked'>,
+): void {
+  if (request.kind !== 'audit') return;
+  const listing = callStore(
+    step,
+    'audit',
+    {kind: 'list', prefix: 'audit/'},
+    {priority: STORE_PRIORITY.config, timeoutMs: LIST_TIMEOUT_MS},
+  );
+  const {limit} = request;
+  step.state.audit.questions.set(listing, {operationId, limit});
+}
--- a/src/core/operators/types.ts
+++ b/src/core/operators/types.ts
@@ -1,3 +1,4 @@
+export type {AuditAnswer} from './audit_answer.js';
 export type {OperatorRequest} from './operator_request.js';
 export type {OperatorAnswer} from './operator_answer.js';
 export type {ReplicasAnswer} from './replicas_answer.js';
