--- a/src/core/admission/index.ts
+++ b/src/core/admission/index.ts
@@ -1,9 +1,13 @@
 export {DEFAULT_SCHEDULING} from './default_scheduling.js';
 export {createAdmissionState} from './create_admission_state.js';
 export {enqueueRequest} from './enqueue_request.js';
+export {noteLongRunning} from './note_long_running.js';
+export {queuedRequests} from './queued_requests.js';
 export {nextDispatches} from './next_dispatches.js';
 export {reduceAdmission} from './reduce_admission.js';
 export {removeQueuedRequest} from './remove_queued_request.js';
 export {requeueRequest} from './requeue_request.js';
+export {isLong} from './is_long.js';
+export {markReady} from './mark_ready.js';
 export {selectPauses} from './select_pauses.js';
 export type * from './types.js';
--- a/src/core/replicas/domain_document.ts
+++ b/src/core/replicas/domain_document.ts
@@ -1,20 +1,5 @@
-import type {DomainId, ReplicaId, ServiceName, VmId} from '../ids/index.js';
-
-interface ReplicaEntry {
-  readonly replicaId: ReplicaId;
-  /** Grows when its VMs are exchanged. */
-  readonly generation: number;
-  readonly service: ServiceName;
-  readonly model: string;
-  readonly version: string;
-  readonly adapters: readonly string[];
-  readonly vms: readonly VmId[];
-  readonly leader: VmId;
-  readonly slots: number;
-  /** Token under which its orders were given. */
-  readonly fencingToken: number;
-  readonly state: 'planned' | 'loading' | 'serving' | 'draining';
-}
+import type {DomainId, VmId} from '../ids/index.js';
+import type {ReplicaEntry} from './replica_entry.js';
 
 /** All replicas of one fabric domain: the only place that says which VM is in which. */
 export interface DomainDocument {
@@ -22,6 +7,8 @@
   /** Grows with each change of steward. */
   readonly fencingToken: number;
   readonly replicas: readonly ReplicaEntry[];
+  /** VMs that the steward holds fit for a new replica, sorted: all stewards plan with these. */
+  readonly spares: readonly VmId[];
   /** Nonce of the last write, to recognise one's own after a lost answer. */
   readonly writerNonce: string;
 }
