Make the test of a refusing target independent of the choice of targets

Routing now picks another target first, so the test saw no refusal. It lets whichever target is asked first refuse.

--- a/test/units/targets/verdicts.test.ts
+++ b/test/units/targets/verdicts.test.ts
@@ -104,19 +104,17 @@
 });
 
 test('a target that says it did not run the request: another target takes it', async () => {
-  const refuses = await addScripted('orders', 'a', ({response}) => {
-    response.writeHead(503, {'x-not-run': 'true', 'retry-after': '7'}).end();
-  });
-  const takes = await addScripted('orders', 'b', ({response}) => {
-    response.end('taken');
-  });
-  const answers = [await node.order('k1'), await node.order('k2')];
-  assert.deepEqual(
-    answers.map(answer => answer.body),
-    ['taken', 'taken'],
-  );
-  assert.ok(refuses.seen.length > 0);
-  assert.equal(takes.seen.length, 2);
+  const asked: string[] = [];
+  for (const id of ['a', 'b']) {
+    await addScripted('orders', id, ({response}) => {
+      asked.push(id);
+      if (asked.length > 1) response.end('taken');
+      else response.writeHead(503, {'x-not-run': 'true'}).end();
+    });
+  }
+  const answer = await node.order('k');
+  assert.equal(answer.body, 'taken');
+  assert.deepEqual(asked.sort(), ['a', 'b']);
 });
 
 test('every target says it did not run the request: not run, with the time they gave', async () => {
