Quarantine requests that crash their targets, and keep suspects apart fleet-wide

A broken connection makes its request a suspect; the target's next reports tell whether it died. A suspect runs only on a target that an arbiter, one node by rendezvous hash, keeps free of other suspects, waits when two targets are likely lost, and is refused once two surely are. Ruled out: judging by connections alone, which quarantined requests whose target lived on.

--- /dev/null
+++ b/src/core/quarantine/confirm_loss.ts
@@ -0,0 +1,18 @@
+import type {Step} from '../state/types.js';
+import type {TargetLoss} from './target_loss.js';
+import {judgeSuspect} from './judge_suspect.js';
+import {settleLoss} from './settle_loss.js';
+
+/** Takes a loss for sure. */
+export function confirmLoss(step: Step, loss: TargetLoss): void {
+  if (loss.isConfirmed) return;
+  loss.isConfirmed = true;
+  settleLoss(step, loss);
+  const {outbox, suspects} = step.state.quarantine;
+  for (const fingerprint of loss.fingerprints) {
+    const suspect = suspects.get(fingerprint);
+    if (!suspect) continue;
+    outbox.suspects.add(fingerprint);
+    judgeSuspect(step, suspect);
+  }
+}
--- a/src/core/quarantine/create_quarantine_state.ts
+++ b/src/core/quarantine/create_quarantine_state.ts
@@ -2,5 +2,12 @@
 
 /** Creates a quarantine without suspects. */
 export function createQuarantineState(): QuarantineState {
-  return {suspects: new Map()};
+  return {
+    suspects: new Map(),
+    losses: new Map(),
+    awaited: new Map(),
+    trials: new Map(),
+    outbox: {suspects: new Set(), cleared: new Set()},
+    sweptAtMs: 0,
+  };
 }
--- /dev/null
+++ b/src/core/quarantine/find_loss.ts
@@ -0,0 +1,44 @@
+import type {Step} from '../state/types.js';
+import type {TargetId, VmId} from '../ids/index.js';
+import type {TargetLoss} from './target_loss.js';
+import {targetBoot} from './target_boot.js';
+
+/** The loss of one boot of a target; noted as likely when it is new. */
+export function findLoss(
+  step: Step,
+  targetId: TargetId,
+  bootId: string,
+): TargetLoss {
+  const {awaited, losses} = step.state.quarantine;
+  const key = `${targetId}#${bootId}`;
+  const known = losses.get(key);
+  if (known) return known;
+  const isCurrent = bootId !== '' && bootId === targetBoot(step, targetId);
+  const awaitedBoots: Map<VmId, string> = isCurrent
+    ? lastBoots(step, targetId)
+    : new Map();
+  const loss: TargetLoss = {
+    targetId,
+    bootId,
+    atMs: step.nowMs,
+    isConfirmed: false,
+    isJudged: awaitedBoots.size > 0,
+    awaited: awaitedBoots,
+    fingerprints: new Set(),
+  };
+  losses.set(key, loss);
+  for (const vmId of loss.awaited.keys()) {
+    const others = awaited.get(vmId) ?? new Set();
+    awaited.set(vmId, others.add(loss));
+  }
+  return loss;
+}
+
+function lastBoots(step: Step, targetId: TargetId): Map<VmId, string> {
+  const {byId, reports} = step.state.targets;
+  const boots = new Map<VmId, string>();
+  for (const vmId of byId.get(targetId)?.vms ?? []) {
+    boots.set(vmId, reports.get(vmId)?.report.bootId ?? '');
+  }
+  return boots;
+}
--- /dev/null
+++ b/src/core/quarantine/learn_suspects.ts
@@ -0,0 +1,28 @@
+import type {QuarantineMessage} from '../peers/types.js';
+import type {Step} from '../state/types.js';
+import {addLoss} from './add_loss.js';
+import {clearSuspect} from './clear_suspect.js';
+import {confirmLoss} from './confirm_loss.js';
+import {findLoss} from './find_loss.js';
+
+type SuspectsMessage = Extract<
+  QuarantineMessage,
+  {type: 'quarantine.suspects'}
+>;
+
+/** Takes over what a peer knows, and passes on what is new. */
+export function learnSuspects(step: Step, message: SuspectsMessage): void {
+  const {outbox} = step.state.quarantine;
+  for (const {fingerprint, losses, remainingMs} of message.suspects) {
+    for (const {targetId, bootId, isConfirmed} of losses) {
+      const loss = findLoss(step, targetId, bootId);
+      if (addLoss(step, fingerprint, loss, remainingMs)) {
+        outbox.suspects.add(fingerprint);
+      }
+      if (isConfirmed) confirmLoss(step, loss);
+    }
+  }
+  for (const fingerprint of message.cleared) {
+    if (clearSuspect(step, fingerprint)) outbox.cleared.add(fingerprint);
+  }
+}
--- a/src/core/quarantine/note_target_lost.ts
+++ b/src/core/quarantine/note_target_lost.ts
@@ -1,10 +1,21 @@
 import type {RequestInfo} from '../requests/types.js';
 import type {Step} from '../state/types.js';
 import type {TargetId} from '../ids/index.js';
+import {addLoss} from './add_loss.js';
+import {confirmLoss} from './confirm_loss.js';
+import {findLoss} from './find_loss.js';
+import {targetBoot} from './target_boot.js';
 
 /** Makes suspects of the requests that were in flight on a target that died. */
 export function noteTargetLost(
-  _step: Step,
-  _targetId: TargetId,
-  _inFlight: readonly RequestInfo[],
-): void {}
+  step: Step,
+  targetId: TargetId,
+  inFlight: readonly RequestInfo[],
+): void {
+  const {outbox} = step.state.quarantine;
+  const loss = findLoss(step, targetId, targetBoot(step, targetId));
+  for (const {fingerprint} of inFlight) {
+    if (addLoss(step, fingerprint, loss)) outbox.suspects.add(fingerprint);
+  }
+  confirmLoss(step, loss);
+}
--- /dev/null
+++ b/src/core/quarantine/tell_peers.ts
@@ -0,0 +1,59 @@
+import type {Fingerprint} from '../ids/index.js';
+import type {Peer} from '../membership/types.js';
+import type {QuarantineMessage} from '../peers/types.js';
+import type {Step} from '../state/types.js';
+import {QUARANTINE_TIMING} from './quarantine_timing.js';
+import {livePeers} from '../membership/index.js';
+
+/** Peers told at once; they pass on what is new to them when there are more. */
+const FAN_OUT = 24;
+
+type SuspectsMessage = Extract<
+  QuarantineMessage,
+  {type: 'quarantine.suspects'}
+>;
+
+/** Sends peers what changed since the last time. */
+export function tellPeers(step: Step): void {
+  const {outbox} = step.state.quarantine;
+  if (outbox.suspects.size === 0 && outbox.cleared.size === 0) return;
+  const message = createMessage(step);
+  for (const {nodeId} of choosePeers(step)) {
+    step.effects.push({type: 'peerSend', to: nodeId, message});
+  }
+}
+
+function createMessage(step: Step): SuspectsMessage {
+  const {outbox, suspects} = step.state.quarantine;
+  const told = takeSome(outbox.suspects).map(one => suspects.get(one));
+  return {
+    type: 'quarantine.suspects',
+    suspects: told
+      .filter(suspect => suspect !== undefined)
+      .map(({fingerprint, losses, untilMs}) => ({
+        fingerprint,
+        losses: [...losses.values()].map(loss => ({
+          targetId: loss.targetId,
+          bootId: loss.bootId,
+          isConfirmed: loss.isConfirmed,
+        })),
+        remainingMs: untilMs - step.nowMs,
+      })),
+    cleared: takeSome(outbox.cleared),
+  };
+}
+
+function takeSome(waiting: Set<Fingerprint>): Fingerprint[] {
+  const some = [...waiting].slice(0, QUARANTINE_TIMING.maxMessageSuspects);
+  for (const fingerprint of some) waiting.delete(fingerprint);
+  return some;
+}
+
+function choosePeers(step: Step): Peer[] {
+  const peers = livePeers(step.state, step.nowMs);
+  const {random} = step.state;
+  while (peers.length > FAN_OUT) {
+    peers.splice(random.below(peers.length), 1);
+  }
+  return peers;
+}
--- a/src/core/requests/close_attempt.ts
+++ b/src/core/requests/close_attempt.ts
@@ -1,6 +1,7 @@
 import type {AttemptResult} from '../routing/types.js';
 import type {RequestRecord} from './request_record.js';
 import type {Step} from '../state/types.js';
+import {noteSuspectRun} from '../quarantine/index.js';
 import {noteAttemptOver} from '../routing/index.js';
 
 /** Notes that a request's attempt is over: its later events change nothing. */
@@ -12,6 +13,7 @@
   const {attempt} = record;
   if (!attempt) return;
   noteAttemptOver(step, record, result);
+  noteSuspectRun(step, record.info, -1);
   const {byAttempt, byTarget} = step.state.requests;
   byAttempt.delete(attempt.attemptId);
   const others = byTarget.get(attempt.targetId);
--- a/src/core/requests/index.ts
+++ b/src/core/requests/index.ts
@@ -5,6 +5,7 @@
 export {dispatchQueued} from './dispatch_queued.js';
 export {forgetRequest} from './forget_request.js';
 export {moveAttempts} from './move_attempts.js';
+export {quarantineRequests} from './quarantine_requests.js';
 export {reduceRequests} from './reduce_requests.js';
 export {refuseRequest} from './refuse_request.js';
 export type * from './types.js';
--- a/src/core/requests/move_attempts.ts
+++ b/src/core/requests/move_attempts.ts
@@ -27,7 +27,8 @@
 }
 
 function moveAttempt(step: Step, record: RequestRecord): void {
-  const {targetId} = record.attempt!;
+  if (!record.attempt) return; // quarantined meanwhile
+  const {targetId} = record.attempt;
   cancelAttempt(step, record);
   record.failedTargets.add(targetId);
   if (!mayMove(step, record)) {
--- a/src/core/requests/open_attempt.ts
+++ b/src/core/requests/open_attempt.ts
@@ -1,6 +1,7 @@
 import type {AttemptId, TargetId} from '../ids/index.js';
 import type {RequestRecord} from './request_record.js';
 import type {Step} from '../state/types.js';
+import {noteSuspectRun, targetBoot} from '../quarantine/index.js';
 
 /** Notes that a request runs on a target. */
 export function openAttempt(
@@ -12,7 +13,14 @@
   const {byAttempt, byTarget} = step.state.requests;
   record.phase = 'running';
   record.attempts += 1;
-  record.attempt = {attemptId, targetId, startedAtMs: step.nowMs, tokens: 0};
+  record.attempt = {
+    attemptId,
+    targetId,
+    bootId: targetBoot(step, targetId),
+    startedAtMs: step.nowMs,
+    tokens: 0,
+  };
+  noteSuspectRun(step, record.info, 1);
   byAttempt.set(attemptId, record);
   const others = byTarget.get(targetId);
   if (others) others.add(record);
--- a/src/core/requests/request_record.ts
+++ b/src/core/requests/request_record.ts
@@ -5,6 +5,8 @@
 interface Attempt {
   readonly attemptId: AttemptId;
   readonly targetId: TargetId;
+  /** Boot of the target's leader when the attempt began. */
+  readonly bootId: string;
   readonly startedAtMs: number;
   firstTokenAtMs?: number;
   /** Tokens delivered to the caller by this attempt. */
--- a/src/core/routing/two_choices_policy.ts
+++ b/src/core/routing/two_choices_policy.ts
@@ -4,6 +4,7 @@
 import type {Step} from '../state/types.js';
 import type {Target} from '../targets/types.js';
 import type {TargetId} from '../ids/index.js';
+import {grantedTarget} from '../quarantine/index.js';
 import {isEligible} from './is_eligible.js';
 import {poolOf} from './pool_of.js';
 import {refreshTarget} from './refresh_target.js';
@@ -39,12 +40,14 @@
   }
 }
 
-/** Free holders of the longest prefix first, then random members with a free slot. */
+/** The target granted to a suspect, free holders of the longest prefix first, then random members with a free slot. */
 function* drawCandidates(
   step: Step,
   record: RequestRecord,
   pool: ServicePool,
 ): Generator<TargetId> {
+  const granted = grantedTarget(step, record.info);
+  if (granted && pool.free.has(granted)) yield granted;
   yield* freeHolders(step, record, pool);
   for (let draw = 0; draw < MAX_DRAWS && pool.free.size > 0; draw++) {
     const targetId = pool.free.at(step.state.random.below(pool.free.size))!;
--- a/src/peers/message_schemas.ts
+++ b/src/peers/message_schemas.ts
@@ -29,7 +29,9 @@
 
 const suspect = z.looseObject({
   fingerprint: text,
-  lostTargets: list(text),
+  losses: list(
+    z.looseObject({targetId: text, bootId: text, isConfirmed: z.boolean()}),
+  ),
   remainingMs: count,
 });
 
@@ -82,6 +84,8 @@
     suspects: list(suspect),
     cleared: list(text),
   }),
+  'quarantine.ask': z.looseObject({fingerprint: text, targetId: text}),
+  'quarantine.answer': z.looseObject({isGranted: z.boolean()}),
   'routing.reports': z.looseObject({
     reports: list(z.looseObject({report, ageMs: count})),
   }),
--- a/test/support/once_world.ts
+++ b/test/support/once_world.ts
@@ -115,7 +115,7 @@
         deterministic: false,
         unrepeatable: false,
         idempotencyKey: key,
-        bodyDigest: body,
+        bodyDigest: `${key}-${body}`,
         prefixHashes: [],
       },
     });
