Add the embedded default: rhubarbstile dev

One process with the platform stand-in, twelve engine VMs in three fabric domains, an application on two VMs and three nodes; prints curl lines. Node settings pass the same checks as any other file. Operators' commands wait for a node that is still starting (seen: NodeNotReady to a publish sent at once).

--- a/src/cli/create_cli.ts
+++ b/src/cli/create_cli.ts
@@ -4,6 +4,7 @@
 import {EXIT_CODE_HELP} from './exit_code_help.js';
 import {auditCommand} from './commands/audit_command.js';
 import {configCommand} from './commands/config_command.js';
+import {devCommand} from './commands/dev_command.js';
 import {drainCommand} from './commands/drain_command.js';
 import {nodeCommand} from './commands/node_command.js';
 import {publishCommand} from './commands/publish_command.js';
@@ -27,6 +28,7 @@
     .command(replicasCommand)
     .command(auditCommand)
     .command(drainCommand)
+    .command(devCommand)
     .command(replayCommand)
     .demandCommand(1, 'Name a command.')
     .recommendCommands()
--- /dev/null
+++ b/src/dev/dev_cluster.ts
@@ -0,0 +1,134 @@
+import {randomUUID} from 'node:crypto';
+import type {ConfigFile} from '../core/config/files/index.js';
+import type {PublishAnswer} from '../core/operators/types.js';
+import type {RunningNode} from '../runtime/types.js';
+import type {Settings} from '../settings/types.js';
+import type {VmRecord} from '../core/store/types.js';
+import {DEV_FILES} from './dev_files.js';
+import {DEV_SECRETS} from './dev_secrets.js';
+import {DevTargets} from './dev_targets.js';
+import {OperatorClient} from '../operators/index.js';
+import {PlatformStandin} from '../standins/index.js';
+import {createDevSettings} from './create_dev_settings.js';
+import {createNode} from '../runtime/index.js';
+import {findFreePorts} from './find_free_ports.js';
+import {waitUntil} from './wait_until.js';
+
+const ZONES = ['zone-a', 'zone-b', 'zone-c'] as const;
+const START_LIMIT_MS = 30_000;
+const DRAIN_LIMIT_MS = 10_000;
+
+interface DevNode {
+  readonly settings: Settings;
+  readonly node: RunningNode;
+  isLost: boolean;
+}
+
+interface DevOptions {
+  readonly logLevel: 'debug' | 'info' | 'warn' | 'error';
+  readonly files?: readonly ConfigFile[];
+}
+
+/** A whole deployment in one process: platform, engines, an application, three nodes. */
+export class DevCluster {
+  readonly nodes: DevNode[] = [];
+  readonly targets = new DevTargets();
+  private readonly platform = new PlatformStandin();
+
+  private constructor(private readonly options: DevOptions) {}
+
+  /** Starts all parts, publishes, and waits until every service has targets. */
+  static async start(options: DevOptions): Promise<DevCluster> {
+    const cluster = new DevCluster(options);
+    try {
+      await cluster.startParts();
+    } catch (error) {
+      await cluster.close();
+      throw error;
+    }
+    return cluster;
+  }
+
+  /** Replaces the platform's list of VMs. */
+  setVms(vms: readonly VmRecord[]): void {
+    this.platform.platform.setVms(vms);
+  }
+
+  /** Drops a node's sockets without a drain, as a lost VM would. */
+  loseNode(at: number): string {
+    const lost = this.nodes[at]!;
+    lost.isLost = true;
+    lost.node.destroy();
+    return lost.settings.node.nodeId;
+  }
+
+  /** Drains the nodes that are left, then stops the stand-ins. */
+  async close(): Promise<void> {
+    const left = this.nodes.filter(one => !one.isLost);
+    for (const {node} of left) node.drain('the embedded default ends');
+    const limit = new Promise(resolve => {
+      setTimeout(resolve, DRAIN_LIMIT_MS).unref();
+    });
+    await Promise.race([Promise.all(left.map(one => one.node.ended)), limit]);
+    await this.targets.close();
+    await this.platform.close();
+  }
+
+  private async startParts(): Promise<void> {
+    await this.targets.start(ZONES);
+    await this.platform.listen();
+    this.setVms(this.targets.listVms());
+    await this.startNodes();
+    await waitUntil('nodes that know the store', START_LIMIT_MS, () =>
+      this.nodes.every(({node}) => !node.state.config.isCatchingUp),
+    );
+    await this.publish(this.options.files ?? DEV_FILES);
+    await waitUntil('a target for every service', START_LIMIT_MS, () =>
+      this.nodes.every(({node}) => hasAllTargets(node)),
+    );
+  }
+
+  private async startNodes(): Promise<void> {
+    const ports = await findFreePorts(2 * ZONES.length);
+    for (const [at, zone] of ZONES.entries()) {
+      const settings = createDevSettings({
+        name: `node-${at + 1}`,
+        zone,
+        callerPort: ports[2 * at]!,
+        controlPort: ports[2 * at + 1]!,
+        platformAddress: this.platform.address,
+        logLevel: this.options.logLevel,
+      });
+      const node = await createNode(settings);
+      this.nodes.push({settings, node, isLost: false});
+    }
+  }
+
+  private async publish(files: readonly ConfigFile[]): Promise<void> {
+    const client = new OperatorClient({
+      address: this.nodes[0]!.settings.node.controlAddress,
+      token: DEV_SECRETS.operatorToken,
+      operator: 'dev',
+    });
+    const answer = await client.ask<PublishAnswer>({
+      kind: 'publish',
+      publicationId: randomUUID(),
+      files,
+      prune: false,
+    });
+    if (answer.isErr()) {
+      throw new Error(`publish failed: ${JSON.stringify(answer.error)}`);
+    }
+  }
+}
+
+function hasAllTargets({state}: RunningNode): boolean {
+  const services = [...state.config.document.services.values()];
+  if (services.length === 0) return false;
+  return services.every(service => {
+    const ids = [...(state.targets.byService.get(service.name) ?? [])];
+    const open = ids.filter(id => !state.targets.byId.get(id)?.bar);
+    const wanted = service.kind === 'model' ? service.replicas : 1;
+    return open.length >= wanted;
+  });
+}
--- /dev/null
+++ b/src/dev/dev_secrets.ts
@@ -0,0 +1,7 @@
+/** Tokens of the embedded default; they protect nothing and are printed. */
+export const DEV_SECRETS = {
+  operatorToken: 'dev-operator-token',
+  peerSecret: 'dev-peer-secret-on-loopback',
+  bakeryToken: 'dev-bakery-token',
+  stableToken: 'dev-stable-token',
+} as const;
--- a/src/settings/parse_settings.ts
+++ b/src/settings/parse_settings.ts
@@ -74,6 +74,7 @@
     region,
     callerAddress,
     controlAddress,
+    seedPeers: node.seedPeers,
     roles: {
       entry: has('entry'),
       relay: has('relay'),
