--- a/src/cli/commands/dev_command.ts
+++ b/src/cli/commands/dev_command.ts
@@ -1,8 +1,11 @@
 import type {CommandModule} from 'yargs';
-import {DevCluster, formatWelcome} from '../../dev/index.js';
+import {CliError} from '../cli_error.js';
+import {DevCluster, formatWelcome, runDemo} from '../../dev/index.js';
+import {EXIT_CODE} from '../exit_code.js';
 import {EXIT_CODE_HELP} from '../exit_code_help.js';
 
 interface Arguments {
+  readonly demo: boolean;
   readonly logLevel: 'debug' | 'info' | 'warn' | 'error';
 }
 
@@ -13,6 +16,11 @@
     'Run three nodes with stand-in targets in this process, to try things',
   builder: yargs =>
     yargs
+      .option('demo', {
+        type: 'boolean',
+        default: false,
+        describe: 'Send a mixed load with faults, print a table, and end',
+      })
       .option('logLevel', {
         alias: 'log-level',
         choices: ['debug', 'info', 'warn', 'error'] as const,
@@ -20,7 +28,8 @@
       })
       .example('$0 dev', 'Print addresses and run until Ctrl-C')
       .epilogue(EXIT_CODE_HELP),
-  handler: async ({logLevel}) => {
+  handler: async ({demo, logLevel}) => {
+    if (demo) return demonstrate();
     const cluster = await DevCluster.start({logLevel});
     process.stdout.write(formatWelcome(cluster) + '\n');
     await new Promise<void>(resolve => {
@@ -30,3 +39,11 @@
     await cluster.close();
   },
 };
+
+async function demonstrate(): Promise<void> {
+  const isGood = await runDemo(line => void process.stdout.write(line + '\n'));
+  if (isGood) return;
+  throw new CliError('Requests were lost or answered wrongly; see above.', {
+    exitCode: EXIT_CODE.failed,
+  });
+}
--- /dev/null
+++ b/src/dev/demo/demo_load.ts
@@ -0,0 +1,99 @@
+import {Agent} from 'node:http';
+import type {DemoOutcome} from './demo_outcome.js';
+import type {DevCluster} from '../dev_cluster.js';
+import {ChatRequest} from './chat_request.js';
+import {DEV_SECRETS} from '../dev_secrets.js';
+import {DemoTally} from './demo_tally.js';
+import {EntryBook} from './entry_book.js';
+import {OrderRequest} from './order_request.js';
+
+const LONG_SHARE = 0.1;
+const ORDER_SHARE = 0.25;
+const SHORT_TOKENS = 12;
+const LONG_TOKENS = 240;
+const MAX_SOCKETS = 256;
+
+/** Sends requests and keeps count of how they end. */
+export class DemoLoad {
+  readonly tally = new DemoTally();
+  readonly reasons: string[] = [];
+  private readonly agent = new Agent({
+    keepAlive: true,
+    maxSockets: MAX_SOCKETS,
+  });
+  private readonly callers;
+  private readonly open = new Set<Promise<void>>();
+  private readonly orders: OrderRequest[] = [];
+  private counter = 0;
+
+  constructor(private readonly cluster: DevCluster) {
+    const known = cluster.nodes.map(one => one.settings.node.callerAddress);
+    this.callers = [DEV_SECRETS.bakeryToken, DEV_SECRETS.stableToken].map(
+      token => ({
+        token,
+        chat: new EntryBook(known, this.agent, 'chat'),
+        orders: new EntryBook(known, this.agent, 'orders'),
+      }),
+    );
+  }
+
+  get openCount(): number {
+    return this.open.size;
+  }
+
+  /** Sends one request of a kind drawn at random. */
+  send(): void {
+    const request = this.createRequest();
+    this.tally.noteSent(request.kind);
+    const done = request.run().then(outcome => this.note(outcome));
+    this.open.add(done);
+    void done.finally(() => this.open.delete(done));
+  }
+
+  /** Waits for every open request, each of which gives up by itself. */
+  async finish(): Promise<void> {
+    await Promise.all(this.open);
+    this.agent.destroy();
+  }
+
+  /** Orders that did not run exactly once although their callers have an answer. */
+  countWrongOrders(): number {
+    return this.orders.filter(order => order.countRuns() > 1).length;
+  }
+
+  private note(outcome: DemoOutcome): void {
+    this.tally.noteOutcome(outcome);
+    if (outcome.end !== 'whole') {
+      this.reasons.push(`${outcome.kind} ${outcome.end}: ${outcome.reason}`);
+    }
+  }
+
+  private createRequest(): ChatRequest | OrderRequest {
+    this.counter += 1;
+    const caller = this.callers[this.counter % this.callers.length]!;
+    const {token} = caller;
+    const draw = Math.random();
+    if (draw < ORDER_SHARE) {
+      const order = new OrderRequest(
+        {entries: caller.orders, agent: this.agent, token},
+        {stars: this.counter, countRuns: key => this.countRuns(key)},
+      );
+      this.orders.push(order);
+      return order;
+    }
+    const isLong = draw < ORDER_SHARE + LONG_SHARE;
+    return new ChatRequest(
+      {entries: caller.chat, agent: this.agent, token},
+      {
+        kind: isLong ? 'long' : 'short',
+        prompt: `design ${this.counter} of a paper star`,
+        outputTokens: isLong ? LONG_TOKENS : SHORT_TOKENS,
+      },
+    );
+  }
+
+  private countRuns(idempotencyKey: string): number {
+    const name = `POST /orders ${idempotencyKey}`;
+    return this.cluster.targets.countRuns().get(name) ?? 0;
+  }
+}
--- /dev/null
+++ b/src/dev/demo/read_refusal.ts
@@ -0,0 +1,18 @@
+import type {Entry} from '../../core/entries/types.js';
+import type {ErrorBody} from '../../core/errors/types.js';
+
+interface ReadRefusal {
+  readonly error: ErrorBody;
+  readonly entries?: readonly Entry[];
+}
+
+/** Reads a refusal, whole or as the last event of a stream. */
+export function readRefusal(body: string): ReadRefusal | undefined {
+  const event = /^event: error\ndata: (.*)$/m.exec(body)?.[1];
+  try {
+    const parsed = JSON.parse(event ?? body) as Partial<ReadRefusal>;
+    return parsed.error ? (parsed as ReadRefusal) : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- a/src/dev/dev_targets.ts
+++ b/src/dev/dev_targets.ts
@@ -48,6 +48,12 @@
     );
   }
 
+  /** Takes a VM away for good. */
+  remove(vmId: VmId): void {
+    this.engines.get(vmId)?.die();
+    this.records = this.records.filter(record => record.vmId !== vmId);
+  }
+
   /** How often each order ran, over all engines of the application. */
   countRuns(): Map<string, number> {
     const runs = new Map<string, number>();
