--- a/src/dev/demo/demo_load.ts
+++ b/src/dev/demo/demo_load.ts
@@ -12,6 +12,10 @@
 const SHORT_TOKENS = 12;
 const LONG_TOKENS = 240;
 const MAX_SOCKETS = 256;
+const ORGANISATIONS = [
+  {name: 'bakery', token: DEV_SECRETS.bakeryToken},
+  {name: 'stable', token: DEV_SECRETS.stableToken},
+] as const;
 
 /** Sends requests and keeps count of how they end. */
 export class DemoLoad {
@@ -28,13 +32,13 @@
 
   constructor(private readonly cluster: DevCluster) {
     const known = cluster.nodes.map(one => one.settings.node.callerAddress);
-    this.callers = [DEV_SECRETS.bakeryToken, DEV_SECRETS.stableToken].map(
-      token => ({
-        token,
-        chat: new EntryBook(known, this.agent, 'chat'),
-        orders: new EntryBook(known, this.agent, 'orders'),
-      }),
-    );
+    this.callers = ORGANISATIONS.map(({name, token}) => {
+      const createBook = (service: string) => {
+        const query = `service=${service}&organisation=${name}`;
+        return new EntryBook(known, this.agent, query);
+      };
+      return {token, chat: createBook('chat'), orders: createBook('orders')};
+    });
   }
 
   get openCount(): number {
@@ -56,8 +60,8 @@
     this.agent.destroy();
   }
 
-  /** Orders that did not run exactly once although their callers have an answer. */
-  countWrongOrders(): number {
+  /** Orders that ran more than once. */
+  countRepeatedOrders(): number {
     return this.orders.filter(order => order.countRuns() > 1).length;
   }
 
--- a/src/dev/demo/entry_book.ts
+++ b/src/dev/demo/entry_book.ts
@@ -16,7 +16,7 @@
     /** Addresses known from the start, as a caller's own settings have them. */
     private readonly known: readonly string[],
     private readonly agent: Agent,
-    private readonly service: string,
+    private readonly query: string,
   ) {}
 
   /** The address to use now; undefined when none answers. */
@@ -54,7 +54,7 @@
       const exchange = await httpExchange({
         address,
         method: 'GET',
-        path: `/v1/entries?service=${this.service}`,
+        path: `/v1/entries?${this.query}`,
         headers: {},
         agent: this.agent,
         timeoutMs: ASK_TIMEOUT_MS,
--- a/src/dev/demo/run_demo.ts
+++ b/src/dev/demo/run_demo.ts
@@ -14,7 +14,6 @@
 const REMOVE_AT_MS = 8000;
 const PROGRESS_MS = 1000;
 const LEAVING_VM = makeId<VmId>('zone-a-engine-1');
-const LOST_NODE = 1;
 
 /** Runs the demo; true when nothing was lost and nothing wrong. */
 export async function runDemo(print: (line: string) => void): Promise<boolean> {
@@ -77,7 +76,10 @@
     },
     {
       atMs: LOSE_NODE_AT_MS,
-      run: () => print(`demo: ${cluster.loseNode(LOST_NODE)} is lost`),
+      run: () =>
+        print(
+          `demo: ${cluster.loseBusiestNode()} is lost with its requests in progress`,
+        ),
     },
     {
       atMs: REMOVE_AT_MS,
@@ -105,7 +107,7 @@
 function report(load: DemoLoad, print: (line: string) => void): boolean {
   const {tally} = load;
   for (const reason of load.reasons) print(`demo: ${reason}`);
-  const twice = load.countWrongOrders();
+  const twice = load.countRepeatedOrders();
   if (twice > 0) print(`demo: ${twice} orders ran more than once`);
   const wrong = tally.total('wrong') + twice;
   const lost = tally.total('lost');
--- a/src/dev/dev_cluster.ts
+++ b/src/dev/dev_cluster.ts
@@ -54,9 +54,11 @@
     this.platform.platform.setVms(vms);
   }
 
-  /** Drops a node's sockets without a drain, as a lost VM would. */
-  loseNode(at: number): string {
-    const lost = this.nodes[at]!;
+  /** Drops the sockets of the busiest node without a drain, as a lost VM would. */
+  loseBusiestNode(): string {
+    const left = this.nodes.filter(one => !one.isLost);
+    left.sort((a, b) => countRequests(b) - countRequests(a));
+    const lost = left[0]!;
     lost.isLost = true;
     lost.node.destroy();
     return lost.settings.node.nodeId;
@@ -122,6 +124,10 @@
   }
 }
 
+function countRequests({node}: DevNode): number {
+  return node.state.requests.byId.size;
+}
+
 function hasAllTargets({state}: RunningNode): boolean {
   const services = [...state.config.document.services.values()];
   if (services.length === 0) return false;
