--- a/src/core/admission/enqueue_request.ts
+++ b/src/core/admission/enqueue_request.ts
@@ -3,11 +3,14 @@
 import type {Step} from '../state/types.js';
 import type {Ticket} from './ticket.js';
 import {createRefusal} from '../errors/index.js';
+import {estimateRunMs} from './estimate_run_ms.js';
 import {estimateWaitMs} from './estimate_wait_ms.js';
 import {openTicket} from './open_ticket.js';
 import {putInQueue} from './put_in_queue.js';
 import {queueOf} from './queue_of.js';
 
+/** Part of the estimated wait that is nearly sure: a swing may end, and queues empty faster. */
+const SURE_SHARE = 0.7;
 const MIN_RETRY_MS = 200;
 const MAX_RETRY_MS = 30_000;
 
@@ -38,13 +41,15 @@
     });
   }
   if (!step.state.admission.options.deadlineRefusal) return undefined;
-  if (step.nowMs + waitMs <= info.deadlineAtMs) return undefined;
+  const neededMs = SURE_SHARE * waitMs + estimateRunMs(step, info);
+  const excessMs = step.nowMs + neededMs - info.deadlineAtMs;
+  if (excessMs <= 0) return undefined;
   return createRefusal('DeadlineUnreachable', 'not-run', {
-    retryAfterMs: drawRetryMs(step, waitMs),
+    retryAfterMs: drawRetryMs(step, excessMs),
   });
 }
 
-/** When the queue of now will have drained, spread so that callers do not return together. */
+/** When so much of the queue will have drained, spread so that callers do not return together. */
 function drawRetryMs(step: Step, waitMs: number): number {
   const spread = 0.5 + step.state.random.next();
   const boundedMs = Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, waitMs));
--- a/src/core/admission/estimate_wait_ms.ts
+++ b/src/core/admission/estimate_wait_ms.ts
@@ -1,14 +1,19 @@
 import type {Step} from '../state/types.js';
 import type {Ticket} from './ticket.js';
+import {laneOf} from './lane_of.js';
 import {queueOf} from './queue_of.js';
 
 /** Requests that may wait before the drain rate is trusted. */
 const MIN_AHEAD = 4;
 
-/** How long a ticket will wait at the rate at which its class leaves the queue now. */
+/** How long a ticket will wait by those ahead of it and the rate at which its class leaves the queue now. */
 export function estimateWaitMs(step: Step, ticket: Ticket): number {
-  const queue = queueOf(step, ticket.record.info.service);
-  const ahead = ticket.isLong ? queue.size : queue.short.size;
+  const {info} = ticket.record;
+  const queue = queueOf(step, info.service);
+  const lane = laneOf(step, info);
+  const ahead = ticket.isLong
+    ? queue.short.size + queue.long.countAhead(lane, info.priority)
+    : queue.short.countAhead(lane, info.priority);
   if (ahead < MIN_AHEAD) return 0;
   const rate = ticket.isLong ? queue.allRate : queue.shortRate;
   return ahead / rate.perMs(step.nowMs);
--- a/src/core/admission/fair_queue.ts
+++ b/src/core/admission/fair_queue.ts
@@ -27,6 +27,7 @@
       this.lanes.set(id, lane);
       this.ring.push(lane);
     }
+    lane.size += 1;
     if (first) lane.tickets.pushFront(ticket);
     else lane.tickets.push(ticket);
   }
@@ -43,9 +44,31 @@
   take(lane: OrganisationLane): void {
     const ticket = lane.tickets.peek()!;
     lane.tickets.shift();
+    lane.size -= 1;
     lane.deficitTokens -= ticket.estimatedTokens;
   }
 
+  /** Tickets that wait. */
+  get size(): number {
+    return this.ring.reduce((sum, lane) => sum + lane.size, 0);
+  }
+
+  /** Counts out a ticket that was marked as no longer queued. */
+  noteRemoved(id: OrganisationId | undefined): void {
+    const lane = this.lanes.get(id);
+    if (lane) lane.size -= 1;
+  }
+
+  /** Requests that leave before a new one of a lane, when lanes take turns by weight. */
+  countAhead(id: OrganisationId | undefined): number {
+    const turns = (this.lanes.get(id)?.size ?? 0) / this.weight(id);
+    let ahead = 0;
+    for (const lane of this.ring) {
+      ahead += Math.min(lane.size, turns * this.weight(lane.organisation));
+    }
+    return ahead;
+  }
+
   /** Passes turns until a lane can pay for its first ticket. */
   private laneInTurn(): OrganisationLane | undefined {
     const limit = MAX_ROUNDS * this.ring.length;
@@ -74,8 +97,10 @@
   private passTurn(): void {
     this.ring.push(this.ring.shift()!);
     const next = this.ring[0]!;
-    const weight =
-      next.organisation === undefined ? 1 : this.weightOf(next.organisation);
-    next.deficitTokens += QUANTUM_TOKENS * weight;
+    next.deficitTokens += QUANTUM_TOKENS * this.weight(next.organisation);
+  }
+
+  private weight(id: OrganisationId | undefined): number {
+    return id === undefined ? 1 : this.weightOf(id);
   }
 }
--- a/src/core/admission/index.ts
+++ b/src/core/admission/index.ts
@@ -8,6 +8,7 @@
 export {removeQueuedRequest} from './remove_queued_request.js';
 export {requeueRequest} from './requeue_request.js';
 export {isLong} from './is_long.js';
+export {isTooLate} from './is_too_late.js';
 export {markReady} from './mark_ready.js';
 export {selectPauses} from './select_pauses.js';
 export type * from './types.js';
--- /dev/null
+++ b/src/core/admission/is_too_late.ts
@@ -0,0 +1,14 @@
+import type {RequestRecord} from '../requests/types.js';
+import type {Step} from '../state/types.js';
+import {estimateRunMs} from './estimate_run_ms.js';
+
+/** Whether a request that starts now cannot be answered before its deadline. */
+export function isTooLate(
+  step: Step,
+  {info, deliveredTokens}: RequestRecord,
+): boolean {
+  if (step.nowMs >= info.deadlineAtMs) return true;
+  if (deliveredTokens > 0) return false;
+  if (!step.state.admission.options.deadlineRefusal) return false;
+  return step.nowMs + estimateRunMs(step, info) > info.deadlineAtMs;
+}
--- /dev/null
+++ b/src/core/admission/lane_of.ts
@@ -0,0 +1,12 @@
+import type {OrganisationId} from '../ids/index.js';
+import type {RequestInfo} from '../requests/types.js';
+import type {Step} from '../state/types.js';
+
+/** The lane of a request: its organisation's, or the one that all share without fairness. */
+export function laneOf(
+  step: Step,
+  info: RequestInfo,
+): OrganisationId | undefined {
+  const {fairness} = step.state.admission.options;
+  return fairness ? info.organisation : undefined;
+}
--- a/src/core/admission/organisation_lane.ts
+++ b/src/core/admission/organisation_lane.ts
@@ -5,6 +5,8 @@
 export class OrganisationLane {
   readonly tickets = new TicketFifo();
   deficitTokens = 0;
+  /** Tickets that wait. */
+  size = 0;
 
   constructor(readonly organisation: OrganisationId | undefined) {}
 }
--- a/src/core/admission/priority_queue.ts
+++ b/src/core/admission/priority_queue.ts
@@ -45,10 +45,22 @@
   }
 
   /** Counts out a ticket that was marked as no longer queued. */
-  noteRemoved(): void {
+  noteRemoved(lane: OrganisationId | undefined, {record}: Ticket): void {
+    this.levels.get(record.info.priority)!.noteRemoved(lane);
     this.size -= 1;
   }
 
+  /** Requests that leave before a new one of a lane and priority. */
+  countAhead(lane: OrganisationId | undefined, priority: number): number {
+    let ahead = 0;
+    for (const other of this.order) {
+      const level = this.levels.get(other)!;
+      if (other === priority) return ahead + level.countAhead(lane);
+      if (other > priority) ahead += level.size;
+    }
+    return ahead;
+  }
+
   private take(level: FairQueue, lane: OrganisationLane): void {
     level.take(lane);
     this.size -= 1;
--- a/src/core/admission/remove_queued_request.ts
+++ b/src/core/admission/remove_queued_request.ts
@@ -1,5 +1,6 @@
 import type {RequestRecord} from '../requests/types.js';
 import type {Step} from '../state/types.js';
+import {laneOf} from './lane_of.js';
 import {queueOf} from './queue_of.js';
 
 /** Takes a request off the queue and forgets it; false when it was not queued. */
@@ -14,6 +15,7 @@
   tickets.delete(requestId);
   if (!ticket.isQueued) return false;
   ticket.isQueued = false;
-  queueOf(step, service).classOf(ticket.isLong).noteRemoved();
+  const queue = queueOf(step, service).classOf(ticket.isLong);
+  queue.noteRemoved(laneOf(step, record.info), ticket);
   return true;
 }
--- a/src/core/requests/dispatch_queued.ts
+++ b/src/core/requests/dispatch_queued.ts
@@ -1,8 +1,10 @@
 import type {AttemptId} from '../ids/index.js';
 import type {Dispatch} from '../admission/types.js';
+import type {ErrorName} from '../errors/index.js';
+import type {RequestInfo} from './request_info.js';
 import type {Step} from '../state/types.js';
 import {createRefusal} from '../errors/index.js';
-import {nextDispatches} from '../admission/index.js';
+import {isTooLate, nextDispatches} from '../admission/index.js';
 import {nextId} from '../state/index.js';
 import {noteDispatched} from '../routing/index.js';
 import {noteOnceDispatched, noteOnceOver} from '../once/index.js';
@@ -23,20 +25,25 @@
   }
 }
 
-/** A node that was paused may find a request whose deadline passed meanwhile. */
+/** A request whose answer would come after its deadline is refused, not run in vain. */
 function mayStart(step: Step, {record}: Dispatch): boolean {
   const {info, verdict} = record;
-  const isLate = step.nowMs >= info.deadlineAtMs;
+  const isLate = isTooLate(step, record);
   if (!isLate && (!info.unrepeatable || noteOnceDispatched(step, record))) {
     return true;
   }
-  const name = isLate ? 'DeadlinePassed' : 'AlreadyRunning';
+  const name = isLate ? lateName(step, info) : 'AlreadyRunning';
   if (info.unrepeatable) noteOnceOver(step, record);
   const options = {retryAfterMs: RETRY_AFTER_MS};
   refuseRequest(step, record, createRefusal(name, verdict, options));
   return false;
 }
 
+function lateName(step: Step, info: RequestInfo): ErrorName {
+  const hasPassed = step.nowMs >= info.deadlineAtMs;
+  return hasPassed ? 'DeadlinePassed' : 'DeadlineUnreachable';
+}
+
 function startAttempt(step: Step, {record, target}: Dispatch): void {
   const {info} = record;
   const {targetId, address} = target;
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -9,4 +9,5 @@
 export {reduceRouting} from './reduce_routing.js';
 export {refreshTarget} from './refresh_target.js';
 export {selectTarget} from './select_target.js';
+export {usualMsPerToken} from './usual_ms_per_token.js';
 export type * from './types.js';
--- /dev/null
+++ b/src/replay/load/is_in_deadline.ts
@@ -0,0 +1,7 @@
+import type {RequestOutcome} from './request_outcome.js';
+
+/** Whether a request was answered whole before its caller gave up. */
+export function isInDeadline({request, endedAtMs}: RequestOutcome): boolean {
+  if (endedAtMs === undefined) return false;
+  return endedAtMs <= request.atMs + request.deadlineMs;
+}
--- a/src/replay/load/measure_load.ts
+++ b/src/replay/load/measure_load.ts
@@ -1,5 +1,7 @@
 import type {LoadFleet} from './load_fleet.js';
 import type {LoadMeasures} from './load_measures.js';
+import {isInDeadline} from './is_in_deadline.js';
+import {measureFairness} from './measure_fairness.js';
 import type {RequestOutcome} from './request_outcome.js';
 
 /** Requests with more output count as long. */
@@ -29,11 +31,12 @@
     shortWaitP50Ms: round(quantile(waits, 0.5)),
     shortWaitP95Ms: round(quantile(waits, 0.95)),
     shortWaitP99Ms: round(quantile(waits, 0.99)),
+    shortTimeP99Ms: round(quantile(short.map(timeOf), 0.99)),
     shortInDeadline: round(share(crest, isInDeadline)),
     allInDeadline: round(share(outcomes, isInDeadline)),
     longMeanMs: round(sum(longTimes) / Math.max(1, longTimes.length)),
     longP95Ms: round(quantile(longTimes, 0.95)),
-    fairness: round(measureFairness(crest)),
+    fairness: round(measureFairness(fleet, crest)),
     retriesPerRequest: round(sends / Math.max(1, outcomes.length)),
     refusals: sum(outcomes.map(one => one.refusals)),
     afterWaitP95Ms: round(quantile(after.map(waitOf), 0.95)),
@@ -55,30 +58,10 @@
   return endedAtMs - request.atMs;
 }
 
-function isInDeadline({request, endedAtMs}: RequestOutcome): boolean {
-  if (endedAtMs === undefined) return false;
-  return endedAtMs <= request.atMs + request.deadlineMs;
-}
-
 function retriesOf({attempts, pauses}: RequestOutcome): number {
   return Math.max(0, attempts - 1 - pauses);
 }
 
-/** Jain's index of the organisations' service rates: one over one second plus the mean wait. */
-function measureFairness(outcomes: readonly RequestOutcome[]): number {
-  const waits = new Map<string, number[]>();
-  for (const one of outcomes) {
-    const name = one.request.client.split('/')[0]!;
-    waits.set(name, [...(waits.get(name) ?? []), waitOf(one)]);
-  }
-  const rates = [...waits.values()].map(
-    one => 1 / (1000 + sum(one) / one.length),
-  );
-  const total = sum(rates);
-  const squares = sum(rates.map(rate => rate * rate));
-  return (total * total) / (rates.length * squares);
-}
-
 function quantile(values: readonly number[], at: number): number {
   const sorted = [...values].sort((a, b) => a - b);
   return sorted[Math.floor(at * (sorted.length - 1))] ?? 0;
