--- a/src/standins/engine_standin.ts
+++ b/src/standins/engine_standin.ts
@@ -10,8 +10,8 @@
 import {HttpService} from './http_service.js';
 import {PrefixCache} from './prefix_cache.js';
 import {createPrefixHashes} from '../targets/create_prefix_hashes.js';
-import {resolvePrompt} from '../targets/resolve_prompt.js';
 import {readJson} from './read_json.js';
+import {resolvePrompt} from '../targets/resolve_prompt.js';
 import {sendJson} from './send_json.js';
 
 const CHARACTERS_PER_TOKEN = 4;
