--- a/src/dev/demo/demo_load.ts
+++ b/src/dev/demo/demo_load.ts
@@ -6,11 +6,13 @@
 import {DemoTally} from './demo_tally.js';
 import {EntryBook} from './entry_book.js';
 import {OrderRequest} from './order_request.js';
+import {createRandom} from '../../core/random/index.js';
 
 const LONG_SHARE = 0.1;
 const ORDER_SHARE = 0.25;
 const SHORT_TOKENS = 12;
 const LONG_TOKENS = 240;
+const SEED = 1;
 const MAX_SOCKETS = 256;
 const ORGANISATIONS = [
   {name: 'bakery', token: DEV_SECRETS.bakeryToken},
@@ -28,6 +30,8 @@
   private readonly callers;
   private readonly open = new Set<Promise<void>>();
   private readonly orders: OrderRequest[] = [];
+  /** Seeded: every run sends the same mix. */
+  private readonly random = createRandom(SEED);
   private counter = 0;
 
   constructor(private readonly cluster: DevCluster) {
@@ -76,7 +80,7 @@
     this.counter += 1;
     const caller = this.callers[this.counter % this.callers.length]!;
     const {token} = caller;
-    const draw = Math.random();
+    const draw = this.random.next();
     if (draw < ORDER_SHARE) {
       const order = new OrderRequest(
         {entries: caller.orders, agent: this.agent, token},
--- a/test/units/operators/control_server.test.ts
+++ b/test/units/operators/control_server.test.ts
@@ -11,6 +11,7 @@
 import {PeerServer} from '../../../src/peers/index.js';
 import {callHttp} from '../../support/call_http.js';
 import {createNodeMetrics} from '../../../src/metrics/index.js';
+import {waitFor} from '../../support/wait_for.js';
 import {createNodeState} from '../../../src/core/state/index.js';
 import {makeId, type Incarnation} from '../../../src/core/ids/index.js';
 
@@ -116,3 +117,14 @@
   assert.equal((await get('/metrics')).status, 200);
   assert.equal((await get('/nowhere')).status, 404);
 });
+
+test('close ends although a connection waits for an answer that never comes', async () => {
+  const held = client(OPERATOR_TOKEN).ask({kind: 'services'});
+  await waitFor('the request', () => asked.length > 0);
+  const closed = control.close().then(() => 'closed');
+  const late = new Promise(resolve => {
+    setTimeout(resolve, 5000, 'late').unref();
+  });
+  assert.equal(await Promise.race([closed, late]), 'closed');
+  assert.equal((await held)._unsafeUnwrapErr().kind, 'unreachable');
+});
