--- a/src/dev/demo/chat_request.ts
+++ b/src/dev/demo/chat_request.ts
@@ -2,7 +2,7 @@
 import type {Exchange} from './exchange.js';
 import {DemoRequest} from './demo_request.js';
 import {completionToken} from '../../standins/completion_token.js';
-import {promptText} from '../../core/requests/index.js';
+import {resolvePrompt} from '../../targets/resolve_prompt.js';
 
 interface ChatOptions {
   readonly kind: 'short' | 'long';
@@ -32,7 +32,7 @@
       messages: [{role: 'user', content: chat.prompt}],
     };
     this.body = JSON.stringify(request);
-    const prompt = promptText(request);
+    const prompt = resolvePrompt(request);
     const indexes = Array.from({length: chat.outputTokens}, (_, at) => at);
     this.expected = indexes.map(at => completionToken(prompt, at)).join('');
   }
