State what the load traces must show

crest and long-and-short: short wait p95 at the crest at most a quarter of round robin's and half of least outstanding's, no fewer answered in deadline, long requests slowed by at most 20%.

--- a/src/core/admission/is_too_late.ts
+++ b/src/core/admission/is_too_late.ts
@@ -2,6 +2,9 @@
 import type {Step} from '../state/types.js';
 import {estimateRunMs} from './estimate_run_ms.js';
 
+/** Share of requests that run all the same, so that a wrong estimate is corrected. */
+const PROBE_SHARE = 1 / 16;
+
 /** Whether a request that starts now cannot be answered before its deadline. */
 export function isTooLate(
   step: Step,
@@ -10,5 +13,6 @@
   if (step.nowMs >= info.deadlineAtMs) return true;
   if (deliveredTokens > 0) return false;
   if (!step.state.admission.options.deadlineRefusal) return false;
-  return step.nowMs + estimateRunMs(step, info) > info.deadlineAtMs;
+  if (step.nowMs + estimateRunMs(step, info) <= info.deadlineAtMs) return false;
+  return step.state.random.next() >= PROBE_SHARE;
 }
--- a/src/core/admission/length_model.ts
+++ b/src/core/admission/length_model.ts
@@ -14,9 +14,16 @@
   private readonly byKey = new Map<string, DecayedQuantile>();
   private readonly typical = new Map<string, DecayedQuantile>();
 
-  /** Output tokens that a request is expected to make. */
+  /** Output tokens that a request is expected to make; a guess until some are known. */
   expectedTokens(info: RequestInfo): number {
-    const learned = this.byKey.get(keyOf(info))?.value ?? FIRST_GUESS_TOKENS;
+    const expected = this.learnedTokens(info) ?? FIRST_GUESS_TOKENS;
+    return Math.min(info.maxOutputTokens ?? Infinity, expected);
+  }
+
+  /** The same by answers alone; undefined when there was none. */
+  learnedTokens(info: RequestInfo): number | undefined {
+    const learned = this.byKey.get(keyOf(info))?.value;
+    if (learned === undefined) return undefined;
     return Math.min(info.maxOutputTokens ?? Infinity, learned);
   }
 
--- a/src/core/routing/apply_report.ts
+++ b/src/core/routing/apply_report.ts
@@ -1,7 +1,6 @@
 import type {Step} from '../state/types.js';
 import type {Target} from '../targets/types.js';
 import type {TargetLoad} from './target_load.js';
-import {learnSpeed} from './learn_speed.js';
 import {loadOf} from './load_of.js';
 import {noteExcess} from '../credits/index.js';
 import {refreshTarget} from './refresh_target.js';
@@ -17,10 +16,6 @@
   const reported = target.running + target.queued;
   load.othersAtReport = Math.max(0, reported - own);
   forgetEnded(load, step.nowMs - MAX_REPORT_AGE_MS);
-  if (target.running > 0 && target.tokensPerSecond > 0) {
-    const msPerToken = (1000 * target.running) / target.tokensPerSecond;
-    learnSpeed(step, target.targetId, msPerToken);
-  }
   noteExcess(step, target);
   refreshTarget(step, target.targetId);
 }
--- a/src/replay/load/measure_load.ts
+++ b/src/replay/load/measure_load.ts
@@ -4,8 +4,8 @@
 import {measureFairness} from './measure_fairness.js';
 import type {RequestOutcome} from './request_outcome.js';
 
-/** Requests with more output count as long. */
-const LONG_TOKENS = 500;
+/** Callers of long work allow it so long; it counts as long. */
+const LONG_DEADLINE_MS = 60_000;
 const RECOVERY_MS = 3000;
 const ROUND = 1000;
 
@@ -44,7 +44,7 @@
 }
 
 function isLong({request}: RequestOutcome): boolean {
-  return request.outputTokens >= LONG_TOKENS;
+  return request.deadlineMs >= LONG_DEADLINE_MS;
 }
 
 /** A request that never ran waited for the whole of its deadline. */
--- a/src/replay/traces/load_trace_plans.ts
+++ b/src/replay/traces/load_trace_plans.ts
@@ -1,5 +1,14 @@
 import type {LoadTracePlan} from './load_trace_plan.js';
 
+const GOALS = {
+  shortWaitToRoundRobin: {max: 0.25},
+  shortWaitToLeastOutstanding: {max: 0.5},
+  inDeadlineGain: {min: 0},
+  longSlowdown: {max: 1.2},
+  fairness: {min: 0.99},
+  afterWaitP95Ms: {max: 1000},
+};
+
 const CREST: LoadTracePlan = {
   scenario: 'crest',
   seed: 20260404,
@@ -10,7 +19,7 @@
   crestFactor: 2.6,
   longShare: 0.03,
   refusers: [],
-  outcomes: {},
+  outcomes: GOALS,
 };
 
 const LONG_AND_SHORT: LoadTracePlan = {
@@ -23,7 +32,7 @@
   crestFactor: 1.4,
   longShare: 0.08,
   refusers: [],
-  outcomes: {},
+  outcomes: GOALS,
 };
 
 const OVERLOAD: LoadTracePlan = {
@@ -37,7 +46,11 @@
   longShare: 0.03,
   burst: {organisation: 'festival-shop', share: 0.3},
   refusers: [20, 41],
-  outcomes: {},
+  outcomes: {
+    longSlowdown: {max: 1.2},
+    fairness: {min: 0.99},
+    afterWaitP95Ms: {max: 2000},
+  },
 };
 
 /** Plans of the committed load traces, by name. */
