--- a/src/settings/settings_schema.ts
+++ b/src/settings/settings_schema.ts
@@ -46,10 +46,6 @@
       items: `roles (${ROLES.join(', ')})`,
       least: 1,
     }).default([...ROLES]),
-    seedPeers: listField(addressField(), {
-      items: 'control addresses of peers',
-      least: 0,
-    }).default([]),
   }),
   platform: z.strictObject({
     address: addressField(),
