--- a/test/support/test_cluster.ts
+++ b/test/support/test_cluster.ts
@@ -266,15 +266,18 @@
 
   private async waitForNodes(path: string): Promise<void> {
     for (const node of this.nodes) {
-      await waitFor(
+      const answers = waitFor(
         `${node.name}${path}`,
         async () => {
-          if (node.process.exitCode !== null) throw new Error('node ended');
           const answer = await callHttp(`${node.callerUrl}${path}`);
           return answer.status === 200;
         },
         START_LIMIT_MS,
       );
+      const ended = node.process.ended.then(() => {
+        throw new Error(`${node.name} ended`);
+      });
+      await Promise.race([answers, ended]);
     }
   }
 
