--- a/src/cli/replay/replay_command.ts
+++ b/src/cli/replay/replay_command.ts
@@ -1,5 +1,4 @@
 import type {CommandModule} from 'yargs';
-import {readFileSync} from 'node:fs';
 import {
   SCENARIOS,
   checkOutcomes,
@@ -9,11 +8,12 @@
   LOAD_TRACE_PLANS,
   generateLoadTrace,
 } from '../../replay/traces/index.js';
+import {replayRecording} from '../../replay/index.js';
+import {CliError} from '../cli_error.js';
+import {EXIT_CODE} from '../exit_code.js';
+import {loadText} from './load_text.js';
 import {printReport} from './print_report.js';
 
-const EXIT_NOT_MET = 1;
-const EXIT_USAGE = 2;
-
 interface ReplayArguments {
   readonly trace?: string;
   readonly compare: boolean;
@@ -47,11 +47,17 @@
 function replay(args: ReplayArguments): void {
   const plan = LOAD_TRACE_PLANS.get(args.generate ?? '');
   if (plan) return void process.stdout.write(generateLoadTrace(plan));
-  if (args.trace === undefined) return fail('Name a trace file.');
-  const trace = parseTrace(readFileSync(args.trace, 'utf8'));
-  if (!trace) return fail(`"${args.trace}" does not start with a trace head.`);
+  if (args.trace === undefined) fail('Name a trace file.');
+  const text = loadText(args.trace);
+  const recording = replayRecording(text);
+  if (recording) {
+    process.stdout.write(JSON.stringify(recording) + '\n');
+    return;
+  }
+  const trace = parseTrace(text);
+  if (!trace) fail(`"${args.trace}" does not start with a trace head.`);
   const scenario = SCENARIOS.get(trace.head.scenario);
-  if (!scenario) return fail(`No scenario "${trace.head.scenario}".`);
+  if (!scenario) fail(`No scenario "${trace.head.scenario}".`);
   const report = scenario.run(trace, {compare: args.compare});
   const outcomes = checkOutcomes(trace, report);
   process.stdout.write(
@@ -59,10 +65,10 @@
       ? JSON.stringify({...report, outcomes}) + '\n'
       : printReport(report, outcomes),
   );
-  if (outcomes.some(outcome => !outcome.isMet)) process.exitCode = EXIT_NOT_MET;
+  if (outcomes.some(outcome => !outcome.isMet))
+    process.exitCode = EXIT_CODE.failed;
 }
 
-function fail(message: string): void {
-  process.stderr.write(message + '\n');
-  process.exitCode = EXIT_USAGE;
+function fail(message: string): never {
+  throw new CliError(message, {exitCode: EXIT_CODE.usage});
 }
--- a/src/replay/index.ts
+++ b/src/replay/index.ts
@@ -1,3 +1,4 @@
+export {replayRecording} from './replay_recording.js';
 export {VirtualNetwork} from './virtual_network.js';
 export {VirtualNode} from './virtual_node.js';
 export {VirtualStore} from './virtual_store.js';
