--- a/src/core/limits/token_bucket.ts
+++ b/src/core/limits/token_bucket.ts
@@ -1,3 +1,6 @@
+/** Sums of fractions fall short of whole numbers by less. */
+const EPSILON = 1e-6;
+
 /** Tokens that refill at a rate up to a bound; callers state both, since settings change. */
 export class TokenBucket {
   private atMs: number;
@@ -11,7 +14,7 @@
 
   /** Takes one token; false when there is none. */
   take(): boolean {
-    if (this.tokens < 1) return false;
+    if (this.tokens < 1 - EPSILON) return false;
     this.tokens -= 1;
     return true;
   }
--- a/src/core/routing/is_eligible.ts
+++ b/src/core/routing/is_eligible.ts
@@ -1,8 +1,10 @@
 import type {RequestRecord} from '../requests/types.js';
 import type {Step} from '../state/types.js';
 import type {Target} from '../targets/types.js';
+import {creditLimit} from '../credits/index.js';
 import {freeSlots} from './free_slots.js';
 import {loadOf} from './load_of.js';
+import {poolOf} from './pool_of.js';
 import {mayRunOn} from '../quarantine/index.js';
 
 /** Whether a target can start a request now and leave so many slots free. */
@@ -13,14 +15,23 @@
   leaveFreeSlots: number,
 ): boolean {
   const {info} = record;
-  const load = loadOf(step, target.targetId);
-  if (freeSlots(step, target, load) <= leaveFreeSlots) return false;
+  if (!hasRoom(step, target, leaveFreeSlots)) return false;
   if (record.failedTargets.has(target.targetId)) return false;
   if (!fitsAdapter(info.adapter, target)) return false;
   if (!fitsVersion(step, record, target)) return false;
   return mayRunOn(step, info, target.targetId);
 }
 
+/** Credits are spread thinly over targets: by them, slots are left free in the pool and not at each target. */
+function hasRoom(step: Step, target: Target, leaveFreeSlots: number): boolean {
+  const free = freeSlots(step, target, loadOf(step, target.targetId));
+  if (creditLimit(step, target) === undefined) {
+    return free > Math.min(leaveFreeSlots, target.slots - 1);
+  }
+  const pool = poolOf(step, target.service);
+  return free > 0 && pool.free.size > leaveFreeSlots;
+}
+
 function fitsAdapter(adapter: string | undefined, target: Target): boolean {
   return adapter === undefined || target.adapters.includes(adapter);
 }
