--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -16,11 +16,13 @@
   readonly peerServer: PeerServer;
 }
 
+const CLOSE_TIMEOUT_MS = 1000;
 const METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8';
 
 /** HTTP server on the control address: `/operator`, `/trpc`, `/metrics`, `/healthz`, `/readyz`. */
 export class ControlServer {
   private readonly server: Server;
+  private isClosing = false;
 
   constructor(
     private readonly context: NodeContext,
@@ -51,10 +53,22 @@
     });
   }
 
-  /** Takes no new connections; ends when the open answers are sent. */
+  /**
+   * Takes no new connections; ends when the open answers are sent. Peers keep
+   * their connections busy, so each is told to close with its next answer, and
+   * what is left after `CLOSE_TIMEOUT_MS` is dropped.
+   */
   close(): Promise<void> {
+    this.isClosing = true;
     return new Promise(resolve => {
-      this.server.close(() => resolve());
+      const timer = setTimeout(
+        () => this.server.closeAllConnections(),
+        CLOSE_TIMEOUT_MS,
+      );
+      this.server.close(() => {
+        clearTimeout(timer);
+        resolve();
+      });
       this.server.closeIdleConnections();
     });
   }
@@ -68,6 +82,7 @@
   private serve(request: IncomingMessage, response: ServerResponse): void {
     const path = (request.url ?? '/').split('?', 1)[0]!;
     request.on('error', () => {});
+    if (this.isClosing) response.setHeader('connection', 'close');
     response.on('error', () => {});
     if (path.startsWith('/operator/')) {
       this.routes.operators.serve(request, response);
