Move streams off a target, and leave only when outcomes are stored

Tests: a moved stream goes on elsewhere (before, without the move: never ended; without closing the first connection: its work went on), an unrepeatable one gets an explicit error, and a node that leaves waits up to 5 s for the outcome of its last unrepeatable request to be stored (before: it left at once, and the key was may-have-run for its retention).

--- a/src/core/drain/drain_state.ts
+++ b/src/core/drain/drain_state.ts
@@ -2,5 +2,7 @@
 export interface DrainState {
   draining: boolean;
   startedAtMs: number;
+  /** When the last request was answered. */
+  answeredAtMs?: number;
   exited: boolean;
 }
--- a/src/core/drain/reduce_drain.ts
+++ b/src/core/drain/reduce_drain.ts
@@ -3,13 +3,23 @@
 import {isAuditWritten} from '../audit/index.js';
 import {startDrain} from './start_drain.js';
 
+/** Longest wait, after the last answer, for the outcomes of unrepeatable requests to be stored. */
+const RECORD_LIMIT_MS = 5000;
+
 /** Drain's share of the reducer: no new requests, and an end when the last one is answered. */
 export function reduceDrain(step: Step, event: NodeEvent): void {
-  const {drain, requests} = step.state;
+  const {drain} = step.state;
   if (event.type === 'drainRequested') startDrain(step);
-  const isDone = requests.byId.size === 0 && isAuditWritten(step);
-  if (drain.draining && !drain.exited && isDone) {
-    drain.exited = true;
-    step.effects.push({type: 'exit'});
-  }
+  if (!drain.draining || drain.exited || !isDone(step)) return;
+  drain.exited = true;
+  step.effects.push({type: 'exit'});
+}
+
+function isDone(step: Step): boolean {
+  const {state, nowMs} = step;
+  const {drain, once, requests} = state;
+  if (requests.byId.size > 0 || !isAuditWritten(step)) return false;
+  drain.answeredAtMs ??= nowMs;
+  if (once.claims.size === 0) return true;
+  return nowMs - drain.answeredAtMs >= RECORD_LIMIT_MS;
 }
--- a/test/support/once_world.ts
+++ b/test/support/once_world.ts
@@ -52,6 +52,7 @@
   readonly targetFaults: TargetFault[] = [];
   /** How long a run takes at the application. */
   runMs = 10;
+  readonly exited = new Set<string>();
   readonly answers = new Map<RequestId, Answer>();
   private readonly keys = new Map<RequestId, string>();
   private readonly cancelled = new Set<AttemptId>();
@@ -78,6 +79,10 @@
       types: ['startAttempt', 'cancelAttempt'],
       handle: (node, effect) => this.attempt(node, effect),
     });
+    this.world.addFake({
+      types: ['exit'],
+      handle: ({state}) => this.exited.add(state.self.nodeId),
+    });
     this.world.addFake({
       types: ['refuse', 'answerKept', 'finishAnswer'],
       handle: (_node, effect) => this.answer(effect),
--- a/test/support/request_node.ts
+++ b/test/support/request_node.ts
@@ -1,6 +1,6 @@
 import type {Incarnation} from '../../src/core/ids/index.js';
-import type {NodeContext} from '../../src/runtime/types.js';
-import type {NodeState} from '../../src/core/state/types.js';
+import type {EffectHandler, NodeContext} from '../../src/runtime/types.js';
+import type {NodeState, Step} from '../../src/core/state/types.js';
 import type {PlatformStore} from '../../src/core/store/types.js';
 import type {Settings} from '../../src/settings/types.js';
 import {AttemptRunner} from '../../src/targets/index.js';
@@ -30,6 +30,7 @@
   readonly platform = new MemoryPlatform();
   private readonly callers: CallerServer;
   private readonly attempts: AttemptRunner;
+  private readonly handlers: readonly EffectHandler[];
   private readonly timer: NodeJS.Timeout;
 
   private constructor(
@@ -46,9 +47,12 @@
         }),
       close: async () => {},
     };
-    loop.addHandler(this.callers);
-    loop.addHandler(this.attempts);
-    loop.addHandler(new StoreRunner(context, store));
+    this.handlers = [
+      this.callers,
+      this.attempts,
+      new StoreRunner(context, store),
+    ];
+    for (const handler of this.handlers) loop.addHandler(handler);
     loop.addHandler({
       types: ['exit'],
       handle: () => (this.hasExited = true),
@@ -111,6 +115,20 @@
     this.loop.dispatch(event);
   }
 
+  /** Applies a change as an area of the core would; queued work starts at the next event. */
+  apply(change: (step: Step) => void): void {
+    const step: Step = {
+      state: this.state,
+      nowMs: this.context.clock.nowMs(),
+      effects: [],
+    };
+    change(step);
+    for (const effect of step.effects) {
+      const types = (one: EffectHandler) => one.types.includes(effect.type);
+      this.handlers.find(types)?.handle(effect);
+    }
+  }
+
   /** Ends as the exit effect does. */
   closeCallers(): Promise<void> {
     return this.callers.close();
--- a/test/units/once/once_failures.test.ts
+++ b/test/units/once/once_failures.test.ts
@@ -181,6 +181,22 @@
   assert.equal(once.answers.get(second)?.verdict, 'ran');
 });
 
+test('a node that leaves stays until the outcome of its last request is stored', () => {
+  const once = createWorld();
+  once.storeFaults.push('none', 'unavailable');
+  once.send(0, 'k');
+  once.runFor(30);
+  once.node(0).dispatch({type: 'drainRequested', reason: 'test'});
+  once.runFor(100);
+  assert.equal(once.exited.has('n0'), false);
+  once.runFor(4000);
+  assert.equal(once.exited.has('n0'), true);
+  once.restart(0);
+  const second = once.send(1, 'k');
+  once.runFor(100);
+  assert.equal(once.answers.get(second)?.body, 'done');
+});
+
 test('the sweep removes entries past their retention and no other', () => {
   const once = createWorld();
   once.send(0, 'old');
--- a/test/units/targets/whole_answers.test.ts
+++ b/test/units/targets/whole_answers.test.ts
@@ -4,6 +4,7 @@
 import {request as sendRequest} from 'node:http';
 import {RequestNode} from '../../support/request_node.js';
 import {ScriptedTarget} from '../../support/scripted_target.js';
+import {moveAttempts} from '../../../src/core/requests/index.js';
 import {TOKEN} from '../../support/seed_state.js';
 import {readChat} from '../../support/read_chat.js';
 import {waitFor} from '../../support/wait_for.js';
@@ -108,6 +109,37 @@
   assert.equal(calls, 2);
 });
 
+test('a stream moved off its target goes on elsewhere, without late bytes of the first', async () => {
+  const first = await addTarget('chat', 'a', ({response}) => {
+    startStream(response);
+    response.write(tokenEvent('one ') + tokenEvent('two '));
+  });
+  let seen = '';
+  const chat = node.chat({onData: text => (seen += text)});
+  await waitFor('two tokens', () => readChat(seen).tokens === 2);
+  await addTarget('chat', 'b', ({response, body}) => {
+    streamRest(response, body);
+  });
+  const targetId = [...node.state.requests.byTarget.keys()][0]!;
+  node.apply(step => {
+    moveAttempts(step, targetId, 'target-barred');
+    for (const {response} of first.seen) response.write(tokenEvent('late '));
+  });
+  assert.equal(readChat((await chat).body).text, WHOLE_TEXT);
+  await waitFor('the end of the first work', () => first.cancelled === 1);
+});
+
+test('an unrepeatable request moved off its target is an explicit error', async () => {
+  const target = await addTarget('orders', 'a', () => {});
+  const order = node.order('k');
+  await waitFor('the order', () => target.seen.length === 1);
+  const targetId = [...node.state.requests.byTarget.keys()][0]!;
+  node.apply(step => moveAttempts(step, targetId, 'target-barred'));
+  const {error} = JSON.parse((await order).body);
+  assert.equal(error.name, 'MayHaveRun');
+  assert.equal(error.verdict, 'may-have-run');
+});
+
 for (const framing of ['length', 'chunks'] as const) {
   test(`a buffered answer cut short (${framing}) is tried again`, async () => {
     await addTarget('stock', 'a', ({response, index}) => {
