End test proxies without resets, so that test processes end

Cause: a run of the whole-path test stayed alive after its summary in 1 of 10 to 20 runs, spinning in Environment::CleanupHandles (seen in the stack of the hanging process): a socket that is shutting down and is reset leaves a handle that Node.js 20 waits for at exit. Ruled out: ports in use, children that live on, a proxy connected to itself. Sockets that shut down are closed instead of reset.

--- a/test/support/fault_proxy.ts
+++ b/test/support/fault_proxy.ts
@@ -61,18 +61,22 @@
 
   /** Resets all open connections. */
   cut(): void {
-    for (const {client, server} of this.links) {
-      client.resetAndDestroy();
-      server.resetAndDestroy();
-    }
-    this.links.clear();
+    this.end(reset);
   }
 
   async close(): Promise<void> {
-    this.cut();
+    this.end(socket => socket.destroy());
     await new Promise(resolve => this.listener.close(resolve));
   }
 
+  private end(endSocket: (socket: Socket) => void): void {
+    for (const {client, server} of this.links) {
+      endSocket(client);
+      endSocket(server);
+    }
+    this.links.clear();
+  }
+
   private accept(client: Socket): void {
     if (this.mode === 'refuse') {
       client.resetAndDestroy();
@@ -109,3 +113,12 @@
     else setTimeout(() => to.write(chunk), this.delayMs);
   }
 }
+
+/**
+ * Resets a connection. A socket that is shutting down is closed instead: its
+ * reset leaves a handle for which Node.js waits for ever when the process ends.
+ */
+function reset(socket: Socket): void {
+  if (socket.writableEnded) socket.destroy();
+  else socket.resetAndDestroy();
+}
