--- /dev/null
+++ b/bench/benchmarks.ts
@@ -0,0 +1,5 @@
+import type {Benchmark} from './benchmark.js';
+import {decisionCost} from './decision_cost.js';
+
+/** Every benchmark that `npm run bench -- <name>` knows. */
+export const BENCHMARKS: readonly Benchmark[] = [decisionCost];
--- a/src/core/admission/next_dispatches.ts
+++ b/src/core/admission/next_dispatches.ts
@@ -11,8 +11,8 @@
 /** A long request that waited longer no longer leaves slots free for short ones. */
 const LONG_AGED_MS = 4000;
 
-/** Slots of each target that long requests leave free. */
-const FREE_FOR_SHORT_SLOTS = 1;
+/** Slots that long requests leave free for short ones, in all that a node may fill. */
+const FREE_FOR_SHORT_SLOTS = 4;
 
 interface TakeRules {
   readonly onlyAged?: boolean;
--- a/src/core/routing/is_eligible.ts
+++ b/src/core/routing/is_eligible.ts
@@ -7,6 +7,9 @@
 import {poolOf} from './pool_of.js';
 import {mayRunOn} from '../quarantine/index.js';
 
+/** Slots left free at each target without credits. */
+const FREE_AT_TARGET_SLOTS = 1;
+
 /** Whether a target can start a request now and leave so many slots free. */
 export function isEligible(
   step: Step,
@@ -26,7 +29,8 @@
 function hasRoom(step: Step, target: Target, leaveFreeSlots: number): boolean {
   const free = freeSlots(step, target, loadOf(step, target.targetId));
   if (creditLimit(step, target) === undefined) {
-    return free > Math.min(leaveFreeSlots, target.slots - 1);
+    const left = Math.min(leaveFreeSlots, FREE_AT_TARGET_SLOTS);
+    return free > Math.min(left, target.slots - 1);
   }
   const pool = poolOf(step, target.service);
   return free > 0 && pool.free.size > leaveFreeSlots;
