--- a/src/core/config/read_head.ts
+++ b/src/core/config/read_head.ts
@@ -1,6 +1,7 @@
 import type {ConfigCall} from './config_call.js';
 import type {NodeState, Step} from '../state/types.js';
 import {CONFIG_TIMING} from './config_timing.js';
+import {mayReadStore} from '../membership/index.js';
 import {callConfigStore} from './call_config_store.js';
 import {headRecord} from './head_record.js';
 
@@ -10,7 +11,7 @@
 export function readHead(step: Step): void {
   const {state, nowMs} = step;
   const {config, membership} = state;
-  if (nowMs < membership.store.resumeAtMs) return;
+  if (!mayReadStore(state, nowMs)) return;
   const isWanted = !config.hasReadHead || membership.isRelay;
   if (!isWanted) return;
   if (nowMs >= config.nextHeadAtMs && !isCalling(state, 'head')) {
--- a/src/core/membership/create_membership_state.ts
+++ b/src/core/membership/create_membership_state.ts
@@ -10,6 +10,8 @@
     leaseTtlMs: MEMBERSHIP_TIMING.minLeaseTtlMs,
     leaseGrantedAtMs: 0,
     leaseSafeUntilMs: 0,
+    authorityFromMs: 0,
+    evictedTtlMs: 0,
     recordVersion: 0,
     isRegistered: false,
     isSuperseded: false,
--- a/src/core/membership/has_authority.ts
+++ b/src/core/membership/has_authority.ts
@@ -10,6 +10,7 @@
   return (
     membership.isRegistered &&
     !membership.isSuperseded &&
+    nowMs >= membership.authorityFromMs &&
     nowMs < membership.leaseSafeUntilMs
   );
 }
--- a/src/core/membership/index.ts
+++ b/src/core/membership/index.ts
@@ -5,6 +5,7 @@
 export {isStoreUp} from './is_store_up.js';
 export {isSuspected} from './is_suspected.js';
 export {livePeers} from './live_peers.js';
+export {mayReadStore} from './may_read_store.js';
 export {readiness} from './readiness.js';
 export {reduceMembership} from './reduce_membership.js';
 export {storeBackoffMs} from './store_backoff.js';
--- a/src/core/membership/keep_lease.ts
+++ b/src/core/membership/keep_lease.ts
@@ -12,7 +12,7 @@
   const {membership} = state;
   if (membership.isSuperseded || membership.isReleased) return;
   if (nowMs < membership.nextLeaseAtMs) return;
-  if (isCalling(state, 'grant', 'register', 'keepAlive')) return;
+  if (isCalling(state, 'grant', 'register', 'keepAlive', 'evict')) return;
   const {leaseId} = membership;
   if (!leaseId) {
     membership.leaseTtlMs = leaseTtlMs(step);
--- a/src/core/membership/membership_state.ts
+++ b/src/core/membership/membership_state.ts
@@ -15,6 +15,9 @@
   leaseGrantedAtMs: number;
   /** Until when the lease surely holds. */
   leaseSafeUntilMs: number;
+  /** An evicted holder of this node's name may believe in its authority until then. */
+  authorityFromMs: number;
+  evictedTtlMs: number;
   /** Version of this node's record; 0 when it has none. */
   recordVersion: number;
   /** The record stands under the lease. */
--- a/src/core/membership/node_record.ts
+++ b/src/core/membership/node_record.ts
@@ -1,5 +1,6 @@
 import type {Standing} from './standing.js';
 import type {NodeState} from '../state/types.js';
+import {MEMBERSHIP_TIMING} from './membership_timing.js';
 import {makeId, type NodeId} from '../ids/index.js';
 import {z} from 'zod';
 
@@ -10,6 +11,7 @@
   zone: z.string(),
   callerAddress: z.string(),
   controlAddress: z.string(),
+  leaseTtlMs: z.number(),
 });
 
 /** Reads and writes nodes' records in the store. */
@@ -22,13 +24,14 @@
 
   write(state: NodeState): string {
     const {incarnation, zone, callerAddress, controlAddress} = state.self;
-    const {startedAtMs} = state.membership;
+    const {startedAtMs, leaseTtlMs} = state.membership;
     return JSON.stringify({
       incarnation,
       startedAtMs,
       zone,
       callerAddress,
       controlAddress,
+      leaseTtlMs,
     });
   },
 
@@ -44,7 +47,16 @@
       queued: 0,
       running: 0,
     };
-    return {...parsed.data, ...unheard} as unknown as Standing;
+    const {leaseTtlMs: _, ...standing} = parsed.data;
+    return {...standing, ...unheard} as unknown as Standing;
+  },
+
+  /** Length of the lease under which the record stands. */
+  leaseTtlMs(value: string): number {
+    const parsed = RECORD.safeParse(parseJson(value));
+    return parsed.success
+      ? parsed.data.leaseTtlMs
+      : MEMBERSHIP_TIMING.maxLeaseTtlMs;
   },
 };
 
--- a/src/core/membership/note_lease_result.ts
+++ b/src/core/membership/note_lease_result.ts
@@ -1,6 +1,8 @@
 import type {MembershipCall} from './membership_call.js';
-import type {StoreOutcome} from '../store/types.js';
+import type {StoreEntry, StoreOutcome} from '../store/types.js';
 import type {Step} from '../state/types.js';
+import {callMembershipStore} from './call_membership_store.js';
+import {makeId, type LeaseId} from '../ids/index.js';
 import {MEMBERSHIP_TIMING} from './membership_timing.js';
 import {logEvent} from '../state/index.js';
 import {nodeRecord} from './node_record.js';
@@ -20,6 +22,7 @@
   }
   if (call.purpose === 'grant') noteGrant(step, call, outcome);
   else if (call.purpose === 'register') noteRegister(step, call, outcome);
+  else if (call.purpose === 'evict') noteEvicted(step);
   else noteKeepAlive(step, call, outcome);
 }
 
@@ -62,7 +65,7 @@
   } else if (!isOwn && standing.startedAtMs > membership.startedAtMs) {
     supersede(step);
   } else {
-    membership.nextLeaseAtMs = step.nowMs; // write over an earlier incarnation's record
+    evict(step, current);
   }
 }
 
@@ -101,6 +104,34 @@
   membership.recordVersion = 0;
 }
 
+/**
+ * An earlier incarnation, or an earlier lease of this one, may still count on
+ * its lease. It is revoked, and this node has no authority before the time for
+ * which the other may believe that it has it.
+ */
+function evict(step: Step, entry: StoreEntry): void {
+  const {membership} = step.state;
+  const {leaseId} = entry;
+  if (leaseId === undefined) {
+    membership.nextLeaseAtMs = step.nowMs; // write over it
+    return;
+  }
+  const operation = {
+    kind: 'revokeLease',
+    leaseId: makeId<LeaseId>(leaseId),
+  } as const;
+  membership.evictedTtlMs = nodeRecord.leaseTtlMs(entry.value);
+  callMembershipStore(step, 'evict', operation);
+}
+
+function noteEvicted(step: Step): void {
+  const {membership} = step.state;
+  const safeMs = membership.evictedTtlMs * MEMBERSHIP_TIMING.leaseSafeShare;
+  membership.authorityFromMs = step.nowMs + safeMs;
+  membership.recordVersion = 0;
+  membership.nextLeaseAtMs = step.nowMs;
+}
+
 function supersede(step: Step): void {
   step.state.membership.isSuperseded = true;
   dropLease(step);
--- a/src/core/membership/read_nodes.ts
+++ b/src/core/membership/read_nodes.ts
@@ -2,6 +2,7 @@
 import {MEMBERSHIP_TIMING} from './membership_timing.js';
 import {callMembershipStore} from './call_membership_store.js';
 import {isCalling} from './is_calling.js';
+import {mayReadStore} from './may_read_store.js';
 import {nodeRecord} from './node_record.js';
 
 const {prefix} = nodeRecord;
@@ -10,7 +11,7 @@
 export function readNodes(step: Step): void {
   const {state, nowMs} = step;
   const {membership} = state;
-  if (nowMs < membership.store.resumeAtMs) return;
+  if (!mayReadStore(state, nowMs)) return;
   if (nowMs >= membership.nextListAtMs && !isCalling(state, 'list')) {
     callMembershipStore(step, 'list', {kind: 'list', prefix});
     return;
--- a/src/core/membership/reduce_membership.ts
+++ b/src/core/membership/reduce_membership.ts
@@ -93,6 +93,7 @@
     case 'grant':
     case 'register':
     case 'keepAlive':
+    case 'evict':
       return noteLeaseResult(step, call, event.outcome);
     case 'list':
     case 'watch':
--- a/src/core/once/begin_once.ts
+++ b/src/core/once/begin_once.ts
@@ -3,6 +3,7 @@
 import type {RequestRecord} from '../requests/types.js';
 import type {Step} from '../state/types.js';
 import {createRefusal} from '../errors/index.js';
+import {isStoreUp} from '../membership/index.js';
 import {meetClaim} from './meet_claim.js';
 import {nextId} from '../state/index.js';
 import {refuseRequest} from '../requests/index.js';
@@ -19,7 +20,9 @@
   const onceKey = record.info.onceKey!;
   const known = claims.get(onceKey);
   if (known && meetClaim(step, record, known)) return;
-  if (retries.size >= MAX_UNRECORDED) {
+  // A claim that waited for a store that is down would hold its caller up.
+  const isDown = !isStoreUp(step.state, step.nowMs);
+  if (isDown || retries.size >= MAX_UNRECORDED) {
     const options = {retryAfterMs: RETRY_AFTER_MS};
     const refusal = createRefusal('OnceLedgerUnavailable', 'not-run', options);
     refuseRequest(step, record, refusal);
--- a/src/core/replicas/advance_prefix_watch.ts
+++ b/src/core/replicas/advance_prefix_watch.ts
@@ -2,6 +2,7 @@
 import type {Step} from '../state/types.js';
 import {STEWARD_TIMING} from './steward_timing.js';
 import {STORE_PRIORITY} from '../store/index.js';
+import {mayReadStore} from '../membership/index.js';
 import {callStore} from '../state/index.js';
 
 const LIST_LIMIT = 10_000;
@@ -10,6 +11,7 @@
 /** Sends the next list or watch when none is under way. */
 export function advancePrefixWatch(step: Step, watch: PrefixWatch): void {
   if (watch.operationId !== undefined || step.nowMs < watch.nextAtMs) return;
+  if (!mayReadStore(step.state, step.nowMs)) return;
   watch.kind = watch.revision === 0 ? 'list' : 'watch';
   watch.sentAtMs = step.nowMs;
   const {prefix, revision: sinceVersion} = watch;
--- a/src/replay/scenarios/scenarios.ts
+++ b/src/replay/scenarios/scenarios.ts
@@ -1,9 +1,11 @@
 import type {Scenario} from './scenario.js';
 import {LoadScenario} from './load_scenario.js';
+import {StoreOutageScenario} from './store_outage_scenario.js';
 
 const ALL: readonly Scenario[] = [
   new LoadScenario('crest'),
   new LoadScenario('long-and-short'),
+  new StoreOutageScenario(),
   new LoadScenario('overload'),
 ];
 
