--- a/src/core/targets/sweep_targets.ts
+++ b/src/core/targets/sweep_targets.ts
@@ -3,7 +3,10 @@
 import {noteSilence} from './note_silence.js';
 import {updateTarget} from './update_target.js';
 
-/** Finds reports that have grown old since the last sweep. */
+/**
+ * Finds reports that have grown old since the last sweep. Runs before every event,
+ * so that a node that was paused trusts nothing that it knew before.
+ */
 export function sweepTargets(step: Step): void {
   const {targets} = step.state;
   if (step.nowMs - targets.sweptAtMs < TARGET_TIMING.sweepIntervalMs) return;
--- a/src/replay/fleet/virtual_fleet.ts
+++ b/src/replay/fleet/virtual_fleet.ts
@@ -1,6 +1,7 @@
 import type {Effect, EffectOf} from '../../core/effects/types.js';
 import type {AttemptFailure} from '../../core/requests/types.js';
 import type {AttemptId, VmId} from '../../core/ids/index.js';
+import type {OrderArrival} from './order_arrival.js';
 import type {VirtualFake} from '../virtual_fake.js';
 import type {VirtualNode} from '../virtual_node.js';
 import type {VirtualWorld} from '../virtual_world.js';
@@ -44,18 +45,18 @@
     () => LATENCY_MS;
   /** Whether a node reaches an engine now. */
   isUp: (node: VirtualNode, vmId: VmId) => boolean = () => true;
-  /** Sees each order as an engine carries it out. */
-  onOrder: (
-    engine: FleetEngine,
-    order: EffectOf<'sendOrder'>,
-    node: VirtualNode,
-  ) => void = () => {};
+  /** Sees each order as a node sends it. */
+  onSend: (node: VirtualNode, order: EffectOf<'sendOrder'>) => void = () => {};
+  /** Sees each order after an engine carried it out, or refused it. */
+  onOrder: (arrival: OrderArrival) => void = () => {};
   /** Sees each request as an engine takes it. */
   onStart: (engine: FleetEngine) => void = () => {};
   orders = 0;
   polls = 0;
   private readonly pollsOf = new Map<VirtualNode, Polls>();
   private readonly attempts = new Map<AttemptId, LiveAttempt>();
+  /** Cancelled on their way to an engine. */
+  private readonly cancelled = new Set<AttemptId>();
 
   constructor(
     private readonly world: VirtualWorld,
@@ -76,7 +77,12 @@
     if (effect.type === 'setPolls') this.setPolls(node, effect);
     if (effect.type === 'sendOrder') this.sendOrder(node, effect);
     if (effect.type === 'startAttempt') this.start(node, effect);
-    if (effect.type === 'cancelAttempt') this.cancel(effect.attemptId);
+    if (effect.type === 'cancelAttempt') {
+      if (!this.attempts.has(effect.attemptId)) {
+        this.cancelled.add(effect.attemptId);
+      }
+      this.cancel(effect.attemptId);
+    }
   }
 
   /** Whether all engines of a leader's assignment are up and say the same. */
@@ -145,6 +151,8 @@
         time.after(LATENCY_MS, () => {
           const ageMs = time.nowMs - sentAtMs;
           const type = 'targetReported';
+          // A frozen node reads the answer later, when it is too old to count.
+          if (!node.isRunning) return;
           finish(() => node.dispatch({type, report, ageMs}));
         });
       });
@@ -155,6 +163,7 @@
     const {time} = this.world;
     const {orderId, vmId, timeoutMs} = order;
     this.orders += 1;
+    this.onSend(node, order);
     let isOver = false;
     const finish = (outcome: 'done' | 'fenced' | 'unknown' | 'unreachable') => {
       if (isOver) return;
@@ -169,8 +178,9 @@
     time.after(timeoutMs, () => finish('unknown'));
     time.after(this.orderDelayMs(node, order), () => {
       engine.deliver(() => {
+        const before = engine.assignment;
         const outcome = engine.take(order);
-        if (outcome === 'done') this.onOrder(engine, order, node);
+        this.onOrder({engine, order, node, outcome, before});
         time.after(LATENCY_MS, () => finish(outcome));
       });
     });
@@ -195,6 +205,7 @@
     engine: FleetEngine,
     attemptId: AttemptId,
   ): void {
+    if (this.cancelled.delete(attemptId)) return;
     const isLeader = engine.assignment?.leader === engine.record.vmId;
     if (engine.isLeaving) {
       this.refuse(node, attemptId, 'target-leaving');
