--- a/bench/benchmarks.ts
+++ b/bench/benchmarks.ts
@@ -1,5 +1,6 @@
 import type {Benchmark} from './benchmark.js';
 import {decisionCost} from './decision_cost.js';
+import {relay} from './relay.js';
 
 /** Every benchmark that `npm run bench -- <name>` knows. */
-export const BENCHMARKS: readonly Benchmark[] = [decisionCost];
+export const BENCHMARKS: readonly Benchmark[] = [decisionCost, relay];
--- a/test/support/request_node.ts
+++ b/test/support/request_node.ts
@@ -10,8 +10,8 @@
 import {StoreRunner} from '../../src/platform/index.js';
 import {TOKEN, seedConfig, seedTarget} from './seed_state.js';
 import {callHttp} from './call_http.js';
-import {createLogger} from '../../src/logging/index.js';
-import {createNodeMetrics} from '../../src/metrics/index.js';
+import {LogRunner, createLogger} from '../../src/logging/index.js';
+import {MetricRunner, createNodeMetrics} from '../../src/metrics/index.js';
 import {createNodeState} from '../../src/core/state/index.js';
 import {createTestSettings} from './create_test_settings.js';
 
@@ -51,6 +51,8 @@
       this.callers,
       this.attempts,
       new StoreRunner(context, store),
+      new LogRunner(context),
+      new MetricRunner(context),
     ];
     for (const handler of this.handlers) loop.addHandler(handler);
     loop.addHandler({
@@ -87,8 +89,13 @@
     return `http://${this.context.settings.node.callerAddress}`;
   }
 
-  addTarget(service: string, id: string, address: string): void {
-    seedTarget(this.state, service, id, {address});
+  addTarget(
+    service: string,
+    id: string,
+    address: string,
+    slots?: number,
+  ): void {
+    seedTarget(this.state, service, id, {address, ...(slots && {slots})});
   }
 
   /** Calls with the token of the organisation. */
