--- a/src/core/routing/allowed_slots.ts
+++ b/src/core/routing/allowed_slots.ts
@@ -1,9 +1,8 @@
+import {SLOW_START_MS} from './slow_start_ms.js';
 import type {Step} from '../state/types.js';
 import type {Target} from '../targets/types.js';
 import type {TargetLoad} from './target_load.js';
 
-const SLOW_START_MS = 8000;
-
 /** Slots of a target that this node may count on: none while ejected, fewer after a return. */
 export function allowedSlots(
   step: Step,
--- a/src/core/routing/note_failure.ts
+++ b/src/core/routing/note_failure.ts
@@ -33,4 +33,5 @@
   load.ejectedUntilMs = step.nowMs + lengthMs;
   load.returnedAtMs = load.ejectedUntilMs;
   ends.set(targetId, load.ejectedUntilMs);
+  pool.returning.add(targetId);
 }
--- a/src/core/routing/service_pool.ts
+++ b/src/core/routing/service_pool.ts
@@ -14,6 +14,8 @@
   msPerToken?: number;
   /** Ends of the ejections of members. */
   readonly ejectedUntilMs = new Map<TargetId, number>();
+  /** Members that are ejected, or start slowly after it. */
+  readonly returning = new Set<TargetId>();
   /** A member turned out to be gone. */
   isOutdated = false;
 
--- /dev/null
+++ b/test/units/routing/ejection.test.ts
@@ -0,0 +1,74 @@
+import assert from 'node:assert/strict';
+import {describe, test} from 'node:test';
+import type {RequestId} from '../../../src/core/ids/index.js';
+import {SchedulingNode} from '../../support/scheduling_node.js';
+
+/** Sends requests one by one; attempts on the given targets fail. Returns how many each target got. */
+function send(
+  node: SchedulingNode,
+  count: number,
+  failing: readonly string[],
+): Map<string, number> {
+  const got = new Map<string, number>();
+  for (let at = 0; at < count; at++) {
+    const requestId: RequestId = node.arrive();
+    for (;;) {
+      const last = node.started.at(-1)!;
+      if (last.requestId !== requestId) break;
+      got.set(last.targetId, (got.get(last.targetId) ?? 0) + 1);
+      if (!failing.includes(last.targetId)) {
+        node.end(requestId);
+        break;
+      }
+      const before = node.started.length;
+      node.fail(requestId);
+      if (node.started.length === before) break;
+    }
+    node.nowMs += 1;
+  }
+  return got;
+}
+
+describe('ejection', () => {
+  test('a target that fails three times in a row is left out for a while', () => {
+    const node = new SchedulingNode({slots: 4, targets: 6});
+    assert.equal(send(node, 200, ['t0']).get('t0'), 3);
+  });
+
+  test('without ejection it gets work again and again', () => {
+    const node = new SchedulingNode({
+      slots: 4,
+      targets: 6,
+      switches: {ejection: false, retryBudget: false},
+    });
+    assert.ok(send(node, 200, ['t0']).get('t0')! > 10);
+  });
+
+  test('at most a third of the targets is ejected', () => {
+    const node = new SchedulingNode({
+      slots: 4,
+      targets: 6,
+      switches: {retryBudget: false},
+    });
+    const all = ['t0', 't1', 't2', 't3', 't4', 't5'];
+    send(node, 100, all);
+    const ejected = [...node.state.routing.loads.values()].filter(
+      load => load.ejectedUntilMs > node.nowMs,
+    );
+    assert.equal(ejected.length, 2);
+  });
+
+  test('a target that returns starts with few slots', () => {
+    const node = new SchedulingNode({slots: 8, targets: 3});
+    send(node, 100, ['t0']);
+    node.wait(5100);
+    const ids = Array.from({length: 24}, () => node.arrive());
+    const onReturned = () =>
+      node.started.filter(
+        one => one.targetId === 't0' && ids.includes(one.requestId),
+      ).length;
+    assert.equal(onReturned(), 1);
+    node.wait(8000);
+    assert.ok(onReturned() > 4);
+  });
+});
--- /dev/null
+++ b/test/units/routing/two_choices.test.ts
@@ -0,0 +1,181 @@
+import assert from 'node:assert/strict';
+import {describe, test} from 'node:test';
+import type {SchedulingOptions} from '../../../src/core/admission/types.js';
+import type {VmId, ZoneId} from '../../../src/core/ids/index.js';
+import {SchedulingNode} from '../../support/scheduling_node.js';
+import {makeId} from '../../../src/core/ids/index.js';
+
+type Node = SchedulingNode;
+
+function targetsUsed(node: Node): string[] {
+  return node.started.map(one => one.targetId);
+}
+
+function targetOf(node: Node, id: string) {
+  return node.state.targets.byId.get(makeId(id))!;
+}
+
+describe('two choices', () => {
+  test('targets that reports call full get nothing until a report calls them free', () => {
+    const node = new SchedulingNode({slots: 4, targets: 2});
+    node.report('t0', 4);
+    for (let at = 0; at < 4; at++) node.arrive();
+    assert.deepEqual(new Set(targetsUsed(node)), new Set(['t1']));
+    const waiting = node.arrive();
+    assert.ok(!node.startedIds().includes(waiting));
+    node.report('t0', 1);
+    assert.equal(node.started.at(-1)!.targetId, 't0');
+  });
+
+  /** Two requests start after the report was true; it counts neither. */
+  function loadAfterLaggedReport(switches: Partial<SchedulingOptions>): number {
+    const node = new SchedulingNode({slots: 4, targets: 1, switches});
+    node.arrive();
+    node.arrive();
+    node.nowMs += 50;
+    node.report('t0', 2, 200);
+    for (let at = 0; at < 4; at++) node.arrive();
+    return node.started.length;
+  }
+
+  test('a lagged report is corrected by own dispatches since it was true', () => {
+    assert.equal(loadAfterLaggedReport({}), 2);
+  });
+
+  test('without loadCorrection own work is taken for that of others', () => {
+    assert.equal(loadAfterLaggedReport({loadCorrection: false}), 4);
+  });
+
+  test('barred targets, targets without the adapter, and failed targets get nothing', () => {
+    const node = new SchedulingNode({slots: 4, targets: 4});
+    targetOf(node, 't0').bar = 'told-leaving';
+    Object.assign(targetOf(node, 't2'), {adapters: ['quotes']});
+    const {document} = node.state.config;
+    const chat = document.services.get('chat')!;
+    Object.assign(chat, {adapters: ['quotes']});
+    node.arrive('large', {adapter: 'quotes'});
+    assert.deepEqual(targetsUsed(node), ['t2']);
+    const retried = node.arrive('large');
+    const failed = node.started.at(-1)!.targetId;
+    node.fail(retried);
+    assert.notEqual(node.started.at(-1)!.targetId, failed);
+    for (let at = 0; at < 9; at++) node.arrive();
+    assert.ok(!targetsUsed(node).includes('t0'));
+  });
+
+  test('a target in the own zone is taken when loads are equal', () => {
+    const node = new SchedulingNode({slots: 40, targets: 2});
+    Object.assign(targetOf(node, 't1'), {zone: makeId<ZoneId>('b')});
+    let own = 0;
+    for (let at = 0; at < 40; at++) {
+      const requestId = node.arrive();
+      if (node.started.at(-1)!.targetId === 't0') own += 1;
+      node.end(requestId);
+    }
+    assert.ok(own >= 36, `${own} of 40`);
+  });
+});
+
+describe('cached prefixes', () => {
+  function change(
+    node: Node,
+    from: number,
+    to: number,
+    stored: string[],
+  ): void {
+    node.dispatch({
+      type: 'targetCacheChanged',
+      vmId: makeId<VmId>('t5'),
+      bootId: 'b',
+      fromSequence: from,
+      toSequence: to,
+      whole: false,
+      stored,
+      evicted: [],
+    });
+  }
+
+  function countHits(
+    node: Node,
+    fields = {prefixHashes: ['p'], promptTokens: 1000},
+  ): number {
+    let hits = 0;
+    for (let at = 0; at < 20; at++) {
+      const requestId = node.arrive('large', fields);
+      if (node.started.at(-1)!.targetId === 't5') hits += 1;
+      node.end(requestId);
+    }
+    return hits;
+  }
+
+  test('the holder of a prompt prefix is preferred', () => {
+    const node = new SchedulingNode({slots: 8, targets: 12});
+    change(node, 0, 1, ['p']);
+    assert.equal(countHits(node), 20);
+  });
+
+  test('without prefixAffinity it is one of many', () => {
+    const node = new SchedulingNode({
+      slots: 8,
+      targets: 12,
+      switches: {prefixAffinity: false},
+    });
+    change(node, 0, 1, ['p']);
+    assert.ok(countHits(node) < 10);
+  });
+
+  test('a gap in the events drops what was known of the target', () => {
+    const node = new SchedulingNode({slots: 8, targets: 12});
+    change(node, 0, 1, ['p']);
+    change(node, 3, 4, ['q']);
+    assert.ok(countHits(node) < 10);
+    assert.equal(node.state.routing.prefixes.size, 0);
+  });
+
+  test('a holder without a free slot does not make its request wait', () => {
+    const node = new SchedulingNode({slots: 2, targets: 3});
+    const vmId = makeId<VmId>('t1');
+    node.dispatch({
+      type: 'targetCacheChanged',
+      vmId,
+      bootId: 'b',
+      fromSequence: 0,
+      toSequence: 1,
+      whole: true,
+      stored: ['p'],
+      evicted: [],
+    });
+    node.report('t1', 2);
+    node.arrive('large', {prefixHashes: ['p'], promptTokens: 1000});
+    assert.notEqual(node.started.at(-1)!.targetId, 't1');
+  });
+});
+
+describe('stragglers', () => {
+  /** Requests that a target three times slower than its peers gets, of 120 in batches. */
+  function countOnStraggler(relativeSpeed: boolean): number {
+    const switches = {relativeSpeed};
+    const node = new SchedulingNode({slots: 8, targets: 3, switches});
+    let count = 0;
+    for (let round = 0; round < 20; round++) {
+      const ids = Array.from({length: 6}, () => node.arrive());
+      const attempts = node.started.slice(-ids.length);
+      for (const id of ids) node.firstToken(id);
+      node.nowMs += 1000;
+      const fast = attempts.filter(one => one.targetId !== 't0');
+      for (const one of fast) node.end(one.requestId);
+      node.nowMs += 2000;
+      const slow = attempts.filter(one => one.targetId === 't0');
+      for (const one of slow) node.end(one.requestId);
+      if (round >= 10) count += slow.length;
+    }
+    return count;
+  }
+
+  test('a straggler gets less work than its peers', () => {
+    const on = countOnStraggler(true);
+    const off = countOnStraggler(false);
+    assert.ok(on < 12, `${on} of 60`);
+    assert.ok(off > 12, `${off} of 60 without relativeSpeed`);
+  });
+});
