Replay domain-dark and rolling-replace beside first-come rebuilding

The replays showed why: a broken replica of an important service was taken apart for a lesser one while its lost VM was on its way back, and small replicas were moved to and fro. Kept: lesser services wait 30 s before broken replicas of more urgent ones are taken apart, and a broken replica is mended with VMs of another broken one, or of a small lesser one, of its domain.

--- a/src/core/replicas/build_plan_view.ts
+++ b/src/core/replicas/build_plan_view.ts
@@ -25,7 +25,13 @@
   const services = [...config.document.services.values()].filter(
     (service): service is PlanService => service.kind === 'model',
   );
-  return {services, replicas: entries, free};
+  const lackingMs = new Map(
+    [...replicas.lackingSinceMs].map(([name, sinceMs]) => [
+      name,
+      nowMs - sinceMs,
+    ]),
+  );
+  return {services, replicas: entries, free, lackingMs};
 }
 
 function createReplica(
--- a/src/core/replicas/create_replicas_state.ts
+++ b/src/core/replicas/create_replicas_state.ts
@@ -13,6 +13,7 @@
     lease: {safeUntilMs: 0, sentAtMs: 0, nextAtMs: 0},
     stewardships: new Map(),
     wantedSinceMs: new Map(),
+    lackingSinceMs: new Map(),
     actions: [],
     loadQueue: [],
     planner: 'deficit-first',
--- a/src/core/replicas/plan/deficit_planner.ts
+++ b/src/core/replicas/plan/deficit_planner.ts
@@ -4,6 +4,7 @@
 import {PlanDraft} from './plan_draft.js';
 import {planAdaptations} from './plan_adaptations.js';
 import {planCreations} from './plan_creations.js';
+import {planDonations} from './plan_donations.js';
 import {planExchanges} from './plan_exchanges.js';
 import {planRolls} from './plan_rolls.js';
 import {planSurplus} from './plan_surplus.js';
@@ -14,6 +15,7 @@
     const draft = new PlanDraft(view);
     planSurplus(draft);
     planExchanges(draft);
+    planDonations(draft);
     planAdaptations(draft);
     planCreations(draft);
     planRolls(draft);
--- a/src/core/replicas/plan/make_room.ts
+++ b/src/core/replicas/plan/make_room.ts
@@ -2,8 +2,12 @@
 import type {PlanDraft} from './plan_draft.js';
 import type {PlanReplica} from './plan_replica.js';
 import type {ServiceStanding} from './service_standing.js';
+import {countSound} from './count_sound.js';
 import {isWhole} from './is_whole.js';
 
+/** How long a service lacks replicas before others give way to it. */
+const PATIENCE_MS = 30_000;
+
 interface Candidate {
   readonly replica: PlanReplica;
   readonly kind: 'drain' | 'retire';
@@ -15,12 +19,11 @@
  * that fits elsewhere, and those of a less important service with replicas to spare.
  */
 export function makeRoom(draft: PlanDraft, standing: ServiceStanding): boolean {
-  return (
-    awaitRoom(draft, standing) ||
-    dissolveBroken(draft, standing) ||
-    moveSmaller(draft, standing) ||
-    preempt(draft, standing)
-  );
+  if (awaitRoom(draft, standing)) return true;
+  if (dissolveBroken(draft, standing)) return true;
+  const lackingMs = draft.view.lackingMs.get(standing.service.name) ?? 0;
+  if (lackingMs < PATIENCE_MS) return false; // lost VMs often come back soon
+  return moveSmaller(draft, standing) || preempt(draft, standing);
 }
 
 function countLacking(
@@ -49,7 +52,8 @@
         replica.domain === domain &&
         replica.entry.state !== 'draining' &&
         !isWhole(replica) &&
-        !draft.isTouched(replica),
+        !draft.isTouched(replica) &&
+        mayDissolve(draft, standing, replica),
     );
     const usable = broken.reduce((sum, one) => sum + countSound(one), 0);
     if (countLacking(draft, standing, domain) > usable) continue;
@@ -63,6 +67,19 @@
   return false;
 }
 
+/** A broken replica of a more urgent service is left to be mended, for a while. */
+function mayDissolve(
+  draft: PlanDraft,
+  standing: ServiceStanding,
+  {entry}: PlanReplica,
+): boolean {
+  const lackingMs = draft.view.lackingMs.get(entry.service) ?? 0;
+  if (lackingMs >= PATIENCE_MS) return true;
+  const rankOf = (name: string) =>
+    draft.standings.findIndex(one => one.service.name === name);
+  return rankOf(entry.service) >= rankOf(standing.service.name);
+}
+
 function moveSmaller(draft: PlanDraft, standing: ServiceStanding): boolean {
   const needed = standing.service.vmsPerReplica;
   const movable = draft.standings
@@ -122,12 +139,6 @@
   draft.noteComing(replica);
 }
 
-function countSound({vms}: PlanReplica): number {
-  return vms.filter(
-    ({condition}) => condition === 'free' || condition === 'sound',
-  ).length;
-}
-
 function compareIds(a: PlanReplica, b: PlanReplica): number {
   return a.entry.replicaId < b.entry.replicaId ? -1 : 1;
 }
--- /dev/null
+++ b/src/core/replicas/plan/plan_donations.ts
@@ -0,0 +1,110 @@
+import type {PlanDraft} from './plan_draft.js';
+import type {PlanReplica} from './plan_replica.js';
+import type {ServiceStanding} from './service_standing.js';
+import {countSound} from './count_sound.js';
+import {isWhole} from './is_whole.js';
+
+/**
+ * Mends a broken replica with VMs of another one of its domain: of one that is
+ * broken too, or of a small one of a less important service, when fewer VMs stop
+ * working than start again.
+ */
+export function planDonations(draft: PlanDraft): void {
+  for (const standing of draft.standings) {
+    const broken = standing.current
+      .filter(replica => !isWhole(replica) && !draft.isTouched(replica))
+      .sort((a, b) => countSound(b) - countSound(a));
+    for (const replica of broken) {
+      if (standing.missing <= 0) break;
+      if (draft.isTouched(replica)) continue;
+      if (mend(draft, standing, replica)) standing.missing -= 1;
+    }
+  }
+}
+
+/** Returns whether the replica will be mended with VMs that come free. */
+function mend(
+  draft: PlanDraft,
+  standing: ServiceStanding,
+  replica: PlanReplica,
+): boolean {
+  const {domain, vms} = replica;
+  const sound = countSound(replica);
+  const needed = vms.length - sound;
+  const have = draft.countFree(domain) + draft.countComing(domain);
+  if (sound === 0) return false;
+  if (needed > have) {
+    const isGiven =
+      takeFromBroken(draft, standing, replica, needed - have) ||
+      takeFromSmaller(draft, standing, replica, needed - have);
+    if (!isGiven) return false;
+  }
+  draft.reserve(domain, needed);
+  draft.hold(replica);
+  return true;
+}
+
+function takeFromBroken(
+  draft: PlanDraft,
+  standing: ServiceStanding,
+  replica: PlanReplica,
+  lacking: number,
+): boolean {
+  const rank = draft.standings.indexOf(standing);
+  const gift = draft.standings
+    .slice(rank)
+    .flatMap(one => [...one.old, ...one.current])
+    .find(
+      one =>
+        one !== replica &&
+        one.domain === replica.domain &&
+        !isWhole(one) &&
+        !draft.isTouched(one) &&
+        countSound(one) >= lacking,
+    );
+  if (!gift) return false;
+  giveUp(draft, gift, 'dissolved');
+  return true;
+}
+
+function takeFromSmaller(
+  draft: PlanDraft,
+  {service}: ServiceStanding,
+  replica: PlanReplica,
+  lacking: number,
+): boolean {
+  for (const donor of [...draft.standings].reverse()) {
+    if (donor.service.priority >= service.priority) continue;
+    if (donor.serving - 1 < resolveLeast(donor)) continue;
+    const gift = donor.current.find(
+      one =>
+        one.domain === replica.domain &&
+        isWhole(one) &&
+        !draft.isTouched(one) &&
+        one.vms.length >= lacking &&
+        one.vms.length < countSound(replica),
+    );
+    if (!gift) continue;
+    giveUp(draft, gift, 'preempted');
+    if (gift.entry.state === 'serving') donor.serving -= 1;
+    donor.missing += 1;
+    return true;
+  }
+  return false;
+}
+
+/** A donor keeps more than its bare minimum, since its own VMs may be lost next. */
+function resolveLeast({service}: ServiceStanding): number {
+  return Math.max(service.minServing, Math.ceil(service.replicas / 2));
+}
+
+function giveUp(
+  draft: PlanDraft,
+  replica: PlanReplica,
+  reason: 'dissolved' | 'preempted',
+): void {
+  const {domain, entry} = replica;
+  const {replicaId} = entry;
+  draft.act({kind: 'drain', domain, replicaId, reason});
+  draft.noteComing(replica);
+}
--- a/src/core/replicas/plan/plan_draft.ts
+++ b/src/core/replicas/plan/plan_draft.ts
@@ -3,6 +3,7 @@
 import type {PlanReplica} from './plan_replica.js';
 import type {PlanView} from './plan_view.js';
 import type {ServiceStanding} from './service_standing.js';
+import {countSound} from './count_sound.js';
 import {resolveStandings} from './resolve_standings.js';
 
 /** A plan in the making: what is still free, and the steps so far. */
@@ -55,15 +56,18 @@
     return true;
   }
 
+  /** Keeps other steps off a replica without one of its own. */
+  hold({entry}: PlanReplica): void {
+    this.touched.add(entry.replicaId);
+  }
+
   isTouched({entry}: PlanReplica): boolean {
     return this.touched.has(entry.replicaId);
   }
 
   /** Counts a replica's VMs as coming free. */
-  noteComing({domain, vms}: PlanReplica): void {
-    const usable = vms.filter(
-      ({condition}) => condition === 'free' || condition === 'sound',
-    );
-    this.coming.set(domain, this.countComing(domain) + usable.length);
+  noteComing(replica: PlanReplica): void {
+    const {domain} = replica;
+    this.coming.set(domain, this.countComing(domain) + countSound(replica));
   }
 }
--- a/src/core/replicas/plan/plan_view.ts
+++ b/src/core/replicas/plan/plan_view.ts
@@ -1,4 +1,4 @@
-import type {DomainId} from '../../ids/index.js';
+import type {DomainId, ServiceName} from '../../ids/index.js';
 import type {PlanReplica} from './plan_replica.js';
 import type {PlanService} from './plan_service.js';
 import type {PlanVm} from './plan_vm.js';
@@ -7,6 +7,8 @@
 export interface PlanView {
   readonly services: readonly PlanService[];
   readonly replicas: readonly PlanReplica[];
+  /** How long each service has lacked replicas; forgotten once it has them. */
+  readonly lackingMs: ReadonlyMap<ServiceName, number>;
   /** Free VMs of each fabric domain, sorted by id; every known domain has a list. */
   readonly free: ReadonlyMap<DomainId, readonly PlanVm[]>;
 }
--- a/src/core/replicas/replicas_state.ts
+++ b/src/core/replicas/replicas_state.ts
@@ -1,5 +1,5 @@
 import type {DomainDocument} from './domain_document.js';
-import type {DomainId, ReplicaId, TargetId} from '../ids/index.js';
+import type {DomainId, ReplicaId, ServiceName, TargetId} from '../ids/index.js';
 import type {PlanAction} from './plan/types.js';
 import type {PrefixWatch} from './prefix_watch.js';
 import type {StewardLease} from './steward_lease.js';
@@ -24,6 +24,8 @@
   readonly stewardships: Map<DomainId, Stewardship>;
   /** Since when each planned step has been wanted. */
   wantedSinceMs: Map<string, number>;
+  /** Since when each service has lacked whole replicas. */
+  readonly lackingSinceMs: Map<ServiceName, number>;
   /** Planned steps that were wanted long enough. */
   actions: PlanAction[];
   /** Planned replicas of all domains, most urgent first. */
--- a/src/replay/fleet/fleet_engine.ts
+++ b/src/replay/fleet/fleet_engine.ts
@@ -24,6 +24,8 @@
   readonly running = new Set<string>();
   /** Called when the assignment is given up, with the attempts that end with it. */
   onUnload: (attempts: readonly string[]) => void = () => {};
+  /** Called when weights are loaded. */
+  onLoad: () => void = () => {};
   private bootCount = 0;
   private sequence = 0;
   private highestToken = 0;
@@ -109,6 +111,7 @@
   private load(): void {
     this.unload();
     this.phase = 'loading';
+    this.onLoad();
     const load = this.loadCount;
     const finish = () => {
       if (this.loadCount === load && this.condition !== 'dead') {
--- a/src/replay/fleet/fleet_world.ts
+++ b/src/replay/fleet/fleet_world.ts
@@ -7,6 +7,7 @@
   ServiceName,
   ZoneId,
 } from '../../core/ids/index.js';
+import type {ModelService} from './model_service.js';
 import type {SelfState} from '../../core/state/types.js';
 import type {VirtualNode} from '../virtual_node.js';
 import type {VmRecord} from '../../core/store/types.js';
@@ -19,16 +20,6 @@
 import {createVms} from './create_vms.js';
 import {makeId} from '../../core/ids/index.js';
 
-interface ModelService {
-  readonly name: string;
-  readonly version?: string;
-  readonly adapters?: readonly string[];
-  readonly replicas: number;
-  readonly vmsPerReplica: number;
-  readonly minServing?: number;
-  readonly priority?: number;
-}
-
 interface FleetWorldOptions {
   readonly seed: number;
   readonly nodes: number;
@@ -56,7 +47,8 @@
   readonly fleet: VirtualFleet;
   readonly nodes: VirtualNode[] = [];
   private revision = 0;
-  private services: readonly ModelService[];
+  /** Service files in force. */
+  services: readonly ModelService[];
   private requests = 0;
   private incarnations = 0;
 
--- a/src/replay/fleet/virtual_fleet.ts
+++ b/src/replay/fleet/virtual_fleet.ts
@@ -52,6 +52,8 @@
   /** Sees each request as an engine takes it. */
   onStart: (engine: FleetEngine) => void = () => {};
   orders = 0;
+  /** Times that engines loaded weights. */
+  loads = 0;
   polls = 0;
   private readonly pollsOf = new Map<VirtualNode, Polls>();
   private readonly attempts = new Map<AttemptId, LiveAttempt>();
@@ -66,6 +68,7 @@
   /** Adds a VM with an empty engine. */
   addEngine(record: VmRecord): FleetEngine {
     const engine = new FleetEngine(record, this.world.time, this.options);
+    engine.onLoad = () => (this.loads += 1);
     engine.onUnload = attempts => {
       for (const id of attempts) this.fail(id as AttemptId, 'reset');
     };
--- a/src/replay/scenarios/scenarios.ts
+++ b/src/replay/scenarios/scenarios.ts
@@ -1,10 +1,13 @@
 import type {Scenario} from './scenario.js';
+import {FleetScenario} from './fleet_scenario.js';
 import {LoadScenario} from './load_scenario.js';
 
 const ALL: readonly Scenario[] = [
   new LoadScenario('crest'),
   new LoadScenario('long-and-short'),
   new LoadScenario('overload'),
+  new FleetScenario('domain-dark'),
+  new FleetScenario('rolling-replace'),
 ];
 
 /** Every scenario by the name that trace heads give in `scenario`. */
