--- a/src/replay/scenarios/scenarios.ts
+++ b/src/replay/scenarios/scenarios.ts
@@ -1,10 +1,12 @@
 import type {Scenario} from './scenario.js';
 import {FleetScenario} from './fleet_scenario.js';
 import {LoadScenario} from './load_scenario.js';
+import {StoreOutageScenario} from './store_outage_scenario.js';
 
 const ALL: readonly Scenario[] = [
   new LoadScenario('crest'),
   new LoadScenario('long-and-short'),
+  new StoreOutageScenario(),
   new LoadScenario('overload'),
   new FleetScenario('domain-dark'),
   new FleetScenario('rolling-replace'),
