--- a/src/core/targets/note_report.ts
+++ b/src/core/targets/note_report.ts
@@ -1,7 +1,7 @@
 import type {EngineReport} from './engine_report.js';
 import type {Step} from '../state/types.js';
 import type {Target} from './target.js';
-import type {VmId} from '../ids/index.js';
+import type {TargetId, VmId} from '../ids/index.js';
 import {TARGET_TIMING} from './target_timing.js';
 import {isFresh} from './is_fresh.js';
 import {updateTarget} from './update_target.js';
@@ -24,9 +24,27 @@
   if (targets.leaders.get(targetId) === vmId) {
     noteLoad(targets.byId.get(targetId)!, report, trueAtMs);
   }
+  noteAdapters(step, targetId);
   updateTarget(step, targetId);
 }
 
+/** Adapters and slots change in place; an adapter counts once all members have it. */
+function noteAdapters({state}: Step, targetId: TargetId): void {
+  const {byId, leaders, reports} = state.targets;
+  const target = byId.get(targetId)!;
+  const assignmentOf = (vmId: VmId) => reports.get(vmId)?.report.assignment;
+  const lead = assignmentOf(leaders.get(targetId)!);
+  if (!lead || lead.replicaId !== target.replicaId) return;
+  const adapters = lead.adapters.filter(adapter =>
+    target.vms.every(vmId => assignmentOf(vmId)?.adapters.includes(adapter)),
+  );
+  const {slots} = lead;
+  if (slots === target.slots && adapters.join() === target.adapters.join()) {
+    return;
+  }
+  byId.set(targetId, {...target, adapters, slots});
+}
+
 function isOlder(
   report: EngineReport,
   trueAtMs: number,
