--- a/test/integration/shared_state.test.ts
+++ b/test/integration/shared_state.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {after, before, test} from 'node:test';
+import type {ConfigShowAnswer} from '../../src/core/operators/types.js';
 import {SERVICE_FILES} from '../support/cluster_files.js';
 import {TestCluster} from '../support/test_cluster.js';
 import {callChat, callOrder} from '../support/call_services.js';
@@ -8,13 +9,7 @@
 import {waitFor} from '../support/wait_for.js';
 
 interface Shown {
-  readonly data: {
-    readonly revision: number;
-    readonly services: readonly {
-      readonly name: string;
-      readonly text: string;
-    }[];
-  };
+  readonly data: ConfigShowAnswer;
 }
 
 let cluster: TestCluster;
@@ -73,7 +68,7 @@
     ),
   );
   const texts = shown.map(
-    config => config.services.find(one => one.name === 'chat')!.text,
+    config => config.files.find(one => one.name === 'chat')!.text,
   );
   assert.equal(new Set(texts).size, 1, 'all nodes have the same text');
   const refused = answers.find(answer => !answer.isAccepted)!;
