--- a/src/core/requests/dispatch_queued.ts
+++ b/src/core/requests/dispatch_queued.ts
@@ -5,7 +5,7 @@
 import type {Step} from '../state/types.js';
 import {createRefusal} from '../errors/index.js';
 import {isTooLate, nextDispatches} from '../admission/index.js';
-import {nextId} from '../state/index.js';
+import {countMetric, nextId} from '../state/index.js';
 import {noteDispatched} from '../routing/index.js';
 import {noteOnceDispatched, noteOnceOver} from '../once/index.js';
 import {openAttempt} from './open_attempt.js';
@@ -50,6 +50,10 @@
   const attemptId = nextId<AttemptId>(step, 'at');
   openAttempt(step, record, attemptId, targetId);
   noteDispatched(step, record, target);
+  if (record.attempts === 1) {
+    const {service, arrivedAtMs} = info;
+    countMetric(step, 'queueMs', step.nowMs - arrivedAtMs, {service});
+  }
   step.effects.push({
     type: 'startAttempt',
     requestId: info.requestId,
--- /dev/null
+++ b/src/metrics/count_in_flight.ts
@@ -0,0 +1,16 @@
+import type {NodeMetrics} from './node_metrics.js';
+import type {NodeState} from '../core/state/types.js';
+
+/** Fills the in-flight gauge from the state. */
+export function countInFlight(metrics: NodeMetrics, state: NodeState): void {
+  metrics.resetGauges();
+  const {tickets} = state.admission;
+  for (const {info, phase} of state.requests.byId.values()) {
+    const isLong = tickets.get(info.requestId)?.isLong ?? false;
+    metrics.count('inFlight', 1, {
+      service: info.service,
+      class: isLong ? 'long' : 'short',
+      phase,
+    });
+  }
+}
--- /dev/null
+++ b/src/metrics/metric_definitions.ts
@@ -0,0 +1,86 @@
+import type {MetricDefinition} from './metric_definition.js';
+
+const WAIT_BUCKETS_MS = [
+  5, 10, 25, 50, 100, 250, 500, 850, 1500, 3000, 6000, 15_000, 30_000,
+];
+
+/** Every measurement of a node, by the name that the core and the runtime use. */
+export const METRIC_DEFINITIONS: Readonly<Record<string, MetricDefinition>> = {
+  requests: {
+    kind: 'counter',
+    help: 'Requests that got their final answer, by service and verdict.',
+    labels: ['service', 'verdict'],
+  },
+  queueMs: {
+    kind: 'histogram',
+    help: 'Time from arrival to the first dispatch, by service.',
+    labels: ['service'],
+    buckets: WAIT_BUCKETS_MS,
+  },
+  firstTokenMs: {
+    kind: 'histogram',
+    help: 'Time from arrival to the first token, by service.',
+    labels: ['service'],
+    buckets: WAIT_BUCKETS_MS,
+  },
+  inFlight: {
+    kind: 'gauge',
+    help: 'Requests at this node, by service, class and phase.',
+    labels: ['service', 'class', 'phase'],
+  },
+  storeCalls: {
+    kind: 'counter',
+    help: 'Calls to the platform, by kind and outcome.',
+    labels: ['kind', 'outcome'],
+  },
+  peerBytes: {
+    kind: 'counter',
+    help: 'Bytes of exchanges with peers, by direction.',
+    labels: ['direction'],
+  },
+  loopMs: {
+    kind: 'counter',
+    help: 'Processor time of the decision loop, by role.',
+    labels: ['role'],
+  },
+  targetPolls: {
+    kind: 'counter',
+    help: 'Reports asked of targets.',
+    labels: [],
+  },
+  targetBars: {
+    kind: 'counter',
+    help: 'Changes of whether a target may get work, by service and reason ("none": it may).',
+    labels: ['service', 'bar'],
+  },
+  orders: {
+    kind: 'counter',
+    help: 'Orders sent to engines, by kind.',
+    labels: ['kind'],
+  },
+  orderResults: {
+    kind: 'counter',
+    help: 'Results of orders, by outcome.',
+    labels: ['outcome'],
+  },
+  configPulls: {
+    kind: 'counter',
+    help: 'Configuration read from peers or the store, by kind.',
+    labels: ['kind'],
+  },
+  configAlarms: {
+    kind: 'counter',
+    help: 'Configuration that was not taken over, by cause.',
+    labels: ['cause'],
+  },
+  auditDropped: {
+    kind: 'counter',
+    help: 'Audit records given up because too many waited for the store.',
+    labels: [],
+  },
+  unlisted: {
+    kind: 'counter',
+    help: 'Measurements that have no definition, by name.',
+    labels: ['name'],
+  },
+};
--- a/src/runtime/create_node.ts
+++ b/src/runtime/create_node.ts
@@ -11,7 +11,7 @@
 import {EventLoop} from './event_loop.js';
 import {HttpPlatformStore, StoreRunner} from '../platform/index.js';
 import {LogRunner, createLogger} from '../logging/index.js';
-import {MetricRunner, createNodeMetrics} from '../metrics/index.js';
+import {MetricRunner, createNodeMetrics, eventRole} from '../metrics/index.js';
 import {MonotonicClock} from './monotonic_clock.js';
 import {OperatorApi} from '../operators/index.js';
 import {PeerClient, PeerServer} from '../peers/index.js';
@@ -40,9 +40,15 @@
     seed,
   );
   const recorder = createEventRecorder(settings, state.self, seed);
-  const loop = new EventLoop({state, clock, record: recorder.record});
   const logger = createLogger(settings);
   const metrics = createNodeMetrics();
+  const loop = new EventLoop({
+    state,
+    clock,
+    record: recorder.record,
+    measure: (event, elapsedMs) =>
+      metrics.count('loopMs', elapsedMs, {role: eventRole(event)}),
+  });
   const context: NodeContext = {
     settings,
     clock,
--- a/src/runtime/event_loop.ts
+++ b/src/runtime/event_loop.ts
@@ -1,3 +1,4 @@
+import {performance} from 'node:perf_hooks';
 import type {Clock} from './clock.js';
 import type {Effect} from '../core/effects/types.js';
 import type {EffectHandler} from './effect_handler.js';
@@ -11,6 +12,8 @@
   readonly clock: Clock;
   /** Sees every event before it is applied. */
   readonly record?: (event: NodeEvent) => void;
+  /** Gets the time that each decision took. */
+  readonly measure?: (event: NodeEvent, elapsedMs: number) => void;
 }
 
 /** Applies events one after the other and hands the effects to their handlers. */
@@ -60,7 +63,10 @@
     this.lastMs = Math.max(this.lastMs, this.options.clock.nowMs());
     const event: NodeEvent = {...undated, nowMs: this.lastMs};
     this.options.record?.(event);
-    for (const effect of reduce(this.options.state, event)) {
+    const startedAtMs = performance.now();
+    const effects = reduce(this.options.state, event);
+    this.options.measure?.(event, performance.now() - startedAtMs);
+    for (const effect of effects) {
       this.handlers.get(effect.type)?.handle(effect);
     }
   }
