--- a/test/support/fleet_checks.ts
+++ b/test/support/fleet_checks.ts
@@ -124,6 +124,9 @@
   private checkSend(node: VirtualNode, order: Order): void {
     const {vmId, fencingToken, assignment} = order;
     const engine = this.world.fleet.engines.get(vmId)!;
+    if (order.notAfterMs > node.state.replicas.lease.safeUntilMs) {
+      this.report(`an order to ${vmId} may outlive its steward's lease`);
+    }
     const waiting = this.underWay.get(engine) ?? new Set();
     const {condition, record} = engine;
     const isAwake = condition === 'alive' && !record.checksFencing;
--- a/test/units/replicas/steward_authority.test.ts
+++ b/test/units/replicas/steward_authority.test.ts
@@ -6,6 +6,8 @@
 /** Longer than an order's time-out, shorter than what a take-over waits. */
 const LATE_ORDER_MS = 1900;
 const LEASE_MS = 5000;
+/** Shorter than the old lease and an order's time-out together. */
+const FORGOTTEN_MS = 5500;
 
 function isCallOf(node: VirtualNode) {
   return (other: VirtualNode) => (other === node ? 'unavailable' : 'none');
@@ -39,9 +41,13 @@
     const world = new StewardWorld({fencingShare: 0});
     const {steward} = world;
     world.fleet.orderDelayMs = node => (node === steward ? LATE_ORDER_MS : 1);
+    const engines = [...world.fleet.engines.values()].reverse();
+    const spare = engines.find(engine => engine.phase === 'idle')!;
+    spare.isLeaving = true; // no longer a spare of the document
+    world.watchFor(2000);
     world.store.fault = isCallOf(steward);
     const {lease} = steward.state.replicas;
-    world.watchFor(lease.safeUntilMs - 1100 - world.nowMs);
+    world.watchFor(lease.safeUntilMs - 1300 - world.nowMs);
     world.strandEngine();
     world.watchFor(3 * LEASE_MS);
     assert.deepEqual(world.checks.faults, []);
@@ -51,9 +57,10 @@
   test('an engine without fencing gets no order of a new steward while one of the old may arrive', () => {
     const world = new StewardWorld({fencingShare: 0});
     const {steward} = world;
-    world.fleet.orderDelayMs = node => (node === steward ? LATE_ORDER_MS : 1);
+    world.fleet.orderDelayMs = node => (node === steward ? FORGOTTEN_MS : 1);
     const stray = world.strandEngine();
-    world.watchFor(400);
+    world.watchFor(600);
+    assert.equal(world.fleet.orders, 3, 'the release is under way');
     // The store forgets the lease while an order is under way.
     const leaseId = steward.state.replicas.lease.leaseId!;
     const revoke = {kind: 'revokeLease', leaseId} as const;
--- a/test/units/targets/target_bars.test.ts
+++ b/test/units/targets/target_bars.test.ts
@@ -2,6 +2,10 @@
 import {suite, test} from 'node:test';
 import {StewardWorld} from '../../support/steward_world.js';
 
+/** Enough for a VM to be given up, too short for documents to be distrusted. */
+const SHORT_SILENCE_MS = 5900;
+/** Until a watch that waits has ended. */
+const WATCH_MS = 12_000;
 /** Time in which a node must have learned that a target leaves. */
 const LEAVING_MS = 2000;
 
@@ -80,8 +84,9 @@
     const [cut] = world.others;
     const [leader] = world.members;
     world.store.fault = node => (node === cut ? 'unavailable' : 'none');
+    world.watchFor(WATCH_MS);
     leader!.freeze();
-    world.watchFor(12_000);
+    world.watchFor(SHORT_SILENCE_MS);
     // A leader that missed its exchange and has no steward to release it.
     world.fleet.isUp = (node, vmId) =>
       node === cut || vmId !== leader!.record.vmId;
