--- a/src/core/config/publish/accept_job.ts
+++ b/src/core/config/publish/accept_job.ts
@@ -6,7 +6,7 @@
 import {applyChanges} from '../apply_changes.js';
 import {configKey} from '../config_key.js';
 import {finishJob} from './finish_job.js';
-import {recordAudit} from '../../audit/index.js';
+import {describeTextChange, recordAudit} from '../../audit/index.js';
 
 /** Answers an accepted publication, and puts it in force here at once. */
 export function acceptJob(
@@ -48,8 +48,7 @@
       who: job.operator,
       action: 'publish',
       subject: configKey.serviceName(key) ?? key,
-      ...(before !== undefined && {before}),
-      ...(after !== undefined && after !== null && {after}),
+      ...describeTextChange(before, after ?? undefined),
     });
   }
 }
