--- a/src/replay/scenarios/scenarios.ts
+++ b/src/replay/scenarios/scenarios.ts
@@ -1,4 +1,5 @@
 import type {Scenario} from './scenario.js';
+import {FleetScenario} from './fleet_scenario.js';
 import {LoadScenario} from './load_scenario.js';
 import {StoreOutageScenario} from './store_outage_scenario.js';
 
@@ -7,6 +8,8 @@
   new LoadScenario('long-and-short'),
   new StoreOutageScenario(),
   new LoadScenario('overload'),
+  new FleetScenario('domain-dark'),
+  new FleetScenario('rolling-replace'),
 ];
 
 /** Every scenario by the name that trace heads give in `scenario`. */
