Measure control slopes and work out the table for 620 nodes

Leases are granted after the first list, so that their length follows the number of nodes: before, the renewals of 240 nodes were 72 a second. Peer calls use a controller each in place of joined signals.

--- a/bench/benchmarks.ts
+++ b/bench/benchmarks.ts
@@ -1,5 +1,6 @@
 import type {Benchmark} from './benchmark.js';
+import {capacity} from './capacity.js';
 import {decisionCost} from './decision_cost.js';
 
 /** Every benchmark that `npm run bench -- <name>` knows. */
-export const BENCHMARKS: readonly Benchmark[] = [decisionCost];
+export const BENCHMARKS: readonly Benchmark[] = [capacity, decisionCost];
--- /dev/null
+++ b/bench/capacity.ts
@@ -0,0 +1,111 @@
+import type {Benchmark} from './benchmark.js';
+import {measureExchange} from './capacity/measure_exchange.js';
+import type {GrowthRow} from './capacity/growth_row.js';
+import {measureGrowth} from './capacity/measure_growth.js';
+import {measureMemory} from './capacity/measure_memory.js';
+
+const SIZES = [18, 60, 150];
+/** Size of two years from now. */
+const FUTURE = {
+  nodes: 620,
+  engines: 4800,
+  services: 200,
+  changesPerDay: 5900,
+  replacementsPerDay: 1093,
+};
+const LIMIT = {cpuShare: 0.024, memoryMb: 32, bytesPerSecond: 4096};
+const DAY_SECONDS = 86_400;
+const MB = 1024 * 1024;
+/** Exchanges that one replaced or failed node causes at each other: news by ring and chance, twice. */
+const NEWS_EXCHANGES = 10;
+
+/** Slopes of membership and configuration, and what follows from them at the future size. */
+export const capacity: Benchmark = {
+  name: 'capacity',
+  describe: 'slopes of control work, and the table for 620 nodes',
+  async run() {
+    const exchange = await measureExchange();
+    const memory = measureMemory();
+    console.log('slopes');
+    printRow('exchange with one heartbeat, bytes both ways', exchange.bytes);
+    printRow('  of which message', exchange.messageBytes);
+    printRow('exchange, processor us, both ends', exchange.cpuUs);
+    printRow('peer, bytes of heap', memory.peerBytes);
+    printRow('target, bytes of heap', memory.targetBytes);
+    printRow('service of 600 bytes, bytes of heap', memory.serviceBytes);
+    const rows = SIZES.map(measureGrowth);
+    printGrowth(rows);
+    printFuture(rows.at(-1)!, exchange, memory);
+  },
+};
+
+type Exchange = Awaited<ReturnType<typeof measureExchange>>;
+type Memory = ReturnType<typeof measureMemory>;
+
+function printRow(name: string, value: number): void {
+  console.log(`  ${name.padEnd(52)} ${value.toFixed(1).padStart(12)}`);
+}
+
+function printGrowth(rows: readonly GrowthRow[]): void {
+  console.log('per node by number of nodes (10 zones, virtual time)');
+  const columns: readonly [string, (row: GrowthRow) => number][] = [
+    ['nodes', row => row.nodes],
+    ['store calls/s', row => row.storeCallsPerSecond],
+    ['store calls/s, whole fleet', row => row.fleetStoreCallsPerSecond],
+    ['exchanges/s', row => row.exchangesPerSecond],
+    ['message bytes/s', row => row.messageBytesPerSecond],
+    ['core, % of a processor core', row => row.cpuShare * 100],
+    ['config bytes a change', row => row.changeBytes],
+    ['whole copy, bytes', row => row.wholeCopyBytes],
+    ['slowest change in force, ms', row => row.inForceMs],
+  ];
+  for (const [name, value] of columns) {
+    const cells = rows.map(row => value(row).toFixed(2).padStart(12));
+    console.log(`  ${name.padEnd(30)}${cells.join('')}`);
+  }
+  console.log('store calls/s of the whole fleet by kind');
+  for (const kind of new Set(rows.flatMap(row => [...row.calls.keys()]))) {
+    const cells = rows.map(row =>
+      ((row.calls.get(kind) ?? 0) / 60).toFixed(2).padStart(12),
+    );
+    console.log(`  ${kind.padEnd(30)}${cells.join('')}`);
+  }
+}
+
+/** Membership and configuration of a node at the future size; other roles add to it. */
+function printFuture(last: GrowthRow, exchange: Exchange, memory: Memory) {
+  const {nodes, engines, services, changesPerDay, replacementsPerDay} = FUTURE;
+  const sent = last.exchangesPerSecond;
+  const changes = changesPerDay / DAY_SECONDS;
+  const news = (replacementsPerDay / DAY_SECONDS) * NEWS_EXCHANGES;
+  const changeBytes = changes * (last.changeBytes + 2 * exchange.bytes);
+  // What a node sends, others receive: each exchange is counted at both ends.
+  const bytes = (sent + news) * exchange.bytes * 2 + changeBytes;
+  const cpu = (sent + news) * (exchange.cpuUs / 1e6) + last.cpuShare;
+  const heap =
+    nodes * memory.peerBytes +
+    engines * memory.targetBytes +
+    services * memory.serviceBytes;
+  const copies = (changes * last.wholeCopyBytes).toFixed(0);
+  const deltas = (changes * last.changeBytes).toFixed(0);
+  console.log(
+    `worked out for ${nodes} nodes, ${engines} engines, ${changesPerDay} changes a day; per node, membership and configuration`,
+  );
+  printLimit('processor, % of a core', cpu * 100, LIMIT.cpuShare * 100);
+  printLimit('heap of peers, targets, texts, MB', heap / MB, LIMIT.memoryMb);
+  printLimit('bytes/s, both directions', bytes, LIMIT.bytesPerSecond);
+  console.log(
+    `  configuration, bytes/s: ${deltas} by changes, ${copies} by whole copies`,
+  );
+  const storeCalls = last.storeCallsPerSecond * nodes;
+  console.log(
+    `  store calls/s of all nodes at the rate of ${last.nodes} nodes: ${storeCalls.toFixed(0)}`,
+  );
+}
+
+function printLimit(name: string, value: number, limit: number): void {
+  const verdict = value <= limit ? 'met' : 'NOT MET';
+  console.log(
+    `  ${name.padEnd(36)} ${value.toFixed(2).padStart(10)} of ${limit.toFixed(2)}: ${verdict}`,
+  );
+}
--- a/src/core/membership/keep_lease.ts
+++ b/src/core/membership/keep_lease.ts
@@ -5,6 +5,7 @@
 import {nodeRecord} from './node_record.js';
 
 const KEEP_ALIVES_PER_TTL = 3;
+const FIRST_LIST_MS = 2000;
 
 /** Takes, registers and keeps this node's lease; one call at a time. */
 export function keepLease(step: Step): void {
@@ -13,6 +14,7 @@
   if (membership.isSuperseded || membership.isReleased) return;
   if (nowMs < membership.nextLeaseAtMs) return;
   if (isCalling(state, 'grant', 'register', 'keepAlive', 'evict')) return;
+  if (awaitsFirstList(step)) return;
   const {leaseId} = membership;
   if (!leaseId) {
     membership.leaseTtlMs = leaseTtlMs(step);
@@ -35,6 +37,13 @@
   });
 }
 
+/** The first list tells how many nodes there are, and by that how long the lease is to be. */
+function awaitsFirstList(step: Step): boolean {
+  const {hasView, store, startedAtMs} = step.state.membership;
+  const sinceStartMs = step.nowMs - startedAtMs;
+  return !hasView && store.failures === 0 && sinceStartMs < FIRST_LIST_MS;
+}
+
 /** Longer leases as nodes grow keep the store's writes near the same rate. */
 function leaseTtlMs(step: Step): number {
   const {minLeaseTtlMs, maxLeaseTtlMs, maxFullMesh} = MEMBERSHIP_TIMING;
--- a/src/peers/peer_link.ts
+++ b/src/peers/peer_link.ts
@@ -27,7 +27,7 @@
   private readonly trpc;
   private readonly exchanges = new PQueue({concurrency: 1});
   private readonly asks = new PQueue({concurrency: ASK_CONCURRENCY});
-  private readonly closing = new AbortController();
+  private readonly calls = new Set<AbortController>();
   private waiting: PeerMessage[] = [];
   private timer: NodeJS.Timeout | undefined;
 
@@ -59,10 +59,7 @@
   /** Settles with nothing when no answer came in time. */
   async ask(effect: EffectOf<'peerAsk'>): Promise<PeerMessage | undefined> {
     const {callId, message, timeoutMs} = effect;
-    const signal = AbortSignal.any([
-      this.closing.signal,
-      AbortSignal.timeout(timeoutMs),
-    ]);
+    const {signal, end} = this.openCall(timeoutMs);
     const from = this.options.self;
     try {
       const answer = await this.asks.add(
@@ -72,6 +69,8 @@
       return parsePeerMessage(answer);
     } catch {
       return undefined;
+    } finally {
+      end();
     }
   }
 
@@ -85,7 +84,7 @@
   destroy(): void {
     clearTimeout(this.timer);
     this.waiting = [];
-    this.closing.abort();
+    for (const call of this.calls) call.abort();
   }
 
   private flush(): void {
@@ -100,10 +99,7 @@
     const messages = this.waiting;
     if (messages.length === 0) return;
     this.waiting = [];
-    const signal = AbortSignal.any([
-      this.closing.signal,
-      AbortSignal.timeout(EXCHANGE_TIMEOUT_MS),
-    ]);
+    const {signal, end} = this.openCall(EXCHANGE_TIMEOUT_MS);
     try {
       await this.trpc.exchange.mutate(
         {from: this.options.self, messages},
@@ -111,6 +107,20 @@
       );
     } catch {
       // A lost exchange is not sent again: the next heartbeat says it anew.
+    } finally {
+      end();
     }
   }
+
+  /** A signal that aborts at the time-out or with the link; `end` frees it. */
+  private openCall(timeoutMs: number) {
+    const call = new AbortController();
+    const timer = setTimeout(() => call.abort(), timeoutMs);
+    this.calls.add(call);
+    const end = () => {
+      clearTimeout(timer);
+      this.calls.delete(call);
+    };
+    return {signal: call.signal, end};
+  }
 }
