--- a/test/units/membership/membership.test.ts
+++ b/test/units/membership/membership.test.ts
@@ -172,6 +172,56 @@
     assert.deepEqual([...firsts].sort(), [0, 3], 'organisations spread');
   });
 
+  it('forgets no peer while the store is down, however long a cut lasts', () => {
+    const fleet = startFleet(6);
+    const isCut = (id: NodeId) => ['n2', 'n5'].includes(id);
+    fleet.store.fault = () => 'unavailable';
+    fleet.run(SETTLE_MS);
+    fleet.network.isUp = (from, to) => isCut(from) === isCut(to);
+    fleet.run(3 * MEMBERSHIP_TIMING.forgetAfterMs);
+    fleet.network.isUp = () => true;
+    fleet.run(LEAVE_OUT_MS);
+    for (const node of fleet.world.nodes.values()) {
+      assert.deepEqual(fleet.entries(node), [0, 1, 2, 3, 4, 5]);
+    }
+  });
+
+  it('finds out from the store alone that it was replaced', () => {
+    const fleet = startFleet(3);
+    const old = nodeOf(fleet, 1);
+    fleet.network.isUp = () => false;
+    fleet.startNode(1);
+    fleet.run(6 * SETTLE_MS);
+    assert.ok(old.state.membership.isSuperseded);
+  });
+
+  it('finds out from peers alone that it was replaced', () => {
+    const fleet = startFleet(3);
+    const old = nodeOf(fleet, 1);
+    fleet.store.fault = node => (node === old ? 'unavailable' : 'none');
+    fleet.startNode(1);
+    // Others carry the news to it, since the world knows one node by a name.
+    const next = nodeOf(fleet, 1);
+    fleet.run(SETTLE_MS);
+    const {startedAtMs, sequence} = next.state.membership;
+    const peer = nodeOf(fleet, 0).state.membership.peers.get('n1' as NodeId)!;
+    assert.equal(peer.incarnation, next.state.self.incarnation);
+    const standing = {...peer, startedAtMs, sequence};
+    old.dispatch({
+      type: 'peerExchanged',
+      from: 'n0' as NodeId,
+      messages: [
+        {
+          type: 'membership.news',
+          nodes: [
+            {nodeId: peer.nodeId, standing, silentMs: 0, suspected: false},
+          ],
+        },
+      ],
+    });
+    assert.ok(old.state.membership.isSuperseded);
+  });
+
   it('holds beyond a full mesh: a dead node is left out by all within 3 s', () => {
     const fleet = startFleet(60);
     nodeOf(fleet, 7).kill();
