--- a/test/integration/steward_freeze.test.ts
+++ b/test/integration/steward_freeze.test.ts
@@ -83,7 +83,8 @@
   for (const node of [frozen, ...others]) {
     const chat = await waitFor(`chat through ${node.name}`, async () => {
       const answer = await callChat(node.callerUrl, {outputTokens: 12});
-      return answer.status === 200 && answer;
+      assert.equal(answer.status, 200, `${node === frozen} ${answer.body}`);
+      return answer;
     });
     assert.equal(readChat(chat.body).done, true);
   }
