--- a/test/support/request_node.ts
+++ b/test/support/request_node.ts
@@ -1,6 +1,6 @@
 import type {Incarnation} from '../../src/core/ids/index.js';
-import type {NodeContext} from '../../src/runtime/types.js';
-import type {NodeState} from '../../src/core/state/types.js';
+import type {EffectHandler, NodeContext} from '../../src/runtime/types.js';
+import type {NodeState, Step} from '../../src/core/state/types.js';
 import type {PlatformStore} from '../../src/core/store/types.js';
 import type {Settings} from '../../src/settings/types.js';
 import {AttemptRunner} from '../../src/targets/index.js';
@@ -10,8 +10,8 @@
 import {StoreRunner} from '../../src/platform/index.js';
 import {TOKEN, seedConfig, seedTarget} from './seed_state.js';
 import {callHttp} from './call_http.js';
-import {createLogger} from '../../src/logging/index.js';
-import {createNodeMetrics} from '../../src/metrics/index.js';
+import {LogRunner, createLogger} from '../../src/logging/index.js';
+import {MetricRunner, createNodeMetrics} from '../../src/metrics/index.js';
 import {createNodeState} from '../../src/core/state/index.js';
 import {createTestSettings} from './create_test_settings.js';
 
@@ -30,6 +30,7 @@
   readonly platform = new MemoryPlatform();
   private readonly callers: CallerServer;
   private readonly attempts: AttemptRunner;
+  private readonly handlers: readonly EffectHandler[];
   private readonly timer: NodeJS.Timeout;
 
   private constructor(
@@ -46,9 +47,14 @@
         }),
       close: async () => {},
     };
-    loop.addHandler(this.callers);
-    loop.addHandler(this.attempts);
-    loop.addHandler(new StoreRunner(context, store));
+    this.handlers = [
+      this.callers,
+      this.attempts,
+      new StoreRunner(context, store),
+      new LogRunner(context),
+      new MetricRunner(context),
+    ];
+    for (const handler of this.handlers) loop.addHandler(handler);
     loop.addHandler({
       types: ['exit'],
       handle: () => (this.hasExited = true),
@@ -83,8 +89,13 @@
     return `http://${this.context.settings.node.callerAddress}`;
   }
 
-  addTarget(service: string, id: string, address: string): void {
-    seedTarget(this.state, service, id, {address});
+  addTarget(
+    service: string,
+    id: string,
+    address: string,
+    slots?: number,
+  ): void {
+    seedTarget(this.state, service, id, {address, ...(slots && {slots})});
   }
 
   /** Calls with the token of the organisation. */
@@ -111,6 +122,20 @@
     this.loop.dispatch(event);
   }
 
+  /** Applies a change as an area of the core would; queued work starts at the next event. */
+  apply(change: (step: Step) => void): void {
+    const step: Step = {
+      state: this.state,
+      nowMs: this.context.clock.nowMs(),
+      effects: [],
+    };
+    change(step);
+    for (const effect of step.effects) {
+      const types = (one: EffectHandler) => one.types.includes(effect.type);
+      this.handlers.find(types)?.handle(effect);
+    }
+  }
+
   /** Ends as the exit effect does. */
   closeCallers(): Promise<void> {
     return this.callers.close();
