--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -3,6 +3,7 @@
 import type {GrowthRow} from './capacity/growth_row.js';
 import {measureGrowth} from './capacity/measure_growth.js';
 import {measureMemory} from './capacity/measure_memory.js';
+import {measureRoles} from './capacity/measure_roles.js';
 
 const SIZES = [18, 60, 150];
 /** Size of two years from now. */
@@ -33,6 +34,7 @@
     printRow('peer, bytes of heap', memory.peerBytes);
     printRow('target, bytes of heap', memory.targetBytes);
     printRow('service of 600 bytes, bytes of heap', memory.serviceBytes);
+    printRoles(measureRoles());
     const rows = SIZES.map(measureGrowth);
     printGrowth(rows);
     printFuture(rows.at(-1)!, exchange, memory);
@@ -46,6 +48,19 @@
   console.log(`  ${name.padEnd(52)} ${value.toFixed(1).padStart(12)}`);
 }
 
+/** Brokers and stewards, core only. */
+function printRoles(roles: ReturnType<typeof measureRoles>): void {
+  for (const [holders, us] of roles.demandUs) {
+    printRow(`broker, us a demand, ${holders} holders`, us);
+  }
+  printRow('broker, bytes of a demand and its answer', roles.demandBytes);
+  roles.stewardUsPerSecond.forEach(([vms, us], at) => {
+    printRow(`steward and polls of ${vms} VMs, us a second`, us);
+    const calls = roles.stewardCallsPerSecond[at]!;
+    printRow('  store calls a second', calls);
+  });
+}
+
 function printGrowth(rows: readonly GrowthRow[]): void {
   console.log('per node by number of nodes (10 zones, virtual time)');
   const columns: readonly [string, (row: GrowthRow) => number][] = [
