--- a/bench/capacity/measure_roles.ts
+++ b/bench/capacity/measure_roles.ts
@@ -2,8 +2,7 @@
 import type {NodeState} from '../../src/core/state/types.js';
 import type {UndatedEvent} from '../../src/core/events/types.js';
 import {FleetWorld} from '../../src/replay/fleet/index.js';
-import {createNodeState} from '../../src/core/state/index.js';
-import {installFleet} from '../../src/replay/load/install_fleet.js';
+import {createBenchNode} from '../create_bench_node.js';
 import {makeId} from '../../src/core/ids/index.js';
 import {reduce} from '../../src/core/reduce.js';
 
@@ -67,50 +66,7 @@
 }
 
 function createBroker(nodes: number): NodeState {
-  const nodeId = makeId<NodeId>('node-0');
-  const state = createNodeState(
-    {
-      nodeId,
-      incarnation: makeId('node-0/1'),
-      zone: makeId('zone-0'),
-      region: 'region',
-      callerAddress: '',
-      controlAddress: '',
-      roles: {
-        entry: true,
-        relay: false,
-        observer: false,
-        broker: true,
-        steward: false,
-      },
-    },
-    1,
-  );
-  installFleet(state, {
-    nodes,
-    services: [
-      {
-        name: 'chat',
-        kind: 'model',
-        engines: GROUP_TARGETS,
-        engine: {
-          slots: 8,
-          tokenMs: 20,
-          batchCost: 0,
-          prefillMsPerToken: 0,
-          cachedPrefixes: 0,
-        },
-      },
-    ],
-    organisations: [{name: 'large', weight: 1}],
-    stragglers: [],
-    refusers: [],
-    reportIntervalMs: 500,
-    reportLagMs: 100,
-    crestFromMs: 0,
-    crestUntilMs: 0,
-  });
-  return state;
+  return createBenchNode({nodes, targets: GROUP_TARGETS});
 }
 
 function createDemand(
--- a/bench/decision_cost.ts
+++ b/bench/decision_cost.ts
@@ -2,10 +2,8 @@
 import type {AttemptId, RequestId} from '../src/core/ids/index.js';
 import type {Benchmark} from './benchmark.js';
 import type {Effect} from '../src/core/effects/types.js';
-import type {LoadFleet} from '../src/replay/load/load_fleet.js';
 import type {NodeState} from '../src/core/state/types.js';
-import {createNodeState} from '../src/core/state/index.js';
-import {installFleet} from '../src/replay/load/install_fleet.js';
+import {createBenchNode} from './create_bench_node.js';
 import {makeId} from '../src/core/ids/index.js';
 import {reduce} from '../src/core/reduce.js';
 
@@ -18,13 +16,7 @@
 const ROUNDS = 5;
 const TICK_EVERY_REQUESTS = 8;
 const TICK_MS = 50;
-const ROLES = {
-  entry: true,
-  relay: false,
-  observer: false,
-  broker: true,
-  steward: false,
-};
+const NODES = 18;
 
 /** Core time of one request, from arrival to the end of its answer, by number of targets. */
 export const decisionCost: Benchmark = {
@@ -62,21 +54,7 @@
 }
 
 function createBusyNode(targets: number): BusyNode {
-  const nodeId = makeId<never>('node-0');
-  const state = createNodeState(
-    {
-      nodeId,
-      incarnation: makeId('node-0/1'),
-      zone: makeId('zone-0'),
-      region: 'region',
-      callerAddress: '',
-      controlAddress: '',
-      roles: ROLES,
-    },
-    1,
-  );
-  installFleet(state, createFleet(targets));
-  const loop = new RequestLoop(state);
+  const loop = new RequestLoop(createBenchNode({nodes: NODES, targets}));
   return {run: requests => loop.run(requests)};
 }
 
@@ -146,30 +124,3 @@
     }
   }
 }
-
-function createFleet(engines: number): LoadFleet {
-  return {
-    nodes: 18,
-    services: [
-      {
-        name: 'chat',
-        kind: 'model',
-        engines,
-        engine: {
-          slots: 8,
-          tokenMs: 20,
-          batchCost: 0,
-          prefillMsPerToken: 0,
-          cachedPrefixes: 0,
-        },
-      },
-    ],
-    organisations: [{name: 'large', weight: 1}],
-    stragglers: [],
-    refusers: [],
-    reportIntervalMs: 500,
-    reportLagMs: 100,
-    crestFromMs: 0,
-    crestUntilMs: 0,
-  };
-}
