Test a node's leaving under load with a real SIGTERM

The unit test of drain runs in one process; signal, exit code and the entries of other nodes were not shown. Here a node with four slow streams and three orders in progress gets SIGTERM: chat and order are refused as NodeDraining, not-run, with entries that leave it out; its peers' entries leave it out while it still runs; all streams end whole, all orders are answered, it ends with 0.

Streams are slowed at the engine until the checks are made, so no time limit decides.

--- /dev/null
+++ b/test/integration/drain.test.ts
@@ -0,0 +1,119 @@
+import assert from 'node:assert/strict';
+import {after, before, test} from 'node:test';
+import {SERVICE_FILES} from '../support/cluster_files.js';
+import {TestCluster} from '../support/test_cluster.js';
+import {callChat, callOrder} from '../support/call_services.js';
+import {callHttp} from '../support/call_http.js';
+import {readChat} from '../support/read_chat.js';
+import {waitFor} from '../support/wait_for.js';
+
+const STREAMS = 4;
+const STREAM_TOKENS = 200;
+const ORDERS = 3;
+const SLOW = 0.02;
+const FAST = 2;
+
+let cluster: TestCluster;
+
+before(async () => {
+  const chat = SERVICE_FILES['chat.ini']!.replace('20s', '60s');
+  cluster = await TestCluster.start({
+    files: {...SERVICE_FILES, 'chat.ini': chat},
+  });
+  for (const node of cluster.nodes) {
+    await waitFor(`services at ${node.name}`, async () => {
+      const order = await callOrder(node.callerUrl, `first-${node.name}`);
+      const chat = await callChat(node.callerUrl);
+      return order.status === 200 && chat.status === 200;
+    });
+  }
+});
+
+after(() => cluster.close());
+
+/** Sets how fast streams go, so that they last as long as the test needs them. */
+async function setSpeed(factor: number): Promise<void> {
+  const engines = cluster.vms.filter(vm => vm.kind === 'engine');
+  await Promise.all(
+    engines.map(vm => cluster.control(vm.url, 'speed', {factor})),
+  );
+}
+
+async function countRuns(prefix: string): Promise<number> {
+  const application = cluster.vms.find(vm => vm.kind === 'application')!;
+  const answer = await callHttp(`${application.url}/standin/runs`);
+  return Object.keys(JSON.parse(answer.body)).filter(call =>
+    call.includes(prefix),
+  ).length;
+}
+
+async function readEntries(callerUrl: string): Promise<string[]> {
+  const answer = await callHttp(`${callerUrl}/v1/entries?service=chat`);
+  const {entries} = JSON.parse(answer.body);
+  return entries.map((entry: {address: string}) => entry.address);
+}
+
+test('a node that gets SIGTERM under load answers what it has, refuses what is new, and exits with 0', async () => {
+  const [leaving, ...others] = cluster.nodes;
+  const address = leaving!.callerUrl.replace('http://', '');
+  let begun = 0;
+  const streams = Array.from({length: STREAMS}, (_, at) => {
+    let isBegun = false;
+    const onData = () => {
+      begun += isBegun ? 0 : 1;
+      isBegun = true;
+    };
+    return callChat(leaving!.callerUrl, {
+      prompt: `story ${at}`,
+      outputTokens: STREAM_TOKENS,
+      onData,
+    });
+  });
+  await setSpeed(SLOW);
+  const orders = Array.from({length: ORDERS}, (_, at) =>
+    callOrder(leaving!.callerUrl, `held-${at}`, {query: '?delayMs=2000'}),
+  );
+  await waitFor('all streams', () => begun === STREAMS);
+  await waitFor('all orders', async () => (await countRuns('held')) === ORDERS);
+
+  leaving!.process.signal('SIGTERM');
+  const chat = await waitFor('a refused chat', async () => {
+    const answer = await callChat(leaving!.callerUrl, {outputTokens: 1});
+    return answer.status === 503 && answer;
+  });
+  const order = await callOrder(leaving!.callerUrl, 'new-order');
+  for (const refusal of [chat, order]) {
+    assert.equal(refusal.status, 503);
+    assert.equal(refusal.headers['rhubarbstile-verdict'], 'not-run');
+    const {error, entries} = JSON.parse(refusal.body);
+    assert.equal(error.name, 'NodeDraining');
+    const named = entries.map((entry: {address: string}) => entry.address);
+    assert.ok(named.length > 0);
+    assert.ok(!named.includes(address));
+  }
+  for (const node of others) {
+    await waitFor(`entries of ${node.name}`, async () => {
+      const named = await readEntries(node.callerUrl);
+      return named.length === others.length && !named.includes(address);
+    });
+  }
+  assert.equal(leaving!.process.exitCode, null);
+
+  await setSpeed(FAST);
+  for (const stream of await Promise.all(streams)) {
+    const {tokens, done, error} = readChat(stream.body);
+    assert.equal(error, undefined);
+    assert.equal(done, true);
+    assert.equal(tokens, STREAM_TOKENS);
+  }
+  for (const {status} of await Promise.all(orders)) assert.equal(status, 200);
+  await leaving!.process.ended;
+  assert.equal(leaving!.process.exitCode, 0);
+  await assert.rejects(callChat(leaving!.callerUrl), {code: 'ECONNREFUSED'});
+  assert.equal(await countRuns('new-order'), 0);
+  const kept = await callOrder(others[0]!.callerUrl, 'held-0', {
+    query: '?delayMs=2000',
+  });
+  assert.equal(kept.status, 200);
+  assert.equal(await countRuns('held'), ORDERS);
+});
