Spend less of a relayed request on timers, header copies and writes

- One timer an attempt in place of two: the time-out for connecting is set only when the socket is connecting.
- A held answer leaves with the end of the response, and its headers are not copied once more.

--- a/src/callers/caller_answer.ts
+++ b/src/callers/caller_answer.ts
@@ -30,6 +30,7 @@
   headSent = false;
   closed = false;
   private waiting?: () => void;
+  private last?: Buffer;
 
   constructor(
     private readonly response: ServerResponse,
@@ -49,16 +50,18 @@
     if (this.closed || this.headSent) return;
     this.headSent = true;
     this.noteDrain();
-    this.response.writeHead(status, {
-      ...headers,
-      'rhubarbstile-request-id': this.requestId,
-    });
+    headers['rhubarbstile-request-id'] = this.requestId;
+    this.response.writeHead(status, headers);
   }
 
   write(chunk: Buffer | string): boolean {
     return this.closed || this.response.write(chunk);
   }
 
+  writeLast(chunk: Buffer): void {
+    this.last = chunk;
+  }
+
   onceDrained(resume: () => void): void {
     if (this.closed) {
       resume();
@@ -85,7 +88,7 @@
     if (this.stream && this.delivered.tokens > 0) {
       this.response.end(DONE_EVENT);
     } else {
-      this.response.end();
+      this.response.end(this.last);
     }
     this.close();
   }
--- a/src/callers/open_answer.ts
+++ b/src/callers/open_answer.ts
@@ -22,6 +22,8 @@
   writeHead(status: number, headers: OutgoingHttpHeaders): void;
   /** False: wait for `onceDrained` before writing more. */
   write(chunk: Buffer | string): boolean;
+  /** Keeps the last bytes for the end, so that the answer leaves in one piece. */
+  writeLast(chunk: Buffer): void;
   /** Calls back when more may be written, or when the answer is closed. */
   onceDrained(resume: () => void): void;
 }
--- a/src/targets/target_attempt.ts
+++ b/src/targets/target_attempt.ts
@@ -5,6 +5,7 @@
 import type {EffectOf} from '../core/effects/types.js';
 import type {EventSink} from '../runtime/types.js';
 import type {OpenAnswer} from '../callers/types.js';
+import type {Socket} from 'node:net';
 import {StreamRelay} from './stream_relay.js';
 import {WholeRelay} from './whole_relay.js';
 import {attemptRequest} from './attempt_request.js';
@@ -30,19 +31,15 @@
   private isHeadSent = false;
   private isOver = false;
   private reportedTokens = 0;
-  private silence: NodeJS.Timeout;
+  private silence?: NodeJS.Timeout;
 
   constructor(private readonly options: TargetAttemptOptions) {
     const {start, answer, agent} = options;
     const {body, ...head} = attemptRequest(start, answer);
-    this.silence = setTimeout(
-      () => this.fail(this.failure('connect-failed')),
-      CONNECT_TIMEOUT_MS,
-    );
     this.request = sendRequest({...head, agent: agent ?? false});
     this.request.on('socket', socket => {
-      if (!socket.connecting) this.noteHeadSent();
-      else socket.once('connect', () => this.noteHeadSent());
+      if (socket.connecting) this.expectConnection(socket);
+      else this.noteHeadSent();
     });
     this.request.on('response', response => this.receive(response));
     this.request.on('error', () => this.failConnection());
@@ -56,6 +53,15 @@
     this.request.destroy();
   }
 
+  private expectConnection(socket: Socket): void {
+    if (this.isOver) return;
+    socket.once('connect', () => this.noteHeadSent());
+    this.silence = setTimeout(
+      () => this.fail(this.failure('connect-failed')),
+      CONNECT_TIMEOUT_MS,
+    );
+  }
+
   /** From here on the target may have the request. */
   private noteHeadSent(): void {
     if (this.isOver) return;
@@ -73,7 +79,7 @@
     }
     const relay = this.createRelay(response);
     this.relay = relay;
-    this.silence.refresh();
+    this.silence?.refresh();
     response.on('data', (chunk: Buffer) => this.accept(response, chunk));
     response.on('end', () => this.finish(response));
     response.on('error', () => this.failConnection());
@@ -111,7 +117,7 @@
 
   private accept(response: IncomingMessage, chunk: Buffer): void {
     if (this.isOver) return;
-    this.silence.refresh();
+    this.silence?.refresh();
     const mayGoOn = this.relay!.accept(chunk);
     if (this.relay!.isDone) {
       this.finish(response);
--- a/src/targets/whole_relay.ts
+++ b/src/targets/whole_relay.ts
@@ -42,7 +42,7 @@
     if (length !== undefined) headers['content-length'] = length;
     else if (response.statusCode !== 204) headers['content-length'] = '0';
     this.answer.writeHead(response.statusCode!, headers);
-    this.answer.write(this.whole);
+    this.answer.writeLast(this.whole);
     return true;
   }
 
