--- a/src/core/config/files/parse_service_file.ts
+++ b/src/core/config/files/parse_service_file.ts
@@ -64,8 +64,8 @@
     kind === 'model' ? checkAbsent(document, 'application', 'model') : [];
   if (kind !== 'model' && !document.sections.has('model')) return err([]);
   const part = parseSection(document, 'model', SERVICE_SCHEMA.model);
-  if (part.isErr()) return err([...misplaced, ...part.error]);
-  const faults = [...misplaced, ...checkMinServing(document, part.value)];
+  const faults = [...misplaced, ...checkMinServing(document)];
+  if (part.isErr()) return err([...faults, ...part.error]);
   if (faults.length > 0 || !service) return err(faults);
   const minServing = part.value.minServing ?? defaultMinServing(part.value);
   return ok({
@@ -93,10 +93,13 @@
   return Math.max(0, part.replicas - 1);
 }
 
-function checkMinServing(document: IniDocument, part: ModelPart): FileFault[] {
-  const {minServing, replicas} = part;
-  if (minServing === undefined || minServing <= replicas) return [];
-  const entry = document.sections.get('model')!.entries.get('minServing')!;
+/** Compares the texts, so that other faults of the section do not hide this one. */
+function checkMinServing(document: IniDocument): FileFault[] {
+  const entries = document.sections.get('model')?.entries;
+  const entry = entries?.get('minServing');
+  const replicas = entries?.get('replicas')?.value;
+  if (!entry || !isWhole(entry.value) || !isWhole(replicas)) return [];
+  if (Number(entry.value) <= Number(replicas)) return [];
   return [
     {
       path: document.path,
@@ -108,6 +111,10 @@
   ];
 }
 
+function isWhole(text: string | undefined): text is string {
+  return text !== undefined && /^\d+$/.test(text);
+}
+
 function checkAbsent(
   document: IniDocument,
   section: string,
--- a/test/units/config_files/parse_config_files.test.ts
+++ b/test/units/config_files/parse_config_files.test.ts
@@ -83,6 +83,14 @@
   ]);
 });
 
+test('minServing is compared with replicas beside other faults of its section', () => {
+  const faults = faultsOf(CHAT + 'minServing = 5\nminServin = 1\n');
+  assert.deepEqual(faults, [
+    'chat.ini:14: model.minServing: expected no more than model.replicas (4), got "5"',
+    'chat.ini:15: model.minServin: expected a known key, got "minServin"',
+  ]);
+});
+
 test('minServing may not exceed replicas', () => {
   assert.deepEqual(faultsOf(CHAT + 'minServing = 5\n'), [
     'chat.ini:14: model.minServing: expected no more than model.replicas (4), got "5"',
