--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -17,8 +17,8 @@
 const LIMIT = {cpuShare: 0.024, memoryMb: 32, bytesPerSecond: 4096};
 const DAY_SECONDS = 86_400;
 const MB = 1024 * 1024;
-/** Exchanges that one replaced or failed node causes at each other: news by ring and chance, twice. */
-const NEWS_EXCHANGES = 10;
+/** Exchanges that one replaced or failed node causes at each other: gossip by ring and chance, twice. */
+const GOSSIP_EXCHANGES = 10;
 
 /** Slopes of membership and configuration, and what follows from them at the future size. */
 export const capacity: Benchmark = {
@@ -92,11 +92,11 @@
   const {nodes, engines, services, changesPerDay, replacementsPerDay} = FUTURE;
   const sent = last.exchangesPerSecond;
   const changes = changesPerDay / DAY_SECONDS;
-  const news = (replacementsPerDay / DAY_SECONDS) * NEWS_EXCHANGES;
+  const gossip = (replacementsPerDay / DAY_SECONDS) * GOSSIP_EXCHANGES;
   const changeBytes = changes * (last.changeBytes + 2 * exchange.bytes);
   // What a node sends, others receive: each exchange is counted at both ends.
-  const bytes = (sent + news) * exchange.bytes * 2 + changeBytes;
-  const cpu = (sent + news) * (exchange.cpuUs / 1e6) + last.cpuShare;
+  const bytes = (sent + gossip) * exchange.bytes * 2 + changeBytes;
+  const cpu = (sent + gossip) * (exchange.cpuUs / 1e6) + last.cpuShare;
   const heap =
     nodes * memory.peerBytes +
     engines * memory.targetBytes +
--- a/src/core/membership/check_silence.ts
+++ b/src/core/membership/check_silence.ts
@@ -10,6 +10,6 @@
     if (!isSuspected(peer, step.nowMs)) continue;
     peer.suspectedAtMs = step.nowMs;
     membership.isRingStale = true;
-    membership.news.add(nodeId);
+    membership.gossip.add(nodeId);
   }
 }
--- a/src/core/membership/create_membership_state.ts
+++ b/src/core/membership/create_membership_state.ts
@@ -30,7 +30,7 @@
     ring: [],
     isRingStale: true,
     monitored: [],
-    news: new Set(),
+    gossip: new Set(),
     arePeersStale: true,
     isLeaving: false,
     isReleased: false,
--- a/src/core/membership/describe_peer.ts
+++ b/src/core/membership/describe_peer.ts
@@ -2,10 +2,10 @@
 import type {PeerMessageOf} from '../peers/types.js';
 import {isSuspected} from './is_suspected.js';
 
-type NodeNews = PeerMessageOf<'membership.news'>['nodes'][number];
+type NodeGossip = PeerMessageOf<'membership.gossip'>['nodes'][number];
 
 /** What this node tells others of a peer. */
-export function describePeer(peer: Peer, nowMs: number): NodeNews {
+export function describePeer(peer: Peer, nowMs: number): NodeGossip {
   const {nodeId, incarnation, startedAtMs, sequence, zone, phase} = peer;
   const {callerAddress, controlAddress, configRevision, queued, running} = peer;
   return {
--- a/src/core/membership/membership_state.ts
+++ b/src/core/membership/membership_state.ts
@@ -45,8 +45,8 @@
   isRingStale: boolean;
   /** Peers whose heartbeats this node watches, beyond a full mesh. */
   monitored: readonly NodeId[];
-  /** News that waits to be passed on at the end of this event. */
-  readonly news: Set<NodeId>;
+  /** Gossip that waits to be passed on at the end of this event. */
+  readonly gossip: Set<NodeId>;
   /** Peers came, went or moved since the runtime was told. */
   arePeersStale: boolean;
   /** A drain was asked for; peers are told at once. */
--- a/src/core/membership/membership_timing.ts
+++ b/src/core/membership/membership_timing.ts
@@ -15,8 +15,8 @@
   maxFullMesh: 24,
   /** Ring neighbours that get a node's heartbeats beyond that. */
   partners: 3,
-  /** Further nodes, chosen anew each time, that get news. */
-  newsFanOut: 2,
+  /** Further nodes, chosen anew each time, that get gossip. */
+  gossipFanOut: 2,
   relaysPerZone: 2,
   listIntervalMs: 30_000,
   /** Nodes that are no relays read the list at this interval. */
--- a/src/core/membership/note_news.ts
+++ b/src/core/membership/note_gossip.ts
@@ -5,19 +5,19 @@
 import {isFullMesh} from './is_full_mesh.js';
 import {noteStanding} from './note_standing.js';
 
-type News = PeerMessageOf<'membership.news'>;
-type NodeNews = News['nodes'][number];
+type Gossip = PeerMessageOf<'membership.gossip'>;
+type NodeGossip = Gossip['nodes'][number];
 
 /** Takes in what a peer says of others, and marks what is new to be passed on. */
-export function noteNews(step: Step, message: News): void {
-  for (const news of message.nodes) {
-    if (noteOne(step, news)) step.state.membership.news.add(news.nodeId);
+export function noteGossip(step: Step, message: Gossip): void {
+  for (const gossip of message.nodes) {
+    if (noteOne(step, gossip)) step.state.membership.gossip.add(gossip.nodeId);
   }
 }
 
-function noteOne(step: Step, news: NodeNews): boolean {
-  const {nodeId, standing, silentMs, suspected} = news;
-  if (nodeId === step.state.self.nodeId) return noteOwn(step, news);
+function noteOne(step: Step, gossip: NodeGossip): boolean {
+  const {nodeId, standing, silentMs, suspected} = gossip;
+  if (nodeId === step.state.self.nodeId) return noteOwn(step, gossip);
   const heardAtMs = step.nowMs - silentMs;
   const change = noteStanding(step, nodeId, standing, heardAtMs);
   const peer = step.state.membership.peers.get(nodeId);
@@ -30,9 +30,9 @@
 }
 
 /** A node that is said to be silent answers with its present standing. */
-function noteOwn(step: Step, news: NodeNews): boolean {
-  noteStanding(step, news.nodeId, news.standing, step.nowMs);
-  return news.suspected;
+function noteOwn(step: Step, gossip: NodeGossip): boolean {
+  noteStanding(step, gossip.nodeId, gossip.standing, step.nowMs);
+  return gossip.suspected;
 }
 
 function isHeard(step: Step, peer: Peer): boolean {
--- a/src/core/membership/note_heartbeat.ts
+++ b/src/core/membership/note_heartbeat.ts
@@ -17,7 +17,7 @@
   const {membership} = step.state;
   const change = noteStanding(step, from, message.standing, step.nowMs);
   if (change === 'stale') return;
-  if (change === 'changed') membership.news.add(from);
+  if (change === 'changed') membership.gossip.add(from);
   const peer = membership.peers.get(from)!;
   const unheard = membership.sequence - message.heardSequence;
   // Beyond a full mesh, a peer's receivers are not the peers that it hears.
--- a/src/core/membership/note_nodes_read.ts
+++ b/src/core/membership/note_nodes_read.ts
@@ -32,7 +32,7 @@
   if (!standing) return;
   const nodeId = nodeRecord.nodeId(entry.key);
   const change = noteStanding(step, nodeId, standing, step.nowMs);
-  if (change === 'changed') step.state.membership.news.add(nodeId);
+  if (change === 'changed') step.state.membership.gossip.add(nodeId);
 }
 
 function nextListMs(step: Step): number {
--- a/src/core/membership/reduce_membership.ts
+++ b/src/core/membership/reduce_membership.ts
@@ -9,14 +9,14 @@
 import {keepLease} from './keep_lease.js';
 import {noteHeartbeat} from './note_heartbeat.js';
 import {noteLeaseResult} from './note_lease_result.js';
-import {noteNews} from './note_news.js';
+import {noteGossip} from './note_gossip.js';
 import {noteNodesRead} from './note_nodes_read.js';
 import {notePause} from './note_pause.js';
 import {noteStoreOutcome} from './note_store_outcome.js';
 import {readNodes} from './read_nodes.js';
 import {releaseLease} from './release_lease.js';
 import {sendHeartbeats} from './send_heartbeats.js';
-import {spreadNews} from './spread_news.js';
+import {spreadGossip} from './spread_gossip.js';
 import {tellPeers} from './tell_peers.js';
 
 const SLOW_CHECK_MS = 1000;
@@ -50,7 +50,7 @@
     default:
       return;
   }
-  spreadNews(step);
+  spreadGossip(step);
 }
 
 function start(step: Step): void {
@@ -64,7 +64,7 @@
 function leave(step: Step): void {
   const {membership, self} = step.state;
   membership.isLeaving = true;
-  membership.news.add(self.nodeId);
+  membership.gossip.add(self.nodeId);
   releaseLease(step);
 }
 
@@ -106,8 +106,8 @@
   for (const message of event.messages) {
     if (message.type === 'membership.heartbeat') {
       noteHeartbeat(step, event.from, message);
-    } else if (message.type === 'membership.news') {
-      noteNews(step, message);
+    } else if (message.type === 'membership.gossip') {
+      noteGossip(step, message);
     }
   }
 }
@@ -124,7 +124,7 @@
   step.effects.push({
     type: 'peerAnswer',
     callId: event.callId,
-    message: {type: 'membership.news', nodes: [own, ...others]},
+    message: {type: 'membership.gossip', nodes: [own, ...others]},
   });
 }
 
@@ -133,7 +133,7 @@
   const call = membership.calls.get(event.callId);
   if (event.area !== 'membership' || !call) return;
   membership.calls.delete(event.callId);
-  if (event.message?.type !== 'membership.news') return;
-  noteNews(step, event.message);
+  if (event.message?.type !== 'membership.gossip') return;
+  noteGossip(step, event.message);
   membership.hasView = true;
 }
--- a/src/core/membership/spread_news.ts
+++ b/src/core/membership/spread_gossip.ts
@@ -8,30 +8,30 @@
 import {livePeers} from './live_peers.js';
 import {ringNeighbours} from './ring_neighbours.js';
 
-type NodeNews = PeerMessageOf<'membership.news'>['nodes'][number];
+type NodeGossip = PeerMessageOf<'membership.gossip'>['nodes'][number];
 
 /** Passes on, at the end of an event, what was new to this node in it. */
-export function spreadNews(step: Step): void {
+export function spreadGossip(step: Step): void {
   const {membership, self} = step.state;
-  if (membership.news.size === 0) return;
-  const ids = [...membership.news];
-  membership.news.clear();
+  if (membership.gossip.size === 0) return;
+  const ids = [...membership.gossip];
+  membership.gossip.clear();
   if (ids.includes(self.nodeId)) membership.sequence += 1;
   const nodes = ids
     .map(nodeId => describe(step, nodeId))
-    .filter(news => news !== undefined);
+    .filter(gossip => gossip !== undefined);
   if (nodes.length === 0) return;
   for (const to of receivers(step)) {
     step.effects.push({
       type: 'peerSend',
       to,
-      message: {type: 'membership.news', nodes},
+      message: {type: 'membership.gossip', nodes},
       urgent: true,
     });
   }
 }
 
-function describe(step: Step, nodeId: NodeId): NodeNews | undefined {
+function describe(step: Step, nodeId: NodeId): NodeGossip | undefined {
   const {state, nowMs} = step;
   if (nodeId === state.self.nodeId) {
     const standing = createStanding(state, nowMs);
@@ -47,7 +47,7 @@
   const live = livePeers(state, nowMs).map(peer => peer.nodeId);
   if (isFullMesh(state) || live.length === 0) return live;
   const chosen = new Set(ringNeighbours(state, nowMs).after);
-  for (let n = 0; n < MEMBERSHIP_TIMING.newsFanOut; n++) {
+  for (let n = 0; n < MEMBERSHIP_TIMING.gossipFanOut; n++) {
     chosen.add(live[state.random.below(live.length)]!);
   }
   return [...chosen];
--- a/src/core/membership/standing.ts
+++ b/src/core/membership/standing.ts
@@ -2,4 +2,4 @@
 
 /** What a node says of itself. */
 export type Standing =
-  PeerMessageOf<'membership.news'>['nodes'][number]['standing'];
+  PeerMessageOf<'membership.gossip'>['nodes'][number]['standing'];
--- a/src/core/peers/membership_message.ts
+++ b/src/core/peers/membership_message.ts
@@ -31,7 +31,7 @@
 }
 
 /** A node as the sender knows it. */
-interface NodeNews {
+interface NodeGossip {
   readonly nodeId: NodeId;
   readonly standing: Standing;
   /** Since the sender, or the sender's source, heard of it. */
@@ -40,10 +40,10 @@
 }
 
 /** Changes of standing that spread from node to node, and the answer to a join. */
-interface News {
-  readonly type: 'membership.news';
-  readonly nodes: readonly NodeNews[];
+interface Gossip {
+  readonly type: 'membership.gossip';
+  readonly nodes: readonly NodeGossip[];
 }
 
 /** Messages of the membership area. */
-export type MembershipMessage = Heartbeat | Join | News;
+export type MembershipMessage = Heartbeat | Join | Gossip;
--- a/src/peers/message_schemas.ts
+++ b/src/peers/message_schemas.ts
@@ -20,7 +20,7 @@
   running: count,
 });
 
-const news = z.looseObject({
+const gossip = z.looseObject({
   nodeId: text,
   standing,
   silentMs: count,
@@ -68,7 +68,7 @@
 } = {
   'membership.heartbeat': z.looseObject({standing, heardSequence: count}),
   'membership.join': z.looseObject({nodeId: text}),
-  'membership.news': z.looseObject({nodes: list(news)}),
+  'membership.gossip': z.looseObject({nodes: list(gossip)}),
   'config.pull': z.looseObject({sinceRevision: count}),
   'config.delta': z.looseObject({
     fromRevision: count,
--- a/src/targets/report_poller.ts
+++ b/src/targets/report_poller.ts
@@ -115,9 +115,9 @@
     const change =
       call.status === 200 ? parseCacheChange(call.body ?? '') : undefined;
     if (!change) return;
-    const isNews = change.whole || change.toSequence > poll.cacheSequence;
+    const isUnseen = change.whole || change.toSequence > poll.cacheSequence;
     poll.cacheSequence = change.toSequence;
-    if (!isNews) return;
+    if (!isUnseen) return;
     const {vmId} = poll;
     this.dispatch({type: 'targetCacheChanged', vmId, ...change});
   }
--- a/test/units/membership/membership.test.ts
+++ b/test/units/membership/membership.test.ts
@@ -200,7 +200,7 @@
     const old = nodeOf(fleet, 1);
     fleet.store.fault = node => (node === old ? 'unavailable' : 'none');
     fleet.startNode(1);
-    // Others carry the news to it, since the world knows one node by a name.
+    // Others carry the gossip to it, since the world knows one node by a name.
     const next = nodeOf(fleet, 1);
     fleet.run(SETTLE_MS);
     const {startedAtMs, sequence} = next.state.membership;
@@ -212,7 +212,7 @@
       from: 'n0' as NodeId,
       messages: [
         {
-          type: 'membership.news',
+          type: 'membership.gossip',
           nodes: [
             {nodeId: peer.nodeId, standing, silentMs: 0, suspected: false},
           ],
