Open jobs of the configuration and peers of replays in one place each

A publication and the restoring of a store built the same job by hand, and the load replays built their peers beside createPeer.

--- a/src/core/config/publish/begin_publication.ts
+++ b/src/core/config/publish/begin_publication.ts
@@ -7,7 +7,7 @@
 import {configKey} from '../config_key.js';
 import {createRefusal} from '../../errors/index.js';
 import {parseConfigFiles} from '../files/index.js';
-import {readJobHead} from './read_job_head.js';
+import {openJob} from './open_job.js';
 
 type Publish = Extract<OperatorRequest, {kind: 'publish'}>;
 
@@ -37,7 +37,7 @@
 ): void {
   const {operationId, operator} = event;
   const {publicationId, baseRevision, prune} = request;
-  const job: HeadJob = {
+  openJob(step, {
     jobId: operationId,
     kind: 'publish',
     operationId,
@@ -46,16 +46,7 @@
     edits: listEdits(files),
     prune,
     ...(baseRevision !== undefined && {baseRevision}),
-    phase: 'reading',
-    headVersion: 0,
-    waiting: new Set(),
-    conflicts: [],
-    mayBeAccepted: false,
-    failures: 0,
-    deadlineAtMs: step.nowMs + CONFIG_TIMING.publishTimeoutMs,
-  };
-  step.state.config.jobs.set(job.jobId, job);
-  readJobHead(step, job);
+  });
 }
 
 function listEdits(files: ParsedFiles): HeadJob['edits'] {
--- a/src/core/config/publish/tick_jobs.ts
+++ b/src/core/config/publish/tick_jobs.ts
@@ -1,7 +1,6 @@
-import type {HeadJob} from './head_job.js';
 import type {Step} from '../../state/types.js';
-import {CONFIG_TIMING} from '../config_timing.js';
 import {failJob} from './fail_job.js';
+import {openJob} from './open_job.js';
 import {readJobHead} from './read_job_head.js';
 
 const RESTORE_ID = 'restore';
@@ -23,21 +22,12 @@
 
 function startRestore(step: Step): void {
   const [latest] = step.state.config.publications;
-  const job: HeadJob = {
+  openJob(step, {
     jobId: RESTORE_ID,
     kind: 'restore',
     operator: 'system',
     publicationId: latest?.publicationId ?? '',
     edits: [],
     prune: false,
-    phase: 'reading',
-    headVersion: 0,
-    waiting: new Set(),
-    conflicts: [],
-    mayBeAccepted: false,
-    failures: 0,
-    deadlineAtMs: step.nowMs + CONFIG_TIMING.publishTimeoutMs,
-  };
-  step.state.config.jobs.set(job.jobId, job);
-  readJobHead(step, job);
+  });
 }
--- a/src/replay/load/install_fleet.ts
+++ b/src/replay/load/install_fleet.ts
@@ -12,6 +12,7 @@
 import type {LoadFleet} from './load_fleet.js';
 import type {NodeState} from '../../core/state/types.js';
 import type {Target} from '../../core/targets/types.js';
+import {createPeer} from '../create_peer.js';
 import {makeId} from '../../core/ids/index.js';
 
 const ZONES = 3;
@@ -42,22 +43,15 @@
 function installPeer(state: NodeState, at: number): void {
   const nodeId = makeId<NodeId>(`node-${at}`);
   if (nodeId === state.self.nodeId) return;
-  state.membership.peers.set(nodeId, {
+  const peer = createPeer({
     nodeId,
     incarnation: makeId<Incarnation>(`${nodeId}/0`),
     zone: makeId<ZoneId>(`zone-${at % ZONES}`),
     callerAddress: `${nodeId}:1`,
     controlAddress: `${nodeId}:2`,
-    phase: 'serving',
-    configRevision: 1,
-    queued: 0,
-    running: 0,
     sequence: 0,
-    startedAtMs: 0,
-    heardAtMs: Number.MAX_SAFE_INTEGER,
-    heardUsAtMs: Number.MAX_SAFE_INTEGER,
-    isDeaf: false,
   });
+  state.membership.peers.set(nodeId, peer);
 }
 
 function createTarget(
