--- a/src/core/ids/types.ts
+++ b/src/core/ids/types.ts
@@ -34,3 +34,5 @@
 export type LeaseId = Branded<'LeaseId'>;
 /** Names one operator's publication across lost answers. */
 export type PublicationId = Branded<'PublicationId'>;
+/** Name of a model that replicas serve. */
+export type ModelName = Branded<'ModelName'>;
--- /dev/null
+++ b/src/core/serving/apply_digest.ts
@@ -0,0 +1,91 @@
+import type {LoadDigest, ServingState, ServingStep} from './types.js';
+import type {VmId} from '../ids/index.js';
+import {logDecision} from './log_decision.js';
+import {rebuildTargets} from './rebuild_targets.js';
+
+const SUSPECT_FOR_MS = 60_000;
+const PEER_SUSPECT_MS = 400;
+
+/** Takes over what a peer tells of its load and its findings. */
+export function applyDigest(step: ServingStep, digest: LoadDigest): void {
+  const {state, nowMs} = step;
+  if (digest.from === state.nodeId) return;
+  const peer = state.peers.get(digest.from);
+  if (peer) addLoads(state, peer.digest, -1);
+  else {
+    logDecision(step, 'info', 'peers', 'peer heard', {
+      peer: digest.from,
+      address: digest.callerAddress,
+    });
+  }
+  addLoads(state, digest, 1);
+  noteProgress(state, digest, nowMs);
+  state.peers.set(digest.from, {digest, atMs: nowMs});
+  for (const {fingerprint, losses} of digest.suspects) {
+    const known = state.crashSuspects.get(fingerprint);
+    if (known && known.losses >= losses) continue;
+    state.crashSuspects.set(fingerprint, {
+      losses,
+      untilMs: nowMs + SUSPECT_FOR_MS,
+      lostAt: known?.lostAt ?? new Set(),
+    });
+  }
+  applyLost(step, digest);
+}
+
+function addLoads(
+  state: ServingState,
+  digest: LoadDigest,
+  factor: 1 | -1,
+): void {
+  for (const {vmId, inFlight, unreadTokens} of digest.loads) {
+    const load = peerLoad(state, vmId);
+    load.inFlight += factor * inFlight;
+    load.unreadTokens += factor * unreadTokens;
+  }
+}
+
+function noteProgress(
+  state: ServingState,
+  digest: LoadDigest,
+  nowMs: number,
+): void {
+  for (const {vmId, progressAgeMs, isSuspect} of digest.loads) {
+    const load = peerLoad(state, vmId);
+    if (progressAgeMs >= 0) {
+      load.progressAtMs = Math.max(load.progressAtMs, nowMs - progressAgeMs);
+    }
+    if (isSuspect) load.suspectUntilMs = nowMs + PEER_SUSPECT_MS;
+  }
+}
+
+function peerLoad(state: ServingState, vmId: VmId) {
+  let load = state.peerLoads.get(vmId);
+  if (!load) {
+    load = {
+      inFlight: 0,
+      unreadTokens: 0,
+      progressAtMs: -Infinity,
+      suspectUntilMs: -Infinity,
+    };
+    state.peerLoads.set(vmId, load);
+  }
+  return load;
+}
+
+function applyLost(step: ServingStep, digest: LoadDigest): void {
+  const {state, nowMs} = step;
+  let hasNew = false;
+  for (const {vmId, bornAtMs} of digest.lostEngines) {
+    if (state.engines.get(vmId)?.bornAtMs !== bornAtMs) continue;
+    if (state.lostEngines.get(vmId)?.bornAtMs !== bornAtMs) {
+      hasNew = true;
+      logDecision(step, 'info', 'fleet', 'engine lost, by a peer', {
+        vmId,
+        peer: digest.from,
+      });
+    }
+    state.lostEngines.set(vmId, {bornAtMs, atMs: nowMs});
+  }
+  if (hasNew) rebuildTargets(state);
+}
--- /dev/null
+++ b/src/core/serving/arrive_request.ts
@@ -0,0 +1,132 @@
+import type {AccessConfig, Organisation} from '../access/types.js';
+import type {RefusalReason} from './effects.js';
+import type {RequestRecord, ServingRequest, ServingStep} from './types.js';
+import {count} from './count.js';
+import {isAccessProven} from './is_access_proven.js';
+import {isLeavingForGood} from './is_leaving_for_good.js';
+import {logDecision} from './log_decision.js';
+import {matchRoute, selectShare} from '../access/index.js';
+import {placeRequest} from './place_request.js';
+import {poolKey} from './pool_key.js';
+import {repeatBudget} from './repeat_budget.js';
+
+/** Time until a node without proof is expected to have one again; a store call and its time-out. */
+const PROOF_RETRY_MS = 500;
+/** Another node answers at once. */
+const LEAVING_RETRY_MS = 20;
+/** A request that lost this many targets is not sent to more. */
+const MAX_LOST_TARGETS = 2;
+/** Part of the time that is left in which a request may wait without a place. */
+const HOLD_SHARE = 0.15;
+/** Part of the goal in which a request may wait without a place. */
+const HOLD_GOAL_SHARE = 0.9;
+
+/** Admits a request, or answers it at once when it can't be served. */
+export function arriveRequest(
+  step: ServingStep,
+  request: ServingRequest,
+): void {
+  const {state, nowMs} = step;
+  const {config} = state;
+  if (!config) {
+    turnAway(step, request, 503, 'no-configuration', PROOF_RETRY_MS);
+    return;
+  }
+  if (!isAccessProven(state, nowMs)) {
+    turnAway(step, request, 503, 'no-proof', PROOF_RETRY_MS);
+    return;
+  }
+  if (isLeavingForGood(state, nowMs)) {
+    turnAway(step, request, 503, 'leaving', LEAVING_RETRY_MS);
+    return;
+  }
+  const route = matchRoute(config, request.host, request.path);
+  if (!route) {
+    turnAway(step, request, 404, 'unknown-route');
+    return;
+  }
+  const organisation = findOrganisation(config, request);
+  if (!organisation && config.organisationsByKey && !route.isAnonymous) {
+    turnAway(step, request, 401, 'unknown-key');
+    return;
+  }
+  const service = selectShare(route.shares, state.random.next());
+  if (service === undefined) {
+    turnAway(step, request, 503, 'no-target', PROOF_RETRY_MS);
+    return;
+  }
+  const isModelService = config.services.get(service)?.engine !== undefined;
+  const giveUpAtMs =
+    request.arrivedAtMs +
+    Math.min(route.timeoutMs, request.patienceMs ?? Infinity);
+  const goalAtMs = request.arrivedAtMs + route.goalMs;
+  const record: RequestRecord = {
+    request,
+    route,
+    service,
+    pool: poolKey(service, isModelService ? request.model : undefined),
+    organisationId: organisation?.organisationId,
+    priority: organisation?.priority ?? route.priority,
+    goalAtMs,
+    giveUpAtMs,
+    holdUntilMs:
+      request.arrivedAtMs +
+      Math.max(
+        HOLD_GOAL_SHARE * route.goalMs,
+        HOLD_SHARE * (giveUpAtMs - request.arrivedAtMs),
+      ),
+    waitingSinceMs: nowMs,
+    tried: new Set(),
+    verdict: 'not-run',
+    runCount: 0,
+    sendCount: 0,
+    hasAnswer: false,
+  };
+  state.requests.set(request.requestId, record);
+  repeatBudget.noteRequest(state, service, nowMs);
+  const suspect = state.crashSuspects.get(request.fingerprint);
+  if (suspect && suspect.losses >= MAX_LOST_TARGETS) {
+    state.requests.delete(request.requestId);
+    turnAway(step, request, 503, 'crash-suspect', suspect.untilMs - nowMs);
+    return;
+  }
+  placeRequest(step, record);
+}
+
+function findOrganisation(
+  config: AccessConfig,
+  request: ServingRequest,
+): Organisation | undefined {
+  if (request.apiKey === undefined) return undefined;
+  return config.organisationsByKey?.get(request.apiKey);
+}
+
+function turnAway(
+  step: ServingStep,
+  request: ServingRequest,
+  status: 401 | 404 | 503,
+  reason: RefusalReason,
+  retryAfterMs?: number,
+): void {
+  const {state, nowMs} = step;
+  const {requestId, callerId, host, path} = request;
+  logDecision(step, 'info', 'requests', 'request turned away', {
+    requestId,
+    callerId,
+    host,
+    path,
+    status,
+    reason,
+    retryAfterMs,
+    configVersion: state.config?.version,
+    proofAgeMs: Math.round(nowMs - state.configProvenAtMs),
+  });
+  count(step, 'turnedAway', 1, {reason});
+  step.effects.push({
+    type: 'refuse',
+    requestId,
+    status,
+    reason,
+    ...(retryAfterMs === undefined ? {} : {retryAfterMs}),
+  });
+}
--- /dev/null
+++ b/src/core/serving/create_serving_state.ts
@@ -0,0 +1,43 @@
+import type {NodeId, ZoneId} from '../ids/index.js';
+import type {ServingBounds, ServingState} from './types.js';
+import {createRandom} from '../random/index.js';
+import {createStewardState} from '../steward/create_steward_state.js';
+
+interface ServingSelf {
+  readonly nodeId: NodeId;
+  readonly zone: ZoneId;
+  readonly callerAddress: string;
+}
+
+/** Creates the state of a node that knows nothing yet. */
+export function createServingState(
+  self: ServingSelf,
+  bounds: ServingBounds,
+  seed: number,
+): ServingState {
+  return {
+    ...self,
+    bounds,
+    random: createRandom(seed),
+    idCounter: 0,
+    configProvenAtMs: -Infinity,
+    engines: new Map(),
+    isFleetKnown: false,
+    fleetRevision: 0,
+    fleetChangedAtMs: -Infinity,
+    replicas: new Map(),
+    targetsByPool: new Map(),
+    targets: new Map(),
+    lostEngines: new Map(),
+    loads: new Map(),
+    peers: new Map(),
+    peerLoads: new Map(),
+    requests: new Map(),
+    byAttempt: new Map(),
+    waiting: new Map(),
+    repeatWindows: new Map(),
+    crashSuspects: new Map(),
+    hasExited: false,
+    steward: createStewardState(),
+  };
+}
--- /dev/null
+++ b/src/core/serving/estimate_first_event_ms.ts
@@ -0,0 +1,48 @@
+import type {ServingState, ServingTarget} from './types.js';
+import {targetLoad} from './target_load.js';
+
+/** Time that a slot stays taken, where a target has none free; a guess that only orders full targets. */
+const USUAL_HOLD_MS = 900;
+
+interface FirstEventEstimate {
+  /** Until the first event of a request that is sent now. */
+  readonly firstMs: number;
+  /** Requests of all nodes at the target, as far as known. */
+  readonly inFlight: number;
+  readonly unreadTokens: number;
+}
+
+/**
+ * Estimates how soon a target answers, from its published costs and what all
+ * nodes have in flight there.
+ *
+ * Prompts are read in the order of arrival between the steps of running
+ * streams, so the unread tokens ahead and one pass are what a request waits
+ * for; without a free slot it waits for one besides.
+ */
+export function estimateFirstEventMs(
+  state: ServingState,
+  target: ServingTarget,
+  promptTokens: number,
+): FirstEventEstimate {
+  const own = targetLoad(state, target.vmId);
+  const peers = state.peerLoads.get(target.vmId);
+  const inFlight = own.inFlight + (peers?.inFlight ?? 0);
+  const unreadTokens = own.unreadTokens + (peers?.unreadTokens ?? 0);
+  const excess = Math.max(0, inFlight + 1 - target.slotCount);
+  const {costs} = target;
+  if (!costs) {
+    const queueMs = (excess * USUAL_HOLD_MS) / target.slotCount;
+    return {firstMs: inFlight + queueMs, inFlight, unreadTokens};
+  }
+  const writers = Math.min(inFlight + 1, target.slotCount);
+  const stepMs = costs.stepMs + costs.stepMsPerSequence * writers;
+  const passMs = stepMs * costs.stepsPerPass;
+  const readMs = (unreadTokens + promptTokens) / costs.readTokensPerMs;
+  const queueMs = (excess * USUAL_HOLD_MS) / target.slotCount;
+  return {
+    firstMs: target.pace * (passMs + readMs + queueMs),
+    inFlight,
+    unreadTokens,
+  };
+}
--- /dev/null
+++ b/src/core/serving/events.ts
@@ -0,0 +1,136 @@
+import type {AccessConfig} from '../access/types.js';
+import type {AttemptId, RequestId, VmId} from '../ids/index.js';
+import type {EngineOrder} from '../steward/types.js';
+import type {EngineRecord} from '../fleet/types.js';
+import type {LoadDigest, ServingRequest} from './types.js';
+
+/**
+ * How an attempt ended without a whole answer. `not-sent`: no byte reached the
+ * target. `turned-away`: the target said that it did not run the request.
+ * `broken`: the connection ended early. `garbled`: bytes that are no answer to
+ * this request. `failed`: the target's own answer says that it failed.
+ */
+export type AttemptFault =
+  'not-sent' | 'turned-away' | 'broken' | 'garbled' | 'failed';
+
+interface RequestArrived {
+  readonly type: 'requestArrived';
+  readonly request: ServingRequest;
+}
+
+interface CallerGone {
+  readonly type: 'callerGone';
+  readonly requestId: RequestId;
+}
+
+/** Events of a stream, or the head of an answer, passed on to the caller. */
+interface AttemptProgress {
+  readonly type: 'attemptProgress';
+  readonly attemptId: AttemptId;
+}
+
+interface AttemptEnded {
+  readonly type: 'attemptEnded';
+  readonly attemptId: AttemptId;
+  readonly status: number;
+}
+
+interface AttemptFailed {
+  readonly type: 'attemptFailed';
+  readonly attemptId: AttemptId;
+  readonly fault: AttemptFault;
+  readonly status?: number;
+  /** Member that the target blames. */
+  readonly faultyVmId?: VmId;
+  readonly detail?: string;
+}
+
+interface LoadReported {
+  readonly type: 'loadReported';
+  readonly vmId: VmId;
+  readonly running: number;
+  readonly waiting: number;
+}
+
+/** The configuration as the store held it at `provenAtMs`. */
+interface ConfigRead {
+  readonly type: 'configRead';
+  /** Undefined: unchanged since the last reading. */
+  readonly config?: AccessConfig;
+  readonly provenAtMs: number;
+}
+
+/** All engines that are registered, at a revision of the store. */
+interface FleetListed {
+  readonly type: 'fleetListed';
+  readonly engines: readonly EngineRecord[];
+  readonly revision: number;
+}
+
+/** Changes of registered engines. */
+interface FleetChanged {
+  readonly type: 'fleetChanged';
+  readonly changed: readonly EngineRecord[];
+  readonly removed: readonly VmId[];
+  readonly revision: number;
+}
+
+interface DigestReceived {
+  readonly type: 'digestReceived';
+  readonly digest: LoadDigest;
+}
+
+/** The lease of the steward is held until `untilMs`; `term` rises with each holder. */
+interface StewardLeaseHeld {
+  readonly type: 'stewardLeaseHeld';
+  readonly term: number;
+  readonly untilMs: number;
+}
+
+interface StewardLeaseLost {
+  readonly type: 'stewardLeaseLost';
+}
+
+interface OrderAnswered {
+  readonly type: 'orderAnswered';
+  readonly vmId: VmId;
+  readonly order: EngineOrder;
+  /** `unknown`: no answer, the order may still be carried out. */
+  readonly outcome:
+    'begun' | 'done' | 'conflict' | 'outdated' | 'refused' | 'unknown';
+}
+
+interface ProbeAnswered {
+  readonly type: 'probeAnswered';
+  readonly vmId: VmId;
+  readonly outcome: 'answered' | 'refused' | 'silent';
+  /** Factor on the engine's times; over 1 is slow. */
+  readonly pace?: number;
+}
+
+interface LeaveRequested {
+  readonly type: 'leaveRequested';
+}
+
+interface Tick {
+  readonly type: 'tick';
+}
+
+/** What a serving node reacts to, before the loop dates it. */
+export type ServingEvent =
+  | RequestArrived
+  | CallerGone
+  | AttemptProgress
+  | AttemptEnded
+  | AttemptFailed
+  | LoadReported
+  | ConfigRead
+  | FleetListed
+  | FleetChanged
+  | DigestReceived
+  | StewardLeaseHeld
+  | StewardLeaseLost
+  | OrderAnswered
+  | ProbeAnswered
+  | LeaveRequested
+  | Tick;
--- /dev/null
+++ b/src/core/serving/expire.ts
@@ -0,0 +1,69 @@
+import type {ServingStep} from './types.js';
+import {dispatchWaiting} from './dispatch_waiting.js';
+import {isLeavingForGood} from './is_leaving_for_good.js';
+import {logDecision} from './log_decision.js';
+import {rebuildTargets} from './rebuild_targets.js';
+import {refuseRequest} from './refuse_request.js';
+
+/** A peer that is silent for this long has nothing in flight any more, and takes no callers. */
+const PEER_SILENT_MS = 1500;
+/** An engine that was found lost is asked again by use after this time, when the store still lists it. */
+const LOST_FOR_MS = 20_000;
+/** Time before SIGKILL at which a leaving node ends, whatever still runs. */
+const END_MARGIN_MS = 500;
+
+/** Ends what time has ended: requests, peers, suspicions, and the node itself when it leaves. */
+export function expire(step: ServingStep): void {
+  const {state, nowMs} = step;
+  for (const record of [...state.requests.values()]) {
+    if (nowMs >= record.giveUpAtMs) {
+      refuseRequest(step, record, {reason: 'timeout'});
+    }
+  }
+  for (const pool of state.waiting.keys()) dispatchWaiting(step, pool);
+  expirePeers(step);
+  for (const [fingerprint, {untilMs}] of state.crashSuspects) {
+    if (nowMs > untilMs) state.crashSuspects.delete(fingerprint);
+  }
+  let hasFreed = false;
+  for (const [vmId, {atMs}] of state.lostEngines) {
+    if (nowMs - atMs <= LOST_FOR_MS) continue;
+    state.lostEngines.delete(vmId);
+    hasFreed = true;
+  }
+  if (hasFreed) rebuildTargets(state);
+  endWhenDone(step);
+}
+
+function expirePeers(step: ServingStep): void {
+  const {state, nowMs} = step;
+  for (const [nodeId, {digest, atMs}] of state.peers) {
+    if (nowMs - atMs <= PEER_SILENT_MS) continue;
+    for (const {vmId, inFlight, unreadTokens} of digest.loads) {
+      const load = state.peerLoads.get(vmId);
+      if (!load) continue;
+      load.inFlight -= inFlight;
+      load.unreadTokens -= unreadTokens;
+    }
+    state.peers.delete(nodeId);
+    logDecision(step, 'info', 'peers', 'peer silent', {
+      peer: nodeId,
+      silentMs: Math.round(nowMs - atMs),
+    });
+  }
+}
+
+function endWhenDone(step: ServingStep): void {
+  const {state, nowMs} = step;
+  const since = state.leavingSinceMs;
+  if (since === undefined || state.hasExited) return;
+  const isDone = isLeavingForGood(state, nowMs) && state.requests.size === 0;
+  const isOver = nowMs - since >= state.bounds.graceMs - END_MARGIN_MS;
+  if (!isDone && !isOver) return;
+  state.hasExited = true;
+  logDecision(step, 'info', 'process', 'node ends', {
+    afterMs: Math.round(nowMs - since),
+    requests: state.requests.size,
+  });
+  step.effects.push({type: 'exit'});
+}
--- /dev/null
+++ b/src/core/serving/note_attempt.ts
@@ -0,0 +1,126 @@
+import type {AttemptFault} from './events.js';
+import type {AttemptId, VmId} from '../ids/index.js';
+import type {RequestRecord, ServingStep} from './types.js';
+import {count} from './count.js';
+import {dispatchWaiting} from './dispatch_waiting.js';
+import {endAttempt} from './end_attempt.js';
+import {forgetRequest} from './forget_request.js';
+import {logDecision} from './log_decision.js';
+import {moveRequest} from './move_request.js';
+import {noteLostWhileRunning} from './note_lost_while_running.js';
+import {suspectTarget} from './suspect_target.js';
+import {targetLoad} from './target_load.js';
+
+interface Failure {
+  readonly fault: AttemptFault;
+  readonly status?: number;
+  readonly faultyVmId?: VmId;
+  readonly detail?: string;
+}
+
+/** Failures in a row after which a target of any kind is passed over. */
+const FAILURES_TO_SUSPECT = 2;
+const TURNED_AWAY_SUSPECT_MS = 150;
+const UNREACHABLE_SUSPECT_MS = 1000;
+const BROKEN_SUSPECT_MS = 500;
+
+/** Follows one dispatch of a request to its end. */
+export const noteAttempt = {
+  progress(step: ServingStep, attemptId: AttemptId): void {
+    const record = step.state.byAttempt.get(attemptId);
+    const attempt = record?.attempt;
+    if (!record || !attempt) return;
+    const load = targetLoad(step.state, attempt.vmId);
+    attempt.progressAtMs = step.nowMs;
+    load.progressAtMs = step.nowMs;
+    load.suspectUntilMs = -Infinity;
+    load.failuresInRow = 0;
+    if (attempt.hasStarted) return;
+    attempt.hasStarted = true;
+    load.writing += 1;
+    load.unreadTokens -= attempt.promptTokens;
+    if (!record.hasAnswer) {
+      const {arrivedAtMs} = record.request;
+      count(step, 'firstTokenMs', step.nowMs - arrivedAtMs, {
+        service: record.service,
+      });
+    }
+    record.hasAnswer = true;
+    dispatchWaiting(step, record.pool);
+  },
+
+  ended(step: ServingStep, attemptId: AttemptId, status: number): void {
+    const {state, nowMs} = step;
+    const record = state.byAttempt.get(attemptId);
+    if (!record?.attempt) return;
+    const load = targetLoad(state, record.attempt.vmId);
+    load.failuresInRow = status >= 500 ? load.failuresInRow + 1 : 0;
+    load.progressAtMs = nowMs;
+    const {requestId, callerId, arrivedAtMs, fingerprint} = record.request;
+    logDecision(step, 'info', 'requests', 'request answered', {
+      requestId,
+      callerId,
+      route: record.route.name,
+      target: record.attempt.vmId,
+      status,
+      sends: record.sendCount,
+      ageMs: Math.round(nowMs - arrivedAtMs),
+    });
+    count(step, 'requests', 1, {service: record.service, verdict: 'ran'});
+    if (status < 500) state.crashSuspects.delete(fingerprint);
+    endAttempt(state, record);
+    forgetRequest(step, record);
+    dispatchWaiting(step, record.pool);
+  },
+
+  failed(step: ServingStep, attemptId: AttemptId, failure: Failure): void {
+    const {state, nowMs} = step;
+    const record = state.byAttempt.get(attemptId);
+    const attempt = record?.attempt;
+    if (!record || !attempt) return;
+    const {fault, status, faultyVmId, detail} = failure;
+    const {requestId, callerId} = record.request;
+    logDecision(step, 'warn', 'requests', 'attempt failed', {
+      requestId,
+      callerId,
+      route: record.route.name,
+      target: attempt.vmId,
+      fault,
+      status,
+      faultyVmId,
+      detail,
+      started: attempt.hasStarted,
+      afterMs: Math.round(nowMs - attempt.sentAtMs),
+    });
+    count(step, 'attemptFaults', 1, {service: record.service, fault});
+    const {hasStarted, vmId} = attempt;
+    endAttempt(state, record);
+    if (fault === 'not-sent' || fault === 'turned-away') {
+      record.runCount -= 1;
+      if (record.runCount === 0) record.verdict = 'not-run';
+    }
+    judgeTarget(step, vmId, failure);
+    if (fault === 'broken') {
+      noteLostWhileRunning(step, record, vmId, hasStarted);
+    }
+    moveRequest(step, record);
+    dispatchWaiting(step, record.pool);
+  },
+};
+
+function judgeTarget(step: ServingStep, vmId: VmId, failure: Failure): void {
+  const load = targetLoad(step.state, vmId);
+  load.failuresInRow += 1;
+  switch (failure.fault) {
+    case 'not-sent':
+      suspectTarget(step, vmId, UNREACHABLE_SUSPECT_MS, 'unreachable');
+      break;
+    case 'turned-away':
+      suspectTarget(step, vmId, TURNED_AWAY_SUSPECT_MS, 'turned away');
+      break;
+    default:
+      if (load.failuresInRow >= FAILURES_TO_SUSPECT) {
+        suspectTarget(step, vmId, BROKEN_SUSPECT_MS, 'failures in a row');
+      }
+  }
+}
--- /dev/null
+++ b/src/core/serving/reduce_serving.ts
@@ -0,0 +1,132 @@
+import type {ServingEffect} from './effects.js';
+import type {ServingEvent} from './events.js';
+import type {ServingState, ServingStep} from './types.js';
+import {applyDigest} from './apply_digest.js';
+import {applyFleet} from './apply_fleet.js';
+import {arriveRequest} from './arrive_request.js';
+import {dispatchWaiting} from './dispatch_waiting.js';
+import {expire} from './expire.js';
+import {findStalls} from './find_stalls.js';
+import {forgetRequest} from './forget_request.js';
+import {logDecision} from './log_decision.js';
+import {noteAttempt} from './note_attempt.js';
+import {rebuildTargets} from './rebuild_targets.js';
+import {reduceSteward} from '../steward/reduce_steward.js';
+import {targetLoad} from './target_load.js';
+
+/**
+ * Applies an event to a serving node's state, in place, and returns what is to
+ * be done. No clock, randomness or I/O: equal states and events give equal effects.
+ */
+export function reduceServing(
+  state: ServingState,
+  event: ServingEvent & {readonly nowMs: number},
+): ServingEffect[] {
+  const step: ServingStep = {state, nowMs: event.nowMs, effects: []};
+  applyEvent(step, event);
+  reduceSteward(step, event);
+  return step.effects;
+}
+
+function applyEvent(step: ServingStep, event: ServingEvent): void {
+  const {state, nowMs} = step;
+  switch (event.type) {
+    case 'requestArrived':
+      arriveRequest(step, event.request);
+      break;
+    case 'callerGone':
+      leaveCaller(step, event.requestId);
+      break;
+    case 'attemptProgress':
+      noteAttempt.progress(step, event.attemptId);
+      break;
+    case 'attemptEnded':
+      noteAttempt.ended(step, event.attemptId, event.status);
+      break;
+    case 'attemptFailed':
+      noteAttempt.failed(step, event.attemptId, event);
+      break;
+    case 'loadReported':
+      targetLoad(state, event.vmId).reported = {
+        running: event.running,
+        waiting: event.waiting,
+        atMs: nowMs,
+      };
+      break;
+    case 'configRead':
+      applyConfig(step, event);
+      break;
+    case 'fleetListed':
+      applyFleet(step, {
+        changed: event.engines,
+        removed: [],
+        revision: event.revision,
+        isWhole: true,
+      });
+      dispatchAll(step);
+      break;
+    case 'fleetChanged':
+      applyFleet(step, {...event, isWhole: false});
+      dispatchAll(step);
+      break;
+    case 'digestReceived':
+      applyDigest(step, event.digest);
+      break;
+    case 'leaveRequested':
+      if (state.leavingSinceMs !== undefined) break;
+      state.leavingSinceMs = nowMs;
+      logDecision(step, 'info', 'process', 'node leaves', {
+        requests: state.requests.size,
+      });
+      break;
+    case 'tick':
+      findStalls(step);
+      expire(step);
+      break;
+    default:
+      break;
+  }
+}
+
+function applyConfig(
+  step: ServingStep,
+  event: Extract<ServingEvent, {type: 'configRead'}>,
+): void {
+  const {state} = step;
+  const {config, provenAtMs} = event;
+  state.configProvenAtMs = Math.max(state.configProvenAtMs, provenAtMs);
+  const version = state.config?.version ?? -1;
+  if (!config || config.version <= version) return;
+  state.config = config;
+  rebuildTargets(state);
+  logDecision(step, 'info', 'config', 'configuration in force', {
+    version: config.version,
+    before: version,
+    hosts: config.routesByHost.size,
+    services: config.services.size,
+  });
+  dispatchAll(step);
+}
+
+function dispatchAll(step: ServingStep): void {
+  for (const pool of step.state.waiting.keys()) dispatchWaiting(step, pool);
+}
+
+function leaveCaller(
+  step: ServingStep,
+  requestId: Parameters<typeof step.state.requests.get>[0],
+): void {
+  const record = step.state.requests.get(requestId);
+  if (!record) return;
+  // An unsafe request that may run is left to end: breaking it off would
+  // leave nobody who knows whether it did.
+  if (record.route.kind === 'unsafe' && record.attempt) return;
+  logDecision(step, 'info', 'requests', 'caller gone', {
+    requestId,
+    callerId: record.request.callerId,
+    target: record.attempt?.vmId,
+    ageMs: Math.round(step.nowMs - record.request.arrivedAtMs),
+  });
+  forgetRequest(step, record);
+  dispatchWaiting(step, record.pool);
+}
--- /dev/null
+++ b/src/core/serving/refuse_request.ts
@@ -0,0 +1,50 @@
+import type {RefusalReason} from './effects.js';
+import type {RequestRecord, ServingStep} from './types.js';
+import {count} from './count.js';
+import {forgetRequest} from './forget_request.js';
+import {logDecision} from './log_decision.js';
+
+interface RefusalOptions {
+  readonly reason: RefusalReason;
+  readonly retryAfterMs?: number;
+}
+
+/**
+ * Ends a request without a whole answer: with a status that says whether it may
+ * have run, or by breaking off an answer of which the caller has a part.
+ */
+export function refuseRequest(
+  step: ServingStep,
+  record: RequestRecord,
+  options: RefusalOptions,
+): void {
+  const {request, verdict} = record;
+  const {reason, retryAfterMs} = options;
+  const mayHaveRun = verdict !== 'not-run';
+  logDecision(step, 'info', 'requests', 'request given up', {
+    requestId: request.requestId,
+    callerId: request.callerId,
+    route: record.route.name,
+    reason,
+    verdict,
+    retryAfterMs,
+    ageMs: Math.round(step.nowMs - request.arrivedAtMs),
+    sends: record.sendCount,
+    target: record.attempt?.vmId,
+    partly: record.hasAnswer,
+    configVersion: step.state.config?.version,
+  });
+  count(step, 'requests', 1, {service: record.service, verdict});
+  if (record.hasAnswer) {
+    step.effects.push({type: 'cutAnswer', requestId: request.requestId});
+  } else {
+    step.effects.push({
+      type: 'refuse',
+      requestId: request.requestId,
+      status: mayHaveRun ? (reason === 'timeout' ? 504 : 502) : 503,
+      reason,
+      ...(mayHaveRun || retryAfterMs === undefined ? {} : {retryAfterMs}),
+    });
+  }
+  forgetRequest(step, record);
+}
--- /dev/null
+++ b/src/core/serving/send_attempt.ts
@@ -0,0 +1,71 @@
+import type {AttemptId} from '../ids/index.js';
+import type {Placement} from './select_target.js';
+import type {RequestRecord, ServingStep} from './types.js';
+import {count} from './count.js';
+import {logDecision} from './log_decision.js';
+import {makeId} from '../ids/index.js';
+import {repeatBudget} from './repeat_budget.js';
+import {targetLoad} from './target_load.js';
+import {urgencyOf} from './urgency_of.js';
+
+/** Sends a request to the selected target. */
+export function sendAttempt(
+  step: ServingStep,
+  record: RequestRecord,
+  placement: Placement,
+): void {
+  const {state, nowMs} = step;
+  const {request, route} = record;
+  const {target} = placement;
+  state.idCounter += 1;
+  const attemptId = makeId<AttemptId>(
+    `${request.requestId}.${state.idCounter.toString(36)}`,
+  );
+  const load = targetLoad(state, target.vmId);
+  record.attempt = {
+    attemptId,
+    vmId: target.vmId,
+    sentAtMs: nowMs,
+    expectedFirstMs: placement.firstMs,
+    promptTokens: request.promptTokens,
+    hasStarted: false,
+    progressAtMs: nowMs,
+  };
+  load.inFlight += 1;
+  load.unreadTokens += request.promptTokens;
+  if (record.sendCount > 0) {
+    repeatBudget.noteRepeat(state, record.service, nowMs);
+  }
+  record.sendCount += 1;
+  record.verdict = 'may-have-run';
+  record.runCount += 1;
+  record.tried.add(target.vmId);
+  state.byAttempt.set(attemptId, record);
+  count(step, 'attempts', 1, {service: record.service});
+  logDecision(step, 'info', 'requests', 'request sent', {
+    requestId: request.requestId,
+    callerId: request.callerId,
+    route: route.name,
+    target: target.vmId,
+    replica: target.replica?.replicaId,
+    epoch: target.replica?.epoch,
+    send: record.sendCount,
+    waitedMs: Math.round(nowMs - request.arrivedAtMs),
+    expectedFirstMs: Math.round(placement.firstMs),
+    inFlight: placement.inFlight,
+    configVersion: state.config?.version,
+    fleetRevision: state.fleetRevision,
+  });
+  step.effects.push({
+    type: 'startAttempt',
+    requestId: request.requestId,
+    attemptId,
+    vmId: target.vmId,
+    address: target.engine.address,
+    organisation: record.organisationId,
+    patienceMs: Math.max(1, record.giveUpAtMs - nowMs),
+    urgency: urgencyOf(record, nowMs),
+    freshConnection: route.kind === 'unsafe',
+    isStream: route.kind === 'streaming',
+  });
+}
--- /dev/null
+++ b/src/core/serving/target_load.ts
@@ -0,0 +1,19 @@
+import type {ServingState, TargetLoad} from './types.js';
+import type {VmId} from '../ids/index.js';
+
+/** This node's load record of a target, made when first asked for. */
+export function targetLoad(state: ServingState, vmId: VmId): TargetLoad {
+  let load = state.loads.get(vmId);
+  if (!load) {
+    load = {
+      inFlight: 0,
+      unreadTokens: 0,
+      writing: 0,
+      progressAtMs: -Infinity,
+      suspectUntilMs: -Infinity,
+      failuresInRow: 0,
+    };
+    state.loads.set(vmId, load);
+  }
+  return load;
+}
--- /dev/null
+++ b/src/core/serving/types.ts
@@ -0,0 +1,220 @@
+import type {AccessConfig, Route} from '../access/types.js';
+import type {EngineCosts, EngineRecord, ReplicaView} from '../fleet/types.js';
+import type {
+  AttemptId,
+  Fingerprint,
+  ModelName,
+  NodeId,
+  OrganisationId,
+  RequestId,
+  ServiceName,
+  VmId,
+  ZoneId,
+} from '../ids/index.js';
+import type {Random} from '../random/index.js';
+import type {StewardState} from '../steward/types.js';
+import type {Verdict} from '../verdict/index.js';
+import type {ServingEffect} from './effects.js';
+
+/** A caller's request, read whole. */
+export interface ServingRequest {
+  readonly requestId: RequestId;
+  /** The caller's own id of this request; targets echo it. */
+  readonly callerId: string;
+  readonly host: string;
+  readonly path: string;
+  readonly apiKey?: string;
+  /** How long the caller waits, from `arrivedAtMs`. */
+  readonly patienceMs?: number;
+  readonly arrivedAtMs: number;
+  readonly model?: ModelName;
+  readonly promptTokens: number;
+  readonly fingerprint: Fingerprint;
+}
+
+/** One dispatch of a request to a target. */
+export interface AttemptRecord {
+  readonly attemptId: AttemptId;
+  readonly vmId: VmId;
+  readonly sentAtMs: number;
+  /** Time to the first event that was expected at dispatch. */
+  readonly expectedFirstMs: number;
+  /** Prompt tokens that the target has yet to read for this attempt. */
+  readonly promptTokens: number;
+  hasStarted: boolean;
+  progressAtMs: number;
+}
+
+/** A request from its arrival to its final answer. */
+export interface RequestRecord {
+  readonly request: ServingRequest;
+  readonly route: Route;
+  readonly service: ServiceName;
+  readonly pool: string;
+  readonly organisationId?: OrganisationId;
+  readonly priority: number;
+  readonly goalAtMs: number;
+  /** The final answer is due by then. */
+  readonly giveUpAtMs: number;
+  /** A request that waits is turned away then. */
+  readonly holdUntilMs: number;
+  readonly waitingSinceMs: number;
+  readonly tried: Set<VmId>;
+  verdict: Verdict;
+  attempt?: AttemptRecord;
+  /** Targets at which the request may have run. */
+  runCount: number;
+  /** Sends of any kind, those that were turned away included. */
+  sendCount: number;
+  /** Events, or the answer, reached the caller. */
+  hasAnswer: boolean;
+}
+
+/** A target that takes requests: a replica's head, or an engine of an application service. */
+export interface ServingTarget {
+  readonly vmId: VmId;
+  readonly engine: EngineRecord;
+  readonly slotCount: number;
+  /** Factor on the published times. */
+  readonly pace: number;
+  /** Present for model services. */
+  readonly costs?: EngineCosts;
+  readonly replica?: ReplicaView;
+}
+
+/** What this node knows of a target from its own requests. */
+export interface TargetLoad {
+  inFlight: number;
+  /** Prompt tokens of attempts without first event. */
+  unreadTokens: number;
+  /** Attempts between first event and end. */
+  writing: number;
+  progressAtMs: number;
+  /** Passed over until then, while others can take the work. */
+  suspectUntilMs: number;
+  failuresInRow: number;
+  /** Shares of the load that the target's last answer reported. */
+  reported?: {
+    readonly running: number;
+    readonly waiting: number;
+    readonly atMs: number;
+  };
+}
+
+/** A target's line in a load digest. */
+export interface DigestLoad {
+  readonly vmId: VmId;
+  readonly inFlight: number;
+  readonly unreadTokens: number;
+  /** Age of the last event of any stream there; -1 for none. */
+  readonly progressAgeMs: number;
+  readonly isSuspect: boolean;
+}
+
+/** What a node tells its peers several times a second. */
+export interface LoadDigest {
+  readonly from: NodeId;
+  readonly zone: ZoneId;
+  readonly callerAddress: string;
+  readonly isReady: boolean;
+  readonly isLeaving: boolean;
+  readonly configVersion: number;
+  readonly fleetRevision: number;
+  readonly loads: readonly DigestLoad[];
+  /** Requests whose last targets were lost while they ran. */
+  readonly suspects: readonly {
+    readonly fingerprint: Fingerprint;
+    readonly losses: number;
+  }[];
+  /** Engines that a steward found to be lost before the store did. */
+  readonly lostEngines: readonly {
+    readonly vmId: VmId;
+    readonly bornAtMs: number;
+  }[];
+}
+
+/** The last digest of a peer. */
+export interface PeerView {
+  digest: LoadDigest;
+  atMs: number;
+}
+
+/** Sum of what peers have in flight at a target. */
+export interface PeerLoad {
+  inFlight: number;
+  unreadTokens: number;
+  progressAtMs: number;
+  suspectUntilMs: number;
+}
+
+/** Arrivals and repeats of one service in the last seconds. */
+export interface RepeatWindow {
+  /** One bucket a second, by `second % length`. */
+  readonly requests: number[];
+  readonly repeats: number[];
+  second: number;
+}
+
+/** A request that was running at targets that were lost. */
+export interface CrashSuspect {
+  losses: number;
+  untilMs: number;
+  readonly lostAt: Set<VmId>;
+}
+
+/** Bounds that the deployment sets. */
+export interface ServingBounds {
+  /** Longest age of the proof that the configuration is current; undefined: no limit. */
+  readonly accessProofMs?: number;
+  readonly repeatRatio: number;
+  readonly repeatSlack: number;
+  readonly repeatWindowMs: number;
+  /** From SIGTERM to SIGKILL. */
+  readonly graceMs: number;
+  /** How long a replica with a lost member stands still before its head gives up. */
+  readonly stallMs: number;
+  readonly loadWindowMs: number;
+}
+
+/** All that a node knows. Owned by the reducer; others only read it. */
+export interface ServingState {
+  readonly nodeId: NodeId;
+  readonly zone: ZoneId;
+  readonly callerAddress: string;
+  readonly bounds: ServingBounds;
+  readonly random: Random;
+  idCounter: number;
+  config?: AccessConfig;
+  configProvenAtMs: number;
+  engines: Map<VmId, EngineRecord>;
+  isFleetKnown: boolean;
+  fleetRevision: number;
+  fleetChangedAtMs: number;
+  replicas: Map<string, ReplicaView>;
+  targetsByPool: Map<string, ServingTarget[]>;
+  targets: Map<VmId, ServingTarget>;
+  /** Engines that this node or a steward found to be lost, with the life that was lost. */
+  readonly lostEngines: Map<VmId, {bornAtMs: number; atMs: number}>;
+  readonly loads: Map<VmId, TargetLoad>;
+  readonly peers: Map<NodeId, PeerView>;
+  readonly peerLoads: Map<VmId, PeerLoad>;
+  readonly requests: Map<RequestId, RequestRecord>;
+  readonly byAttempt: Map<AttemptId, RequestRecord>;
+  readonly waiting: Map<string, RequestRecord[]>;
+  readonly repeatWindows: Map<ServiceName, RepeatWindow>;
+  readonly crashSuspects: Map<Fingerprint, CrashSuspect>;
+  /** Set from the first signal to leave. */
+  leavingSinceMs?: number;
+  hasExited: boolean;
+  readonly steward: StewardState;
+}
+
+/** One run of the reducer. */
+export interface ServingStep {
+  readonly state: ServingState;
+  readonly nowMs: number;
+  readonly effects: ServingEffect[];
+}
+
+export type {ServingEffect, RefusalReason} from './effects.js';
+export type {ServingEvent, AttemptFault} from './events.js';
--- /dev/null
+++ b/src/core/steward/adopt_replicas.ts
@@ -0,0 +1,87 @@
+import type {ReplicaTrack} from './types.js';
+import type {ReplicaView} from '../fleet/types.js';
+import type {ServingStep} from '../serving/types.js';
+import type {ServiceName, VmId} from '../ids/index.js';
+import {logDecision} from '../serving/log_decision.js';
+import {replicaName} from './replica_name.js';
+
+/** Time for a replica that an earlier steward left unfinished. */
+const FINISH_MS = 2500;
+
+/**
+ * Takes over replicas that engines report and this steward didn't plan: those
+ * of earlier terms, and those that a late order has made.
+ */
+export function adoptReplicas(step: ServingStep, service: ServiceName): void {
+  const {state} = step;
+  const {steward} = state;
+  for (const [key, replica] of state.replicas) {
+    if (replica.service !== service) continue;
+    if (steward.tracks.has(key) || steward.released.has(key)) continue;
+    if (replicaName.isSpare(replica.replicaId)) continue;
+    const track = createTrack(step, key, replica);
+    if (track) steward.tracks.set(key, track);
+  }
+}
+
+function createTrack(
+  step: ServingStep,
+  key: string,
+  replica: ReplicaView,
+): ReplicaTrack | undefined {
+  const {state, nowMs} = step;
+  const {steward} = state;
+  const {head} = replica;
+  const headId = head?.vmId ?? replicaName.headOf(replica.replicaId);
+  const headRecord = state.engines.get(headId);
+  if (!head && headRecord) {
+    // The head is alive and names another replica or none: it has left.
+    steward.released.add(key);
+    return undefined;
+  }
+  const size = sizeOf(step, replica);
+  const stage = head?.membership?.stage;
+  const mayServe = !head || (stage !== 'joining' && stage !== 'ready');
+  const isWhole = replica.members.size === size;
+  if (!mayServe && !isWhole) return undefined;
+  const others = [...replica.members]
+    .filter(([rank]) => rank !== 0)
+    .sort(([a], [b]) => a - b)
+    .map(([, engine]) => engine);
+  const members: VmId[] = [headId, ...others.map(({vmId}) => vmId)];
+  const bornAtMs = new Map<VmId, number>(
+    others.map(engine => [engine.vmId, engine.bornAtMs]),
+  );
+  if (head) bornAtMs.set(headId, head.bornAtMs);
+  const phase = !mayServe ? 'joining' : head && isWhole ? 'open' : 'leaving';
+  logDecision(step, 'info', 'steward', 'replica adopted', {
+    replica: replica.replicaId,
+    epoch: replica.epoch,
+    stage,
+    members: members.length,
+    phase,
+    term: steward.term,
+  });
+  return {
+    key,
+    replicaId: replica.replicaId,
+    epoch: replica.epoch,
+    service: replica.service,
+    domain: replica.domain,
+    model: (head ?? others[0])!.models[0]!,
+    members,
+    bornAtMs,
+    createdAtMs: nowMs,
+    dueAtMs: nowMs + FINISH_MS,
+    headAddress: head?.address ?? '',
+    phase,
+    phaseSinceMs: nowMs,
+    headSeenAtMs: nowMs,
+  };
+}
+
+function sizeOf(step: ServingStep, replica: ReplicaView): number {
+  const costs = step.state.config?.services.get(replica.service)?.engine;
+  const models = [...replica.members.values()][0]?.models ?? [];
+  return costs?.models.find(({name}) => name === models[0])?.size ?? Infinity;
+}
--- /dev/null
+++ b/src/core/steward/count_loads.ts
@@ -0,0 +1,27 @@
+import type {EngineCosts} from '../fleet/types.js';
+import type {ServingStep} from '../serving/types.js';
+
+/** Loads that may run at once beyond those that run at full speed; the next are ready to start when one ends. */
+const OVERLAP = 1.5;
+
+/** How many loads of weights may start now: the store of weights slows down, and refuses, beyond its rates. */
+export function countFreeLoads(step: ServingStep, costs: EngineCosts): number {
+  const {state, nowMs} = step;
+  const {steward} = state;
+  for (const [vmId, endMs] of steward.loadEndsMs) {
+    const stage = state.engines.get(vmId)?.membership?.stage;
+    const hasEnded = stage !== undefined && stage !== 'joining';
+    if (endMs < nowMs || (hasEnded && nowMs > endMs - costs.concurrentLoads)) {
+      steward.loadEndsMs.delete(vmId);
+    }
+  }
+  const atOnce = Math.floor(costs.concurrentLoads * OVERLAP);
+  const free = atOnce - steward.loadEndsMs.size;
+  if (!steward.hasTraffic) return free;
+  const {loadWindowMs} = state.bounds;
+  steward.loadStartsMs = steward.loadStartsMs.filter(
+    startMs => nowMs - startMs < loadWindowMs,
+  );
+  const perWindow = Math.floor((costs.loadsPerS * loadWindowMs) / 1000);
+  return Math.min(free, perWindow - steward.loadStartsMs.length);
+}
--- /dev/null
+++ b/src/core/steward/engine_warmth.ts
@@ -0,0 +1,11 @@
+import type {EngineRecord} from '../fleet/types.js';
+import type {ModelName} from '../ids/index.js';
+
+/** How near an engine is to serving a model: 0 has it in memory, 1 on its host, 2 has no weights, 3 has those of another. */
+export function engineWarmth(engine: EngineRecord, model: ModelName): number {
+  if (engine.models[0] === model) return 0;
+  if (engine.stagedModels.includes(model)) return 1;
+  const isEmpty =
+    engine.models.length === 0 && engine.stagedModels.length === 0;
+  return isEmpty ? 2 : 3;
+}
--- /dev/null
+++ b/src/core/steward/follow_track.ts
@@ -0,0 +1,150 @@
+import type {MemberCondition, ReplicaTrack} from './types.js';
+import type {ServingStep} from '../serving/types.js';
+import type {VmId} from '../ids/index.js';
+import {giveOrder} from './give_order.js';
+import {judgeMember} from './judge_member.js';
+import {leaveTrack} from './leave_track.js';
+import {releaseTrack} from './release_track.js';
+import {setPhase} from './set_phase.js';
+
+/** Longest time that a closing head may take to end its work. */
+const CLOSE_MS = 3000;
+/** A head that doesn't open by then is taken apart. */
+const OPEN_MS = 8000;
+
+/** Takes a replica one step on: joins, opens, or takes it apart when a member is missing. */
+export function followTrack(step: ServingStep, track: ReplicaTrack): void {
+  switch (track.phase) {
+    case 'joining':
+      followJoining(step, track);
+      break;
+    case 'opening':
+      followOpening(step, track);
+      break;
+    case 'open':
+      followOpen(step, track);
+      break;
+    case 'closing':
+      followClosing(step, track);
+      break;
+    case 'leaving':
+      leaveTrack(step, track);
+      break;
+  }
+}
+
+function followJoining(step: ServingStep, track: ReplicaTrack): void {
+  const {state, nowMs} = step;
+  const conditions = judgeAll(step, track);
+  const missing = track.members.find(
+    (vmId, at) => conditions[at] === 'lost' || conditions[at] === 'leaving',
+  );
+  if (missing !== undefined) {
+    releaseTrack(step, track, `never opened; ${missing} is missing`);
+    return;
+  }
+  if (nowMs >= track.dueAtMs) {
+    releaseTrack(step, track, 'never opened; not ready in time');
+    return;
+  }
+  let isReady = true;
+  for (const [at, vmId] of track.members.entries()) {
+    const engine = state.engines.get(vmId)!;
+    if (conditions[at] === 'not-joined') {
+      isReady = false;
+      giveOrder(step, engine, {
+        kind: 'join',
+        replicaId: track.replicaId,
+        epoch: track.epoch,
+        model: track.model,
+        members: track.members,
+      });
+    } else if (engine.membership?.stage !== 'ready') {
+      isReady = false;
+    }
+  }
+  if (!isReady) return;
+  setPhase(step, track, 'opening', 'all members are ready');
+  openHead(step, track);
+}
+
+function openHead(step: ServingStep, track: ReplicaTrack): void {
+  const head = step.state.engines.get(track.members[0]!);
+  if (!head) return;
+  const {replicaId, epoch} = track;
+  giveOrder(step, head, {kind: 'open', replicaId, epoch});
+}
+
+function followOpening(step: ServingStep, track: ReplicaTrack): void {
+  if (retireIfBroken(step, track)) return;
+  const stage = headStage(step, track);
+  if (stage === 'open') {
+    setPhase(step, track, 'open', 'the head serves');
+  } else if (step.nowMs - track.phaseSinceMs > OPEN_MS) {
+    setPhase(step, track, 'leaving', 'the head does not open');
+    leaveTrack(step, track);
+  } else {
+    openHead(step, track);
+  }
+}
+
+function followOpen(step: ServingStep, track: ReplicaTrack): void {
+  if (retireIfBroken(step, track)) return;
+  if (headStage(step, track) === 'ready') {
+    setPhase(step, track, 'opening', 'the head was closed');
+  }
+}
+
+/** Takes the replica apart when it can't serve on; a member that leaves in good order lets the work end first. */
+function retireIfBroken(step: ServingStep, track: ReplicaTrack): boolean {
+  const conditions = judgeAll(step, track);
+  const missing = track.members.find(
+    (vmId, at) => conditions[at] === 'lost' || conditions[at] === 'not-joined',
+  );
+  if (missing !== undefined) {
+    setPhase(step, track, 'leaving', `${missing} is missing`);
+    leaveTrack(step, track);
+    return true;
+  }
+  if (headStage(step, track) === 'broken') {
+    setPhase(step, track, 'leaving', 'the head is broken');
+    leaveTrack(step, track);
+    return true;
+  }
+  const leaving = track.members.find((_, at) => conditions[at] === 'leaving');
+  if (leaving !== undefined) {
+    setPhase(step, track, 'closing', `${leaving} is leaving`);
+    followClosing(step, track);
+    return true;
+  }
+  return false;
+}
+
+function followClosing(step: ServingStep, track: ReplicaTrack): void {
+  const {state, nowMs} = step;
+  const conditions = judgeAll(step, track);
+  const isMissing = conditions.some(
+    condition => condition === 'lost' || condition === 'not-joined',
+  );
+  const stage = headStage(step, track);
+  const isClosed = stage === 'ready' || stage === 'broken';
+  if (isMissing || isClosed || nowMs - track.phaseSinceMs > CLOSE_MS) {
+    setPhase(step, track, 'leaving', track.cause ?? 'closed');
+    leaveTrack(step, track);
+    return;
+  }
+  const head = state.engines.get(track.members[0]!);
+  if (!head) return;
+  const {replicaId, epoch} = track;
+  giveOrder(step, head, {kind: 'close', replicaId, epoch});
+}
+
+function judgeAll(step: ServingStep, track: ReplicaTrack): MemberCondition[] {
+  return track.members.map((vmId: VmId) =>
+    judgeMember(step.state, track, vmId),
+  );
+}
+
+function headStage(step: ServingStep, track: ReplicaTrack) {
+  return step.state.engines.get(track.members[0]!)?.membership?.stage;
+}
--- /dev/null
+++ b/src/core/steward/form_replicas.ts
@@ -0,0 +1,159 @@
+import type {DomainId, ServiceName, VmId} from '../ids/index.js';
+import type {EngineCosts, EngineRecord, ModelSpec} from '../fleet/types.js';
+import type {ReplicaTrack} from './types.js';
+import type {ServingStep} from '../serving/types.js';
+import {countFreeLoads} from './count_loads.js';
+import {engineWarmth} from './engine_warmth.js';
+import {followTrack} from './follow_track.js';
+import {logDecision} from '../serving/log_decision.js';
+import {nextEpoch} from './next_epoch.js';
+import {noteLoad} from './note_load.js';
+import {replicaKey} from '../fleet/index.js';
+import {replicaName} from './replica_name.js';
+
+/** Time in which an engine that has the weights may come back before another loads them. */
+const COLD_WAIT_MS = 1500;
+/** Added to the load time of a replica before it counts as failed. */
+const JOIN_MARGIN_MS = 15_000;
+
+interface Candidate {
+  readonly model: ModelSpec;
+  readonly members: readonly EngineRecord[];
+  /** Members that have to load weights. */
+  readonly cold: readonly EngineRecord[];
+}
+
+/** Forms replicas from the free engines of a domain; takes those that it uses out of `free`. */
+export function formReplicas(
+  step: ServingStep,
+  service: ServiceName,
+  costs: EngineCosts,
+  domain: string,
+  free: EngineRecord[],
+): void {
+  for (;;) {
+    const candidate = selectCandidate(step, costs, domain, free);
+    if (!candidate) return;
+    for (const member of candidate.members) {
+      free.splice(free.indexOf(member), 1);
+    }
+    startReplica(step, service, domain, candidate);
+  }
+}
+
+/** The replica of the model that is served least, against its part of the work, among those that can be formed now. */
+function selectCandidate(
+  step: ServingStep,
+  costs: EngineCosts,
+  domain: string,
+  free: readonly EngineRecord[],
+): Candidate | undefined {
+  const {steward} = step.state;
+  const models = [...costs.models].sort(
+    (a, b) =>
+      supplyOf(step, a) - supplyOf(step, b) || b.workShare - a.workShare,
+  );
+  for (const model of models) {
+    const key = `${domain}/${model.name}`;
+    const members = [...free]
+      .sort((a, b) => compareWarmth(a, b, model))
+      .slice(0, model.size);
+    const cold = members.filter(one => engineWarmth(one, model.name) >= 2);
+    if (members.length < model.size) {
+      steward.coldSinceMs.delete(key);
+      continue;
+    }
+    if (cold.length === 0) {
+      steward.coldSinceMs.delete(key);
+      return {model, members, cold};
+    }
+    if (mayLoad(step, costs, key, members, cold)) return {model, members, cold};
+    if (cold.length < members.length) return undefined;
+  }
+  return undefined;
+}
+
+function mayLoad(
+  step: ServingStep,
+  costs: EngineCosts,
+  key: string,
+  members: readonly EngineRecord[],
+  cold: readonly EngineRecord[],
+): boolean {
+  const {state, nowMs} = step;
+  const {coldSinceMs} = state.steward;
+  const since = coldSinceMs.get(key) ?? nowMs;
+  coldSinceMs.set(key, since);
+  const isAllCold = cold.length === members.length;
+  if (!isAllCold && nowMs - since < COLD_WAIT_MS) return false;
+  return (
+    countFreeLoads(step, costs) >= Math.min(cold.length, costs.concurrentLoads)
+  );
+}
+
+function compareWarmth(
+  a: EngineRecord,
+  b: EngineRecord,
+  model: ModelSpec,
+): number {
+  return (
+    engineWarmth(a, model.name) - engineWarmth(b, model.name) ||
+    (a.vmId < b.vmId ? -1 : 1)
+  );
+}
+
+/** Engines that serve a model or will, per part of the work that it has. */
+function supplyOf(step: ServingStep, model: ModelSpec): number {
+  let replicas = 0;
+  for (const track of step.state.steward.tracks.values()) {
+    const counts = track.phase !== 'closing' && track.phase !== 'leaving';
+    if (counts && track.model === model.name) replicas += 1;
+  }
+  return (replicas * model.size) / Math.max(model.workShare, 0.01);
+}
+
+function startReplica(
+  step: ServingStep,
+  service: ServiceName,
+  domain: string,
+  candidate: Candidate,
+): void {
+  const {state, nowMs} = step;
+  const {steward} = state;
+  const {model, members, cold} = candidate;
+  const head = members[0]!;
+  const epoch = nextEpoch(steward);
+  const replicaId = replicaName.ofReplica(head.vmId, epoch);
+  const key = replicaKey(replicaId, epoch);
+  for (const {vmId} of cold) noteLoad(step, vmId, model.loadMs);
+  const track: ReplicaTrack = {
+    key,
+    replicaId,
+    epoch,
+    service,
+    domain: domain === '' ? undefined : (domain as DomainId),
+    model: model.name,
+    members: members.map(({vmId}) => vmId),
+    bornAtMs: new Map<VmId, number>(
+      members.map(({vmId, bornAtMs}) => [vmId, bornAtMs]),
+    ),
+    createdAtMs: nowMs,
+    dueAtMs: nowMs + model.loadMs + JOIN_MARGIN_MS,
+    headAddress: head.address,
+    phase: 'joining',
+    phaseSinceMs: nowMs,
+    headSeenAtMs: nowMs,
+  };
+  steward.tracks.set(key, track);
+  logDecision(step, 'info', 'steward', 'replica planned', {
+    replica: replicaId,
+    epoch,
+    model: model.name,
+    domain,
+    members: track.members,
+    loads: cold.length,
+    fleetRevision: state.fleetRevision,
+    fleetAgeMs: Math.round(nowMs - state.fleetChangedAtMs),
+  });
+  followTrack(step, track);
+}
--- /dev/null
+++ b/src/core/steward/free_engines.ts
@@ -0,0 +1,26 @@
+import type {EngineRecord} from '../fleet/types.js';
+import type {ServiceName, VmId} from '../ids/index.js';
+import type {ServingState} from '../serving/types.js';
+
+/** Engines of a service that belong to no replica, by domain. */
+export function freeEngines(
+  state: ServingState,
+  service: ServiceName,
+): Map<string, EngineRecord[]> {
+  const held = new Set<VmId>();
+  for (const {members} of state.steward.tracks.values()) {
+    for (const vmId of members) held.add(vmId);
+  }
+  const byDomain = new Map<string, EngineRecord[]>();
+  for (const engine of state.engines.values()) {
+    if (engine.service !== service || engine.isLeaving) continue;
+    if (held.has(engine.vmId)) continue;
+    const lost = state.lostEngines.get(engine.vmId);
+    if (lost?.bornAtMs === engine.bornAtMs) continue;
+    const domain = engine.domain ?? '';
+    const ofDomain = byDomain.get(domain);
+    if (ofDomain) ofDomain.push(engine);
+    else byDomain.set(domain, [engine]);
+  }
+  return byDomain;
+}
--- /dev/null
+++ b/src/core/steward/give_order.ts
@@ -0,0 +1,31 @@
+import type {EngineOrder} from './types.js';
+import type {ServingStep} from '../serving/types.js';
+import type {VmId} from '../ids/index.js';
+import {logDecision} from '../serving/log_decision.js';
+
+/** Time after which an order without visible effect is sent again. */
+const RESEND_MS = 500;
+
+/** Sends an order, unless the same went to this engine a moment ago. */
+export function giveOrder(
+  step: ServingStep,
+  target: {readonly vmId: VmId; readonly address: string},
+  order: EngineOrder,
+): void {
+  const {steward} = step.state;
+  const id = `${target.vmId}/${order.kind}/${order.replicaId}#${order.epoch}`;
+  const sentAtMs = steward.sentAtMs.get(id) ?? -Infinity;
+  if (step.nowMs - sentAtMs < RESEND_MS) return;
+  steward.sentAtMs.set(id, step.nowMs);
+  const {vmId, address} = target;
+  logDecision(step, 'info', 'steward', 'order sent', {
+    vmId,
+    kind: order.kind,
+    replica: order.replicaId,
+    epoch: order.epoch,
+    again: Number.isFinite(sentAtMs),
+    term: steward.term,
+    leaseLeftMs: Math.round(steward.leaseUntilMs - step.nowMs),
+  });
+  step.effects.push({type: 'sendOrder', vmId, address, order});
+}
--- /dev/null
+++ b/src/core/steward/index.ts
@@ -0,0 +1,2 @@
+export {hasAuthority} from './has_authority.js';
+export type * from './types.js';
--- /dev/null
+++ b/src/core/steward/judge_member.ts
@@ -0,0 +1,26 @@
+import type {EngineRecord} from '../fleet/types.js';
+import type {MemberCondition, ReplicaTrack} from './types.js';
+import type {ServingState} from '../serving/types.js';
+import type {VmId} from '../ids/index.js';
+import {replicaKey} from '../fleet/index.js';
+
+/** Judges a member of a replica by what the store, probes and the engine itself said last. */
+export function judgeMember(
+  state: ServingState,
+  track: ReplicaTrack,
+  vmId: VmId,
+): MemberCondition {
+  const engine = state.engines.get(vmId);
+  if (!engine || engine.bornAtMs !== track.bornAtMs.get(vmId)) return 'lost';
+  if (isKnownLost(state, engine)) return 'lost';
+  const {membership} = engine;
+  const isIn =
+    membership !== undefined &&
+    replicaKey(membership.replicaId, membership.epoch) === track.key;
+  if (!isIn) return 'not-joined';
+  return engine.isLeaving ? 'leaving' : 'sound';
+}
+
+function isKnownLost(state: ServingState, engine: EngineRecord): boolean {
+  return state.lostEngines.get(engine.vmId)?.bornAtMs === engine.bornAtMs;
+}
--- /dev/null
+++ b/src/core/steward/keep_spares.ts
@@ -0,0 +1,77 @@
+import type {EngineCosts, EngineRecord, ModelSpec} from '../fleet/types.js';
+import type {ServingStep} from '../serving/types.js';
+import {countFreeLoads} from './count_loads.js';
+import {engineWarmth} from './engine_warmth.js';
+import {giveOrder} from './give_order.js';
+import {logDecision} from '../serving/log_decision.js';
+import {nextEpoch} from './next_epoch.js';
+import {noteLoad} from './note_load.js';
+import {replicaName} from './replica_name.js';
+
+/**
+ * Has the free engines of a domain keep weights in memory, so that a lost
+ * member is replaced in a fraction of a second.
+ *
+ * The largest model comes first: each of its replicas has the most members to
+ * lose and the longest load.
+ */
+export function keepSpares(
+  step: ServingStep,
+  costs: EngineCosts,
+  free: readonly EngineRecord[],
+): void {
+  const models = [...costs.models].sort((a, b) => b.size - a.size);
+  if (models.length === 0) return;
+  const wanted = free.map((_, at) => models[at % models.length]!);
+  const unassigned = [...free];
+  const missing: ModelSpec[] = [];
+  for (const model of wanted) {
+    const at = unassigned.findIndex(one => engineWarmth(one, model.name) <= 1);
+    if (at < 0) {
+      missing.push(model);
+      continue;
+    }
+    const [engine] = unassigned.splice(at, 1);
+    warmUp(step, engine!, model);
+  }
+  for (const model of missing) {
+    const engine = unassigned.shift();
+    if (!engine || engine.membership?.stage === 'joining') continue;
+    if (countFreeLoads(step, costs) < 1) return;
+    noteLoad(step, engine.vmId, model.loadMs);
+    warmUp(step, engine, model);
+  }
+}
+
+function warmUp(
+  step: ServingStep,
+  engine: EngineRecord,
+  model: ModelSpec,
+): void {
+  const {membership} = engine;
+  const isSpare =
+    membership !== undefined && replicaName.isSpare(membership.replicaId);
+  const isInMemory = engine.models[0] === model.name;
+  if (isInMemory || (isSpare && membership.stage === 'joining')) return;
+  const {steward} = step.state;
+  const recentlyAsked = [...steward.sentAtMs].some(
+    ([id, atMs]) =>
+      id.startsWith(`${engine.vmId}/join/`) && step.nowMs - atMs < 3000,
+  );
+  if (recentlyAsked) return;
+  const epoch = nextEpoch(steward);
+  const replicaId = replicaName.ofSpare(engine.vmId, epoch);
+  logDecision(step, 'info', 'steward', 'spare warms up', {
+    vmId: engine.vmId,
+    model: model.name,
+    models: engine.models,
+    staged: engine.stagedModels,
+  });
+  giveOrder(step, engine, {
+    kind: 'join',
+    replicaId,
+    epoch,
+    model: model.name,
+    members: [engine.vmId],
+  });
+}
--- /dev/null
+++ b/src/core/steward/leave_track.ts
@@ -0,0 +1,48 @@
+import type {ReplicaTrack} from './types.js';
+import type {ServingStep} from '../serving/types.js';
+import {giveOrder} from './give_order.js';
+import {releaseTrack} from './release_track.js';
+import {replicaKey} from '../fleet/index.js';
+
+/** Added to the time in which a head without its members gives up by itself. */
+const STALL_MARGIN_MS = 700;
+
+/**
+ * Has the head leave, and frees the members once it is known to have left, to
+ * live anew, or to have given up.
+ *
+ * A head that can't be reached may still be open; its members must not be used
+ * elsewhere until it has stood still long enough to be broken.
+ */
+export function leaveTrack(step: ServingStep, track: ReplicaTrack): void {
+  const {state, nowMs} = step;
+  const vmId = track.members[0]!;
+  const head = state.engines.get(vmId);
+  if (head && head.bornAtMs !== track.bornAtMs.get(vmId)) {
+    releaseTrack(step, track, 'the head lives anew');
+    return;
+  }
+  if (head) {
+    track.headAddress = head.address;
+    const {membership} = head;
+    const isIn =
+      membership !== undefined &&
+      replicaKey(membership.replicaId, membership.epoch) === track.key;
+    if (!isIn) {
+      releaseTrack(step, track, 'the head names another replica or none');
+      return;
+    }
+  }
+  const seenAtMs = Math.max(
+    track.headSeenAtMs,
+    state.loads.get(vmId)?.progressAtMs ?? -Infinity,
+    state.peerLoads.get(vmId)?.progressAtMs ?? -Infinity,
+  );
+  if (nowMs - seenAtMs > state.bounds.stallMs + STALL_MARGIN_MS) {
+    releaseTrack(step, track, 'the head has been silent for too long');
+    return;
+  }
+  const {replicaId, epoch} = track;
+  const target = {vmId, address: track.headAddress};
+  giveOrder(step, target, {kind: 'leave', replicaId, epoch});
+}
--- /dev/null
+++ b/src/core/steward/mark_lost.ts
@@ -0,0 +1,21 @@
+import type {ServingStep} from '../serving/types.js';
+import type {VmId} from '../ids/index.js';
+import {logDecision} from '../serving/log_decision.js';
+import {rebuildTargets} from '../serving/rebuild_targets.js';
+
+/** Notes that an engine's present life has ended, before the store says so. */
+export function markLost(step: ServingStep, vmId: VmId, proof: string): void {
+  const {state, nowMs} = step;
+  const engine = state.engines.get(vmId);
+  if (!engine) return;
+  const {bornAtMs} = engine;
+  if (state.lostEngines.get(vmId)?.bornAtMs === bornAtMs) return;
+  state.lostEngines.set(vmId, {bornAtMs, atMs: nowMs});
+  rebuildTargets(state);
+  logDecision(step, 'warn', 'fleet', 'engine lost', {
+    vmId,
+    proof,
+    replica: engine.membership?.replicaId,
+    fleetRevision: state.fleetRevision,
+  });
+}
--- /dev/null
+++ b/src/core/steward/plan_service.ts
@@ -0,0 +1,40 @@
+import type {EngineCosts} from '../fleet/types.js';
+import type {ServiceName} from '../ids/index.js';
+import type {ServingStep} from '../serving/types.js';
+import {adoptReplicas} from './adopt_replicas.js';
+import {followTrack} from './follow_track.js';
+import {formReplicas} from './form_replicas.js';
+import {freeEngines} from './free_engines.js';
+import {keepSpares} from './keep_spares.js';
+import {probeMembers} from './probe_members.js';
+
+/** A first assembly waits until the list of engines has been still for this long. */
+const STILL_MS = 500;
+
+/** Brings the replicas of a service nearer to what its engines allow and its models need. */
+export function planService(
+  step: ServingStep,
+  service: ServiceName,
+  costs: EngineCosts,
+): void {
+  const {state, nowMs} = step;
+  const {steward} = state;
+  adoptReplicas(step, service);
+  for (const track of [...steward.tracks.values()]) {
+    if (track.service !== service) continue;
+    probeMembers(step, track);
+    followTrack(step, track);
+  }
+  const isFirst = steward.tracks.size === 0;
+  if (isFirst && nowMs - state.fleetChangedAtMs < STILL_MS) return;
+  const domains = [...freeEngines(state, service)].sort(([a], [b]) =>
+    a < b ? -1 : 1,
+  );
+  for (const [domain, free] of domains) {
+    formReplicas(step, service, costs, domain, free);
+    const smallest = Math.min(...costs.models.map(({size}) => size));
+    if (free.length < smallest || steward.hasTraffic) {
+      keepSpares(step, costs, free);
+    }
+  }
+}
--- /dev/null
+++ b/src/core/steward/reduce_steward.ts
@@ -0,0 +1,73 @@
+import type {ServingEvent} from '../serving/events.js';
+import type {ServingStep} from '../serving/types.js';
+import {hasAuthority} from './has_authority.js';
+import {logDecision} from '../serving/log_decision.js';
+import {noteOrder} from './note_order.js';
+import {noteProbe} from './note_probe.js';
+import {planService} from './plan_service.js';
+
+/** Least time between two plans, where no engine has changed. */
+const PLAN_INTERVAL_MS = 100;
+
+/** Applies an event to the steward's part of the state. */
+export function reduceSteward(step: ServingStep, event: ServingEvent): void {
+  const {state, nowMs} = step;
+  const {steward} = state;
+  switch (event.type) {
+    case 'requestArrived':
+      steward.hasTraffic = true;
+      return;
+    case 'digestReceived':
+      if (event.digest.loads.length > 0) steward.hasTraffic = true;
+      return;
+    case 'stewardLeaseHeld':
+      holdLease(step, event.term, event.untilMs);
+      return;
+    case 'stewardLeaseLost':
+      dropLease(step);
+      return;
+    case 'orderAnswered':
+      noteOrder(step, event);
+      break;
+    case 'probeAnswered':
+      noteProbe(step, event);
+      break;
+    case 'fleetListed':
+    case 'fleetChanged':
+      break;
+    case 'tick':
+      if (nowMs - steward.plannedAtMs < PLAN_INTERVAL_MS) return;
+      break;
+    default:
+      return;
+  }
+  if (!hasAuthority(steward, nowMs) || !state.isFleetKnown) return;
+  steward.plannedAtMs = nowMs;
+  for (const {name, engine} of state.config?.services.values() ?? []) {
+    if (engine && engine.models.length > 0) planService(step, name, engine);
+  }
+}
+
+function holdLease(step: ServingStep, term: number, untilMs: number): void {
+  const {steward} = step.state;
+  steward.leaseUntilMs = untilMs;
+  if (steward.term === term) return;
+  steward.term = term;
+  steward.epochCount = 0;
+  steward.tracks.clear();
+  steward.released.clear();
+  steward.sentAtMs.clear();
+  steward.loadEndsMs.clear();
+  logDecision(step, 'info', 'steward', 'stewardship begins', {term});
+}
+
+function dropLease(step: ServingStep): void {
+  const {steward} = step.state;
+  if (steward.term === undefined) return;
+  logDecision(step, 'info', 'steward', 'stewardship ends', {
+    term: steward.term,
+  });
+  steward.term = undefined;
+  steward.leaseUntilMs = -Infinity;
+  steward.tracks.clear();
+}
--- /dev/null
+++ b/src/core/steward/release_track.ts
@@ -0,0 +1,22 @@
+import type {ReplicaTrack} from './types.js';
+import type {ServingStep} from '../serving/types.js';
+import {logDecision} from '../serving/log_decision.js';
+
+/** Frees the members of a replica whose head is known not to serve any more, or never did. */
+export function releaseTrack(
+  step: ServingStep,
+  track: ReplicaTrack,
+  proof: string,
+): void {
+  const {steward} = step.state;
+  steward.tracks.delete(track.key);
+  steward.released.add(track.key);
+  logDecision(step, 'info', 'steward', 'replica released', {
+    replica: track.replicaId,
+    epoch: track.epoch,
+    model: track.model,
+    cause: track.cause,
+    proof,
+    inPhaseMs: Math.round(step.nowMs - track.phaseSinceMs),
+  });
+}
--- /dev/null
+++ b/src/core/steward/types.ts
@@ -0,0 +1,91 @@
+import type {
+  DomainId,
+  ModelName,
+  ReplicaId,
+  ServiceName,
+  VmId,
+} from '../ids/index.js';
+
+/** An order to an engine. Each names the life of the replica that it is meant for. */
+export type EngineOrder =
+  | {
+      readonly kind: 'join';
+      readonly replicaId: ReplicaId;
+      readonly epoch: number;
+      readonly model: ModelName;
+      /** The first is the head. */
+      readonly members: readonly VmId[];
+    }
+  | {
+      readonly kind: 'open' | 'leave';
+      readonly replicaId: ReplicaId;
+      readonly epoch: number;
+    }
+  | {
+      /** The head ends what it has and takes nothing new. */
+      readonly kind: 'close';
+      readonly replicaId: ReplicaId;
+      readonly epoch: number;
+    };
+
+/**
+ * `joining`: never opened. `opening`: an open order went out, so the head may
+ * serve. `open`: the head said so. `closing`: it ends its work, then leaves.
+ * `leaving`: its members are free once the head is known to have left or ended.
+ */
+export type TrackPhase = 'joining' | 'opening' | 'open' | 'closing' | 'leaving';
+
+/** A replica that the steward has planned or found. */
+export interface ReplicaTrack {
+  readonly key: string;
+  readonly replicaId: ReplicaId;
+  readonly epoch: number;
+  readonly service: ServiceName;
+  readonly domain?: DomainId;
+  readonly model: ModelName;
+  /** The first is the head. */
+  readonly members: readonly VmId[];
+  /** The life in which each member was when it was taken. */
+  readonly bornAtMs: ReadonlyMap<VmId, number>;
+  readonly createdAtMs: number;
+  /** A joining replica that is not ready by then is given up. */
+  readonly dueAtMs: number;
+  headAddress: string;
+  phase: TrackPhase;
+  phaseSinceMs: number;
+  cause?: string;
+  /** Last sign of life of a head that is not known to be dead. */
+  headSeenAtMs: number;
+}
+
+/** Answers of an engine to the steward's probes. */
+export interface ProbeRecord {
+  sentAtMs: number;
+  silentInRow: number;
+}
+
+/** What a node does as steward of all replicas. */
+export interface StewardState {
+  /** Rises with each holder of the lease; undefined without the lease. */
+  term?: number;
+  leaseUntilMs: number;
+  epochCount: number;
+  plannedAtMs: number;
+  readonly tracks: Map<string, ReplicaTrack>;
+  /** Replicas whose head has left: their members are free though they still name it. */
+  readonly released: Set<string>;
+  /** When each order was last sent, by engine and order. */
+  readonly sentAtMs: Map<string, number>;
+  readonly probes: Map<VmId, ProbeRecord>;
+  /** Last answer of any engine to this node. */
+  engineAnsweredAtMs: number;
+  /** Ends of loads of weights that are running, as expected. */
+  readonly loadEndsMs: Map<VmId, number>;
+  loadStartsMs: number[];
+  /** Since when each domain lacks engines that have the model's weights. */
+  readonly coldSinceMs: Map<string, number>;
+  hasTraffic: boolean;
+}
+
+/** How a member of a replica stands, as far as a node knows. */
+export type MemberCondition = 'sound' | 'leaving' | 'not-joined' | 'lost';
--- a/src/core/store/store_outcome.ts
+++ b/src/core/store/store_outcome.ts
@@ -9,6 +9,8 @@
   /** Version written, or the store-wide revision that a list or watch reflects. */
   readonly version?: number;
   readonly leaseId?: LeaseId;
+  /** list: more entries follow the last one. */
+  readonly hasMore?: boolean;
   readonly vms?: readonly VmRecord[];
   /** takeWeightToken: tokens granted, and when to ask again if fewer than asked. */
   readonly granted?: number;
--- /dev/null
+++ b/src/logging/create_serving_logger.ts
@@ -0,0 +1,45 @@
+import './enable_roarr.js'; // before roarr
+import {ROARR, Roarr} from 'roarr';
+import type {Logger} from './logger.js';
+import {BoundedWriter} from './bounded_writer.js';
+import {LineBudget} from './line_budget.js';
+
+const STDOUT = 1;
+
+interface ServingLogger extends Logger {
+  /** Settles when all lines are written. */
+  flush(): Promise<void>;
+}
+
+type Context = Parameters<typeof Roarr.child>[0];
+
+/** Creates a logger of JSON lines on standard output, bounded in volume and never blocking. */
+export function createServingLogger(nodeId: string): ServingLogger {
+  const writer = new BoundedWriter(STDOUT);
+  const budget = new LineBudget();
+  ROARR.write = line => writer.writeLine(line);
+  const log = (
+    level: 'debug' | 'info' | 'warn' | 'error',
+    area: string,
+    message: string,
+    fields: Readonly<Record<string, unknown>>,
+  ) => {
+    const context = {...fields, level, area, node: nodeId} as Context;
+    // Roarr reads "%" as the start of a placeholder.
+    Roarr.child(context as never)[level](message.replaceAll('%', '%%'));
+  };
+  return {
+    write(level, area, message, fields = {}) {
+      if (level === 'debug') return;
+      const pass = budget.take(`${area}/${message}`, Date.now());
+      if (!pass.allowed) return;
+      const dropped = writer.takeDropped();
+      log(level, area, message, {
+        ...fields,
+        ...(pass.suppressed > 0 ? {suppressed: pass.suppressed} : {}),
+        ...(dropped > 0 ? {dropped} : {}),
+      });
+    },
+    flush: () => writer.flush(),
+  };
+}
--- a/src/metrics/metric_definitions.ts
+++ b/src/metrics/metric_definitions.ts
@@ -78,6 +78,21 @@
     help: 'Audit records given up because too many waited for the store.',
     labels: [],
   },
+  attempts: {
+    kind: 'counter',
+    help: 'Dispatches of requests to targets, by service.',
+    labels: ['service'],
+  },
+  attemptFaults: {
+    kind: 'counter',
+    help: 'Dispatches that ended without a whole answer, by service and fault.',
+    labels: ['service', 'fault'],
+  },
+  turnedAway: {
+    kind: 'counter',
+    help: 'Requests that were answered on arrival without a dispatch, by reason.',
+    labels: ['reason'],
+  },
   unlisted: {
     kind: 'counter',
     help: 'Measurements that have no definition, by name.',
--- a/src/runtime/create_node.ts
+++ b/src/runtime/create_node.ts
@@ -1,10 +1,13 @@
 import {randomBytes, randomInt} from 'node:crypto';
+import type {Effect} from '../core/effects/types.js';
 import type {EffectHandler} from './effect_handler.js';
 import type {Incarnation} from '../core/ids/index.js';
 import type {NodeContext} from './node_context.js';
+import type {NodeState} from '../core/state/types.js';
 import type {PlatformStore} from '../core/store/types.js';
 import type {RunningNode} from './running_node.js';
 import type {Settings} from '../settings/types.js';
+import type {UndatedEvent} from '../core/events/types.js';
 import {AttemptRunner, OrderSender, ReportPoller} from '../targets/index.js';
 import {CallerServer} from '../callers/index.js';
 import {ControlServer} from '../control/index.js';
@@ -18,6 +21,7 @@
 import {createEventRecorder} from './create_event_recorder.js';
 import {createNodeState} from '../core/state/index.js';
 import {makeId} from '../core/ids/index.js';
+import {reduce} from '../core/reduce.js';
 
 const TICK_MS = 50;
 const MAX_SEED = 2 ** 31;
@@ -42,9 +46,10 @@
   const recorder = createEventRecorder(settings, state.self, seed);
   const logger = createLogger(settings);
   const metrics = createNodeMetrics();
-  const loop = new EventLoop({
+  const loop = new EventLoop<NodeState, UndatedEvent, Effect>({
     state,
     clock,
+    reduce,
     record: recorder.record,
     measure: (event, elapsedMs) =>
       metrics.count('loopMs', elapsedMs, {role: eventRole(event)}),
--- a/src/runtime/event_loop.ts
+++ b/src/runtime/event_loop.ts
@@ -1,40 +1,43 @@
 import {performance} from 'node:perf_hooks';
 import type {Clock} from './clock.js';
-import type {Effect} from '../core/effects/types.js';
 import type {EffectHandler} from './effect_handler.js';
 import type {EventSink} from './event_sink.js';
-import type {NodeEvent, UndatedEvent} from '../core/events/types.js';
-import type {NodeState} from '../core/state/types.js';
-import {reduce} from '../core/reduce.js';
 
-interface LoopOptions {
-  readonly state: NodeState;
+type Dated<Event> = Event & {readonly nowMs: number};
+
+interface LoopOptions<State, Event, Effect> {
+  readonly state: State;
   readonly clock: Clock;
+  readonly reduce: (state: State, event: Dated<Event>) => Effect[];
   /** Sees every event before it is applied. */
-  readonly record?: (event: NodeEvent) => void;
+  readonly record?: (event: Dated<Event>) => void;
   /** Gets the time that each decision took. */
-  readonly measure?: (event: NodeEvent, elapsedMs: number) => void;
+  readonly measure?: (event: Dated<Event>, elapsedMs: number) => void;
 }
 
 /** Applies events one after the other and hands the effects to their handlers. */
-export class EventLoop implements EventSink {
-  private readonly waiting: UndatedEvent[] = [];
-  private readonly handlers = new Map<Effect['type'], EffectHandler>();
+export class EventLoop<
+  State,
+  Event extends object,
+  Effect extends {readonly type: string},
+> implements EventSink<Event> {
+  private readonly waiting: Event[] = [];
+  private readonly handlers = new Map<Effect['type'], EffectHandler<Effect>>();
   private running = false;
   private stopped = false;
   private lastMs = 0;
 
-  constructor(private readonly options: LoopOptions) {}
+  constructor(private readonly options: LoopOptions<State, Event, Effect>) {}
 
   /** Names the handler of its effect types; an effect without handler is dropped. */
-  addHandler(handler: EffectHandler): void {
+  addHandler(handler: EffectHandler<Effect>): void {
     for (const type of handler.types) {
       this.handlers.set(type, handler);
     }
   }
 
   /** Applies an event now, or after those that wait when called from a handler. */
-  dispatch(event: UndatedEvent): void {
+  dispatch(event: Event): void {
     if (this.stopped) return;
     this.waiting.push(event);
     if (this.running) return;
@@ -59,12 +62,12 @@
     this.waiting.length = 0;
   }
 
-  private apply(undated: UndatedEvent): void {
+  private apply(undated: Event): void {
     this.lastMs = Math.max(this.lastMs, this.options.clock.nowMs());
-    const event: NodeEvent = {...undated, nowMs: this.lastMs};
+    const event: Dated<Event> = {...undated, nowMs: this.lastMs};
     this.options.record?.(event);
     const startedAtMs = performance.now();
-    const effects = reduce(this.options.state, event);
+    const effects = this.options.reduce(this.options.state, event);
     this.options.measure?.(event, performance.now() - startedAtMs);
     for (const effect of effects) {
       this.handlers.get(effect.type)?.handle(effect);
--- a/src/runtime/event_sink.ts
+++ b/src/runtime/event_sink.ts
@@ -1,6 +1,6 @@
 import type {UndatedEvent} from '../core/events/types.js';
 
 /** Takes events; the loop dates and applies them in order. */
-export interface EventSink {
-  dispatch(event: UndatedEvent): void;
+export interface EventSink<Event = UndatedEvent> {
+  dispatch(event: Event): void;
 }
--- /dev/null
+++ b/src/serving/digest_codec.ts
@@ -0,0 +1,96 @@
+import type {Fingerprint, NodeId, VmId, ZoneId} from '../core/ids/index.js';
+import type {LoadDigest} from '../core/serving/types.js';
+
+/** Version of the datagram; a node drops those of another. */
+const FORMAT = 1;
+
+type LoadRow = readonly [string, number, number, number, 0 | 1];
+
+interface Datagram {
+  readonly v: number;
+  readonly n: string;
+  readonly z: string;
+  readonly a: string;
+  readonly r: 0 | 1;
+  readonly l: 0 | 1;
+  readonly c: number;
+  readonly f: number;
+  readonly t: readonly LoadRow[];
+  readonly s: readonly (readonly [string, number])[];
+  readonly x: readonly (readonly [string, number])[];
+}
+
+/** Packs a load digest into a datagram, and back. */
+export const digestCodec = {
+  encode(digest: LoadDigest): Buffer {
+    const datagram: Datagram = {
+      v: FORMAT,
+      n: digest.from,
+      z: digest.zone,
+      a: digest.callerAddress,
+      r: digest.isReady ? 1 : 0,
+      l: digest.isLeaving ? 1 : 0,
+      c: digest.configVersion,
+      f: digest.fleetRevision,
+      t: digest.loads.map(load => [
+        load.vmId,
+        load.inFlight,
+        load.unreadTokens,
+        load.progressAgeMs,
+        load.isSuspect ? 1 : 0,
+      ]),
+      s: digest.suspects.map(one => [one.fingerprint, one.losses]),
+      x: digest.lostEngines.map(one => [one.vmId, one.bornAtMs]),
+    };
+    return Buffer.from(JSON.stringify(datagram));
+  },
+
+  /** Undefined for bytes that are no digest. */
+  decode(bytes: Buffer): LoadDigest | undefined {
+    let datagram: Datagram;
+    try {
+      datagram = JSON.parse(bytes.toString()) as Datagram;
+    } catch {
+      return undefined; // cut or foreign; the caller counts it
+    }
+    if (datagram?.v !== FORMAT || typeof datagram.n !== 'string') {
+      return undefined;
+    }
+    if (!isRows(datagram.t) || !isRows(datagram.s) || !isRows(datagram.x)) {
+      return undefined;
+    }
+    return {
+      from: datagram.n as NodeId,
+      zone: datagram.z as ZoneId,
+      callerAddress: String(datagram.a),
+      isReady: datagram.r === 1,
+      isLeaving: datagram.l === 1,
+      configVersion: toCount(datagram.c),
+      fleetRevision: toCount(datagram.f),
+      loads: datagram.t.map(row => ({
+        vmId: row[0] as VmId,
+        inFlight: toCount(row[1]),
+        unreadTokens: toCount(row[2]),
+        progressAgeMs: Number(row[3]),
+        isSuspect: row[4] === 1,
+      })),
+      suspects: datagram.s.map(row => ({
+        fingerprint: row[0] as Fingerprint,
+        losses: toCount(row[1]),
+      })),
+      lostEngines: datagram.x.map(row => ({
+        vmId: row[0] as VmId,
+        bornAtMs: Number(row[1]),
+      })),
+    };
+  },
+};
+
+function isRows(value: unknown): boolean {
+  return Array.isArray(value) && value.every(row => Array.isArray(row));
+}
+
+function toCount(value: unknown): number {
+  const number = Number(value);
+  return Number.isFinite(number) && number > 0 ? number : 0;
+}
--- /dev/null
+++ b/src/serving/front_server.ts
@@ -0,0 +1,174 @@
+import {createHash} from 'node:crypto';
+import {createServer} from 'node:http';
+import type {EffectHandler} from '../runtime/types.js';
+import type {Fingerprint, RequestId} from '../core/ids/index.js';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {CallerHead, ServingContext} from './types.js';
+import type {ServingEffect} from '../core/serving/types.js';
+import {CallerCall} from './caller_call.js';
+import {listenOn} from './listen_on.js';
+import {makeId} from '../core/ids/index.js';
+import {readBody} from '../http/index.js';
+
+/** Bounds until the first configuration is read. */
+const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
+const DEFAULT_IDLE_MS = 15_000;
+/** Headers over this are refused by the parser; the limit of the configuration is at most this. */
+const MAX_HEADER_BYTES = 64 * 1024;
+const HEADERS_TIMEOUT_MS = 10_000;
+const FINGERPRINT_LENGTH = 16;
+
+/** Takes callers' requests, and gives them their answers. */
+export class FrontServer implements EffectHandler<ServingEffect> {
+  readonly types = ['refuse', 'cutAnswer'] as const;
+  private readonly calls = new Map<RequestId, CallerCall>();
+  private readonly server = createServer(
+    {
+      maxHeaderSize: MAX_HEADER_BYTES,
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      requestTimeout: 0,
+      keepAliveTimeout: DEFAULT_IDLE_MS,
+      noDelay: true,
+    },
+    (request, response) => void this.take(request, response),
+  );
+  private count = 0;
+
+  constructor(private readonly context: ServingContext) {}
+
+  listen(): Promise<void> {
+    return listenOn(this.server, this.context.settings.listen.callers);
+  }
+
+  /** The open request, until its answer has ended. */
+  find(requestId: RequestId): CallerCall | undefined {
+    return this.calls.get(requestId);
+  }
+
+  handle(effect: ServingEffect): void {
+    if (effect.type === 'cutAnswer') {
+      this.calls.get(effect.requestId)?.cut();
+      return;
+    }
+    if (effect.type !== 'refuse') return;
+    const call = this.calls.get(effect.requestId);
+    if (!call) return;
+    const {status, reason, retryAfterMs} = effect;
+    const headers = this.context.wire.callers.writeRefusal(
+      call.callerId,
+      retryAfterMs,
+    );
+    call.send(status, headers, Buffer.from(JSON.stringify({error: reason})));
+  }
+
+  /** Stops taking connections; those that carry a request go on. */
+  stopListening(): void {
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  close(): Promise<void> {
+    this.stopListening();
+    this.server.closeAllConnections();
+    return Promise.resolve();
+  }
+
+  destroy(): void {
+    void this.close();
+  }
+
+  private async take(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const {context} = this;
+    const arrivedAtMs = context.clock.nowMs();
+    const limits = context.state.config?.limits;
+    this.server.keepAliveTimeout = limits?.idleTimeoutMs ?? DEFAULT_IDLE_MS;
+    response.sendDate = false;
+    const head = context.wire.callers.readCaller(message.headers);
+    const body = await readBody(
+      message,
+      limits?.maxBodyBytes ?? DEFAULT_BODY_BYTES,
+    );
+    if (body === 'too-large') {
+      context.logger.write('info', 'requests', 'body too large', {
+        callerId: head.callerId,
+      });
+      response.writeHead(413, {connection: 'close'}).end();
+      return;
+    }
+    if (body === 'broken') {
+      context.logger.write('info', 'requests', 'request ended early', {
+        callerId: head.callerId,
+      });
+      response.destroy();
+      return;
+    }
+    this.open(message, response, head, body, arrivedAtMs);
+  }
+
+  private open(
+    message: IncomingMessage,
+    response: ServerResponse,
+    head: CallerHead,
+    body: Buffer,
+    arrivedAtMs: number,
+  ): void {
+    const {context} = this;
+    this.count += 1;
+    const {nodeId} = context.settings;
+    const requestId = makeId<RequestId>(`${nodeId}.${this.count.toString(36)}`);
+    const path = message.url ?? '/';
+    const call = new CallerCall(
+      message.method ?? 'GET',
+      path,
+      message.headers,
+      body,
+      head.callerId,
+      response,
+      () => context.state.leavingSinceMs !== undefined,
+    );
+    call.lastEventId = head.afterEventId;
+    this.calls.set(requestId, call);
+    response.on('close', () => {
+      this.calls.delete(requestId);
+      if (call.isEnded) return;
+      call.isEnded = true;
+      context.events.dispatch({type: 'callerGone', requestId});
+    });
+    context.events.dispatch({
+      type: 'requestArrived',
+      request: {
+        requestId,
+        callerId: head.callerId,
+        host: hostOf(message.headers.host),
+        path,
+        apiKey: head.apiKey,
+        patienceMs: head.patienceMs,
+        arrivedAtMs,
+        model: head.model,
+        promptTokens: head.promptTokens,
+        fingerprint: fingerprintOf(path, head, body),
+      },
+    });
+  }
+}
+
+/** The host without its port. */
+function hostOf(header: string | undefined): string {
+  return (header ?? '').replace(/:\d+$/, '').toLowerCase();
+}
+
+/** Names a request across re-sends: same path, caller and body. */
+function fingerprintOf(
+  path: string,
+  head: CallerHead,
+  body: Buffer,
+): Fingerprint {
+  const hash = createHash('sha1')
+    .update(`${path}\n${head.apiKey ?? ''}\n`)
+    .update(body)
+    .digest('base64url');
+  return makeId<Fingerprint>(hash.slice(0, FINGERPRINT_LENGTH));
+}
--- /dev/null
+++ b/src/serving/index.ts
@@ -0,0 +1,2 @@
+export {createServingNode} from './create_serving_node.js';
+export type * from './types.js';
--- /dev/null
+++ b/src/serving/metrics_server.ts
@@ -0,0 +1,26 @@
+import {createServer} from 'node:http';
+import type {ServingContext, ServingPart} from './types.js';
+import {listenOn} from './listen_on.js';
+
+/** Serves the node's measurements as Prometheus text. */
+export class MetricsServer implements ServingPart {
+  private readonly server = createServer((_request, response) => {
+    void this.context.metrics.render().then(text => {
+      response.setHeader('content-type', 'text/plain; version=0.0.4');
+      response.end(text);
+    });
+  });
+
+  constructor(private readonly context: ServingContext) {}
+
+  async listen(): Promise<void> {
+    const address = this.context.settings.listen.metrics;
+    if (address !== undefined) await listenOn(this.server, address);
+  }
+
+  close(): Promise<void> {
+    this.server.close();
+    this.server.closeAllConnections();
+    return Promise.resolve();
+  }
+}
--- /dev/null
+++ b/src/serving/order_client.ts
@@ -0,0 +1,126 @@
+import {Agent, request} from 'node:http';
+import type {EffectHandler} from '../runtime/types.js';
+import type {EngineCall, ServingContext} from './types.js';
+import type {ServingEffect} from '../core/serving/types.js';
+import {splitAddress} from '../http/index.js';
+
+/** An engine answers an order at once; the rest is time on the way. */
+const ORDER_MS = 600;
+const PROBE_MS = 250;
+const MAX_BODY_BYTES = 256 * 1024;
+
+type CallOutcome =
+  | {readonly kind: 'answered'; readonly status: number; readonly body: string}
+  | {readonly kind: 'refused'}
+  | {readonly kind: 'silent'};
+
+/** Sends the steward's orders and probes to engines. */
+export class OrderClient implements EffectHandler<ServingEffect> {
+  readonly types = ['sendOrder', 'probeEngine'] as const;
+  private readonly agent = new Agent({keepAlive: false});
+
+  constructor(private readonly context: ServingContext) {}
+
+  handle(effect: ServingEffect): void {
+    if (effect.type === 'sendOrder') void this.sendOrder(effect);
+    if (effect.type === 'probeEngine') void this.probe(effect);
+  }
+
+  close(): Promise<void> {
+    this.agent.destroy();
+    return Promise.resolve();
+  }
+
+  destroy(): void {
+    void this.close();
+  }
+
+  private async sendOrder(
+    effect: Extract<ServingEffect, {type: 'sendOrder'}>,
+  ): Promise<void> {
+    const {events, wire, metrics} = this.context;
+    const {vmId, address, order} = effect;
+    const call = wire.engines.writeOrder(order);
+    const answer = await this.call(address, call, ORDER_MS);
+    const outcome =
+      answer.kind === 'answered'
+        ? (wire.engines.readOrderStatus(answer.status) ?? 'unknown')
+        : answer.kind === 'refused'
+          ? 'refused'
+          : 'unknown';
+    metrics.count('orders', 1, {kind: order.kind});
+    metrics.count('orderResults', 1, {outcome});
+    events.dispatch({type: 'orderAnswered', vmId, order, outcome});
+  }
+
+  private async probe(
+    effect: Extract<ServingEffect, {type: 'probeEngine'}>,
+  ): Promise<void> {
+    const {events, wire, metrics} = this.context;
+    const {vmId, address} = effect;
+    const answer = await this.call(
+      address,
+      wire.engines.writeProbe(),
+      PROBE_MS,
+    );
+    metrics.count('targetPolls', 1);
+    const report =
+      answer.kind === 'answered' ? wire.engines.readProbe(answer.body) : {};
+    events.dispatch({
+      type: 'probeAnswered',
+      vmId,
+      outcome: answer.kind,
+      pace: report?.pace,
+    });
+  }
+
+  private call(
+    address: string,
+    call: EngineCall,
+    timeoutMs: number,
+  ): Promise<CallOutcome> {
+    const {host, port} = splitAddress(address);
+    return new Promise(resolve => {
+      const headers: Record<string, string | number> = {};
+      if (call.body !== undefined) {
+        headers['content-type'] = 'application/json';
+        headers['content-length'] = Buffer.byteLength(call.body);
+      }
+      const outgoing = request({
+        host,
+        port,
+        method: call.method,
+        path: call.path,
+        headers,
+        agent: this.agent,
+      });
+      const timer = setTimeout(
+        () => outgoing.destroy(new Error('timeout')),
+        timeoutMs,
+      );
+      const finish = (outcome: CallOutcome) => {
+        clearTimeout(timer);
+        resolve(outcome);
+      };
+      outgoing.on('error', (error: NodeJS.ErrnoException) =>
+        finish({kind: error.code === 'ECONNREFUSED' ? 'refused' : 'silent'}),
+      );
+      outgoing.on('response', response => {
+        let body = '';
+        response.setEncoding('utf8');
+        response.on('data', (text: string) => {
+          if (body.length < MAX_BODY_BYTES) body += text;
+        });
+        response.on('error', () => finish({kind: 'silent'}));
+        response.on('end', () =>
+          finish({
+            kind: 'answered',
+            status: response.statusCode ?? 0,
+            body,
+          }),
+        );
+      });
+      outgoing.end(call.body);
+    });
+  }
+}
--- /dev/null
+++ b/src/serving/running_attempt.ts
@@ -0,0 +1,215 @@
+import {request} from 'node:http';
+import type {Agent, ClientRequest, IncomingMessage} from 'node:http';
+import type {AttemptFault, ServingEffect} from '../core/serving/types.js';
+import type {CallerCall} from './caller_call.js';
+import type {ServingContext} from './types.js';
+import {EventSplitter} from '../targets/event_splitter.js';
+import {lastEventIdOf} from './last_event_id_of.js';
+import {splitAddress} from '../http/index.js';
+
+/** Time for a connection to a target; some hundred times a usual one. */
+const CONNECT_MS = 300;
+/** A whole answer over this is not kept in memory; none of the services comes near. */
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+const MIN_SERVER_ERROR = 500;
+
+type StartAttempt = Extract<ServingEffect, {type: 'startAttempt'}>;
+
+interface AttemptOptions {
+  /** Undefined: a connection of its own. */
+  readonly agent?: Agent;
+  readonly onEnd: () => void;
+}
+
+/** One dispatch of a request to a target, from the connection to the end of the answer. */
+export class RunningAttempt {
+  private outgoing?: ClientRequest;
+  private isOver = false;
+  private isConnected = false;
+  private connectTimer?: NodeJS.Timeout;
+
+  constructor(
+    private readonly context: ServingContext,
+    private readonly call: CallerCall,
+    private readonly effect: StartAttempt,
+    private readonly options: AttemptOptions,
+  ) {}
+
+  start(): void {
+    const {context, call, effect} = this;
+    const {host, port} = splitAddress(effect.address);
+    const headers = context.wire.callers.writeAttempt(call.headers, {
+      vmId: effect.vmId,
+      organisation: effect.organisation,
+      patienceMs: effect.patienceMs,
+      urgency: effect.urgency,
+      afterEventId: call.lastEventId,
+    });
+    if (call.body.length > 0 || call.method === 'POST') {
+      headers['content-length'] = call.body.length;
+    }
+    const outgoing = request({
+      host,
+      port,
+      method: call.method,
+      path: call.path,
+      headers,
+      agent: this.options.agent ?? false,
+    });
+    this.outgoing = outgoing;
+    outgoing.setNoDelay(true);
+    outgoing.on('socket', socket => {
+      if (!socket.connecting) {
+        this.isConnected = true;
+        return;
+      }
+      this.connectTimer = setTimeout(
+        () => outgoing.destroy(new Error('connect timeout')),
+        CONNECT_MS,
+      );
+      socket.once('connect', () => {
+        this.isConnected = true;
+        clearTimeout(this.connectTimer);
+      });
+    });
+    outgoing.on('response', response => this.takeAnswer(response));
+    outgoing.on('error', error => this.failBroken(error.message));
+    outgoing.end(call.body);
+  }
+
+  /** Ends the attempt without a report; the target drops the work with the connection. */
+  cancel(): void {
+    this.isOver = true;
+    clearTimeout(this.connectTimer);
+    this.outgoing?.destroy();
+  }
+
+  private takeAnswer(response: IncomingMessage): void {
+    const {context, call, effect} = this;
+    const status = response.statusCode ?? 0;
+    const head = context.wire.callers.readTarget(status, response.headers);
+    response.on('error', error => this.failBroken(error.message));
+    response.on('close', () => this.failBroken('connection closed'));
+    if (head.load) {
+      context.events.dispatch({
+        type: 'loadReported',
+        vmId: effect.vmId,
+        ...head.load,
+      });
+    }
+    if (head.isNotRun) {
+      response.resume();
+      this.fail('turned-away', {status, faultyVmId: head.faultyVmId});
+      return;
+    }
+    if (head.callerId !== call.callerId) {
+      this.outgoing?.destroy();
+      this.fail('garbled', {status, detail: 'answer to another request'});
+      return;
+    }
+    if (effect.isStream && status >= 200 && status < 300) {
+      this.passStream(response);
+      return;
+    }
+    this.passWhole(response);
+  }
+
+  private passStream(response: IncomingMessage): void {
+    const {context, call, effect} = this;
+    const splitter = new EventSplitter();
+    const headers = context.wire.callers.passAnswer(response.headers);
+    const status = response.statusCode ?? 200;
+    response.on('data', (chunk: Buffer) => {
+      if (this.isOver) return;
+      const {events, count} = splitter.split(chunk);
+      if (count === 0) return;
+      call.writeHead(status, headers);
+      call.lastEventId = lastEventIdOf(events) ?? call.lastEventId;
+      if (!call.write(events)) {
+        response.pause();
+        call.onDrain(() => response.resume());
+      }
+      context.events.dispatch({
+        type: 'attemptProgress',
+        attemptId: effect.attemptId,
+      });
+    });
+    response.on('end', () => {
+      if (this.isOver) return;
+      if (!response.complete || !splitter.isBetweenEvents) {
+        this.failBroken('stream ended inside an event');
+        return;
+      }
+      call.writeHead(status, headers);
+      call.finish();
+      this.end(status);
+    });
+  }
+
+  private passWhole(response: IncomingMessage): void {
+    const {context, call, effect} = this;
+    const status = response.statusCode ?? 0;
+    const chunks: Buffer[] = [];
+    let sizeBytes = 0;
+    response.on('data', (chunk: Buffer) => {
+      sizeBytes += chunk.length;
+      chunks.push(chunk);
+      if (sizeBytes > MAX_ANSWER_BYTES) {
+        this.outgoing?.destroy();
+        this.fail('garbled', {status, detail: 'answer too large'});
+      }
+    });
+    response.on('end', () => {
+      if (this.isOver) return;
+      if (!response.complete) {
+        this.failBroken('answer ended early');
+        return;
+      }
+      if (status >= MIN_SERVER_ERROR && !effect.freshConnection) {
+        this.fail('failed', {status});
+        return;
+      }
+      if (call.hasHead) {
+        this.fail('failed', {status});
+        return;
+      }
+      const headers = context.wire.callers.passAnswer(response.headers);
+      call.send(status, headers, Buffer.concat(chunks));
+      this.end(status);
+    });
+  }
+
+  private end(status: number): void {
+    if (this.isOver) return;
+    this.isOver = true;
+    this.options.onEnd();
+    const {attemptId} = this.effect;
+    this.context.events.dispatch({type: 'attemptEnded', attemptId, status});
+  }
+
+  private failBroken(detail: string): void {
+    this.fail(this.isConnected ? 'broken' : 'not-sent', {detail});
+  }
+
+  private fail(
+    fault: AttemptFault,
+    more: {
+      readonly status?: number;
+      readonly detail?: string;
+      readonly faultyVmId?: RunningAttempt['effect']['vmId'];
+    },
+  ): void {
+    if (this.isOver) return;
+    this.isOver = true;
+    clearTimeout(this.connectTimer);
+    this.options.onEnd();
+    if (fault !== 'turned-away') this.outgoing?.destroy();
+    const {attemptId} = this.effect;
+    this.context.events.dispatch({
+      type: 'attemptFailed',
+      attemptId,
+      fault,
+      ...more,
+    });
+  }
+}
--- /dev/null
+++ b/src/serving/sleep.ts
@@ -0,0 +1,6 @@
+/** Settles after a time; does not keep the process alive. */
+export function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => {
+    setTimeout(resolve, ms).unref();
+  });
+}
--- /dev/null
+++ b/src/serving/status_server.ts
@@ -0,0 +1,25 @@
+import {createServer} from 'node:http';
+import type {ServingContext, ServingPart} from './types.js';
+import {isReady} from '../core/serving/index.js';
+import {listenOn} from './listen_on.js';
+
+/** Answers whether callers should be sent to this node. */
+export class StatusServer implements ServingPart {
+  private readonly server = createServer((_request, response) => {
+    const {state, clock} = this.context;
+    response.sendDate = false;
+    response.writeHead(isReady(state, clock.nowMs()) ? 200 : 503).end();
+  });
+
+  constructor(private readonly context: ServingContext) {}
+
+  listen(): Promise<void> {
+    return listenOn(this.server, this.context.settings.listen.ready);
+  }
+
+  close(): Promise<void> {
+    this.server.close();
+    this.server.closeAllConnections();
+    return Promise.resolve();
+  }
+}
--- /dev/null
+++ b/src/serving/steward_lease.ts
@@ -0,0 +1,166 @@
+import {randomBytes} from 'node:crypto';
+import type {LeaseId} from '../core/ids/index.js';
+import type {ServingContext, ServingPart} from './types.js';
+import {sleep} from './sleep.js';
+
+const KEY = 'rhubarbstile/steward';
+/** Long enough for three renewals, short enough that a lost steward is soon followed. */
+const LEASE_MS = 1500;
+const RENEW_MS = 400;
+const ANSWER_MS = 500;
+/** How long the store may hold the watch of a contender. */
+const WATCH_MS = 10_000;
+const RETRY_MS = 300;
+/** Pause between contenders, in the order of their names. */
+const RANK_PAUSE_MS = 120;
+
+/** Holds, or waits for, the lease of the steward, and tells the core. */
+export class StewardLease implements ServingPart {
+  private isClosed = false;
+  private held?: LeaseId;
+
+  constructor(private readonly context: ServingContext) {}
+
+  start(): void {
+    void this.run();
+  }
+
+  /** Gives the lease back, so that another node follows at once. */
+  async close(): Promise<void> {
+    if (this.isClosed) return;
+    this.isClosed = true;
+    this.drop();
+    if (this.held === undefined) return;
+    const leaseId = this.held;
+    this.held = undefined;
+    await this.context.store.call({kind: 'revokeLease', leaseId}, ANSWER_MS);
+  }
+
+  private async run(): Promise<void> {
+    await sleep(this.rankPauseMs());
+    while (!this.isClosed) {
+      const holder = await this.readHolder();
+      if (holder === 'unavailable') {
+        await sleep(RETRY_MS * (1 + Math.random()));
+      } else if (holder === undefined) {
+        await this.contend();
+      } else {
+        await this.awaitChange(holder);
+      }
+    }
+  }
+
+  /** Revision of the holder's entry; undefined without holder. */
+  private async readHolder(): Promise<number | 'unavailable' | undefined> {
+    const outcome = await this.context.store.call(
+      {kind: 'get', key: KEY},
+      ANSWER_MS,
+    );
+    if (outcome.kind !== 'ok') return 'unavailable';
+    return outcome.entries?.[0]?.version;
+  }
+
+  private async awaitChange(revision: number): Promise<void> {
+    const outcome = await this.context.store.call(
+      {
+        kind: 'watch',
+        prefix: KEY,
+        sinceVersion: revision,
+        timeoutMs: WATCH_MS,
+      },
+      WATCH_MS + ANSWER_MS,
+    );
+    if (outcome.kind !== 'ok') {
+      await sleep(RETRY_MS * (1 + Math.random()));
+      return;
+    }
+    const last = outcome.entries?.at(-1);
+    if (last?.value === '') await sleep(this.rankPauseMs());
+  }
+
+  private async contend(): Promise<void> {
+    const {store, clock, logger} = this.context;
+    const ttlMs = Math.max(LEASE_MS, this.context.settings.minLeaseMs);
+    const startedAtMs = clock.nowMs();
+    const grant = await store.call({kind: 'grantLease', ttlMs}, ANSWER_MS);
+    if (grant.kind !== 'ok' || grant.leaseId === undefined) {
+      await sleep(RETRY_MS * (1 + Math.random()));
+      return;
+    }
+    const {leaseId} = grant;
+    const nonce = `${this.context.settings.nodeId}/${randomBytes(6).toString('hex')}`;
+    const value = JSON.stringify({holder: nonce});
+    const write = await store.call(
+      {kind: 'compareAndSwap', key: KEY, expectedVersion: 0, value, leaseId},
+      ANSWER_MS,
+    );
+    let term = write.kind === 'ok' ? write.version : undefined;
+    if (write.kind === 'unknown') term = await this.readBack(value);
+    if (term === undefined) {
+      void store.call({kind: 'revokeLease', leaseId}, ANSWER_MS);
+      await sleep(RETRY_MS * Math.random());
+      return;
+    }
+    logger.write('info', 'steward', 'lease gained', {term, leaseId});
+    this.held = leaseId;
+    await this.hold(leaseId, term, startedAtMs + ttlMs);
+  }
+
+  /** After a write without answer: the term, when the entry is this node's. */
+  private async readBack(value: string): Promise<number | undefined> {
+    const outcome = await this.context.store.call(
+      {kind: 'get', key: KEY},
+      ANSWER_MS,
+    );
+    if (outcome.kind !== 'ok') return undefined;
+    const entry = outcome.entries?.[0];
+    return entry?.value === value ? entry.version : undefined;
+  }
+
+  private async hold(
+    leaseId: LeaseId,
+    term: number,
+    firstUntilMs: number,
+  ): Promise<void> {
+    const {store, clock, events, logger} = this.context;
+    const ttlMs = Math.max(LEASE_MS, this.context.settings.minLeaseMs);
+    let untilMs = firstUntilMs;
+    events.dispatch({type: 'stewardLeaseHeld', term, untilMs});
+    while (!this.isClosed) {
+      await sleep(RENEW_MS);
+      if (this.isClosed) return;
+      const startedAtMs = clock.nowMs();
+      const outcome = await store.call({kind: 'keepAlive', leaseId}, ANSWER_MS);
+      const hasLapsed = clock.nowMs() >= untilMs && outcome.kind !== 'ok';
+      if (outcome.kind === 'ok') {
+        untilMs = startedAtMs + ttlMs;
+        events.dispatch({type: 'stewardLeaseHeld', term, untilMs});
+      }
+      if (outcome.kind === 'conflict' || hasLapsed) {
+        logger.write('warn', 'steward', 'lease lost', {
+          term,
+          outcome: outcome.kind,
+        });
+        break;
+      }
+    }
+    this.held = undefined;
+    this.drop();
+  }
+
+  private drop(): void {
+    this.context.events.dispatch({type: 'stewardLeaseLost'});
+  }
+
+  /** Ready nodes contend one after the other, so that most calls are saved. */
+  private rankPauseMs(): number {
+    const {state} = this.context;
+    let rank = 0;
+    for (const [nodeId, {digest}] of state.peers) {
+      const isContender = digest.isReady && !digest.isLeaving;
+      if (isContender && nodeId < state.nodeId) rank += 1;
+    }
+    if (state.peers.size === 0) return Math.random() * 4 * RANK_PAUSE_MS;
+    return rank * RANK_PAUSE_MS + Math.random() * RANK_PAUSE_MS * 0.5;
+  }
+}
--- /dev/null
+++ b/src/serving/store_watch.ts
@@ -0,0 +1,145 @@
+import type {Clock} from '../runtime/types.js';
+import type {Logger} from '../logging/types.js';
+import type {PlatformStore, StoreEntry} from '../core/store/types.js';
+import {sleep} from './sleep.js';
+
+/** Answer time of a store in trouble that is still worth waiting for. */
+const ANSWER_MS = 1000;
+const BACKOFF_START_MS = 200;
+const BACKOFF_MAX_MS = 1000;
+const BACKOFF_FACTOR = 1.6;
+
+interface WatchOptions {
+  readonly label: string;
+  readonly prefix: string;
+  /** How long the store may hold a call that has nothing to tell. */
+  readonly waitMs: number;
+  /** Pause after changes, which gathers several into one call. */
+  readonly pauseMs: () => number;
+  /** All entries, at a revision of the store. */
+  readonly onList: (entries: readonly StoreEntry[], revision: number) => void;
+  /** Changes since; a removed key has the value ''. */
+  readonly onChanges: (
+    entries: readonly StoreEntry[],
+    revision: number,
+  ) => void;
+  /** What is known was current at that time. */
+  readonly onProof?: (provenAtMs: number) => void;
+}
+
+/** Follows the entries under a prefix of the store: a list first, then changes. */
+export class StoreWatch {
+  private isClosed = false;
+  /** Undefined: the entries have to be listed first. */
+  private revision?: number;
+  private isReachable = true;
+  private backoffMs = BACKOFF_START_MS;
+
+  constructor(
+    private readonly store: PlatformStore,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+    private readonly options: WatchOptions,
+  ) {}
+
+  start(): void {
+    void this.run();
+  }
+
+  close(): void {
+    this.isClosed = true;
+  }
+
+  /** Lists the entries beside the watch that is running, which may hang on a silent connection. */
+  async refresh(): Promise<void> {
+    if (!this.isClosed) await this.list();
+  }
+
+  private async run(): Promise<void> {
+    while (!this.isClosed) {
+      const isOk =
+        this.revision === undefined ? await this.list() : await this.watch();
+      this.noteReachable(isOk);
+      if (isOk) continue;
+      await sleep(this.backoffMs * (0.5 + Math.random()));
+      this.backoffMs = Math.min(
+        BACKOFF_MAX_MS,
+        this.backoffMs * BACKOFF_FACTOR,
+      );
+    }
+  }
+
+  private async list(): Promise<boolean> {
+    const entries: StoreEntry[] = [];
+    const {prefix} = this.options;
+    const startedAtMs = this.clock.nowMs();
+    let revision: number | undefined;
+    let afterKey: string | undefined;
+    for (;;) {
+      const outcome = await this.store.call(
+        {kind: 'list', prefix, afterKey},
+        ANSWER_MS,
+      );
+      if (outcome.kind !== 'ok' || this.isClosed) return false;
+      const page = outcome.entries ?? [];
+      entries.push(...page);
+      // Pages are no snapshot: changes are followed from the first one on.
+      revision ??= outcome.version ?? 0;
+      afterKey = page.at(-1)?.key;
+      if (!outcome.hasMore || afterKey === undefined) break;
+    }
+    this.revision = revision;
+    this.options.onList(entries, revision);
+    this.options.onProof?.(startedAtMs);
+    return true;
+  }
+
+  private async watch(): Promise<boolean> {
+    const {prefix, waitMs, pauseMs} = this.options;
+    const startedAtMs = this.clock.nowMs();
+    const outcome = await this.store.call(
+      {
+        kind: 'watch',
+        prefix,
+        sinceVersion: this.revision!,
+        timeoutMs: waitMs,
+      },
+      waitMs + ANSWER_MS,
+    );
+    if (this.isClosed) return true;
+    if (outcome.kind === 'conflict') {
+      this.logger.write('info', 'store', 'history is gone', {
+        watch: this.options.label,
+        revision: this.revision,
+      });
+      this.revision = undefined;
+      return true;
+    }
+    if (outcome.kind !== 'ok') return false;
+    this.revision = outcome.version ?? this.revision;
+    const entries = outcome.entries ?? [];
+    if (entries.length > 0) {
+      this.options.onChanges(entries, this.revision!);
+      this.options.onProof?.(startedAtMs);
+      const pause = pauseMs();
+      if (pause > 0) await sleep(pause);
+      return true;
+    }
+    // The store held the call for `waitMs` and had nothing to tell then.
+    const heldMs = this.clock.nowMs() - startedAtMs;
+    this.options.onProof?.(startedAtMs + Math.min(waitMs, heldMs));
+    return true;
+  }
+
+  private noteReachable(isOk: boolean): void {
+    if (isOk) this.backoffMs = BACKOFF_START_MS;
+    if (isOk === this.isReachable) return;
+    this.isReachable = isOk;
+    this.logger.write(
+      isOk ? 'info' : 'warn',
+      'store',
+      isOk ? 'watch regained' : 'watch lost',
+      {watch: this.options.label, revision: this.revision},
+    );
+  }
+}
--- /dev/null
+++ b/src/serving/watch_config.ts
@@ -0,0 +1,38 @@
+import type {ServingContext} from './types.js';
+import type {StoreEntry} from '../core/store/types.js';
+import {StoreWatch} from './store_watch.js';
+
+/**
+ * How long the store may hold the call: each answer proves that the
+ * configuration is current, and the proof must be younger than the time in
+ * which a key that was taken away has to be refused.
+ */
+const WAIT_MS = 1500;
+
+/** Follows the operator's configuration. */
+export function watchConfig(context: ServingContext): StoreWatch {
+  const {store, clock, logger, wire, events} = context;
+  const {configKey, readConfig} = wire.sources;
+  const apply = (entries: readonly StoreEntry[]) => {
+    for (const {key, value} of entries) {
+      if (key !== configKey || value === '') continue;
+      const config = readConfig(value);
+      if (typeof config === 'string') {
+        logger.write('error', 'config', 'configuration not understood', {
+          fault: config,
+        });
+        continue;
+      }
+      events.dispatch({type: 'configRead', config, provenAtMs: -Infinity});
+    }
+  };
+  return new StoreWatch(store, clock, logger, {
+    label: 'configuration',
+    prefix: configKey,
+    waitMs: WAIT_MS,
+    pauseMs: () => 0,
+    onList: apply,
+    onChanges: apply,
+    onProof: provenAtMs => events.dispatch({type: 'configRead', provenAtMs}),
+  });
+}
--- a/src/targets/event_splitter.ts
+++ b/src/targets/event_splitter.ts
@@ -21,6 +21,11 @@
     return this.rest.length > MAX_EVENT_BYTES;
   }
 
+  /** True when all bytes so far were whole events. */
+  get isBetweenEvents(): boolean {
+    return this.rest.length === 0;
+  }
+
   /** Adds a chunk; returns the events that became complete with it. */
   split(chunk: Buffer): SplitEvents {
     const bytes =
--- a/test/support/request_node.ts
+++ b/test/support/request_node.ts
@@ -1,8 +1,10 @@
+import type {Effect} from '../../src/core/effects/types.js';
 import type {Incarnation} from '../../src/core/ids/index.js';
 import type {EffectHandler, NodeContext} from '../../src/runtime/types.js';
 import type {NodeState, Step} from '../../src/core/state/types.js';
 import type {PlatformStore} from '../../src/core/store/types.js';
 import type {Settings} from '../../src/settings/types.js';
+import type {UndatedEvent} from '../../src/core/events/types.js';
 import {AttemptRunner} from '../../src/targets/index.js';
 import {CallerServer} from '../../src/callers/index.js';
 import {EventLoop, MonotonicClock} from '../../src/runtime/index.js';
@@ -14,6 +16,7 @@
 import {MetricRunner, createNodeMetrics} from '../../src/metrics/index.js';
 import {createNodeState} from '../../src/core/state/index.js';
 import {createTestSettings} from './create_test_settings.js';
+import {reduce} from '../../src/core/reduce.js';
 
 const TICK_MS = 50;
 
@@ -35,7 +38,7 @@
 
   private constructor(
     readonly state: NodeState,
-    private readonly loop: EventLoop,
+    private readonly loop: EventLoop<NodeState, UndatedEvent, Effect>,
     private readonly context: NodeContext,
   ) {
     this.callers = new CallerServer(context);
@@ -72,7 +75,11 @@
     const state = createNodeState({...settings.node, incarnation}, 1);
     seedConfig(state, options.timeoutMs);
     const clock = new MonotonicClock();
-    const loop = new EventLoop({state, clock});
+    const loop = new EventLoop<NodeState, UndatedEvent, Effect>({
+      state,
+      clock,
+      reduce,
+    });
     const node = new RequestNode(state, loop, {
       settings,
       clock,
@@ -118,7 +125,7 @@
     return this.call('/services/orders/new', {headers, body});
   }
 
-  dispatch(event: Parameters<EventLoop['dispatch']>[0]): void {
+  dispatch(event: UndatedEvent): void {
     this.loop.dispatch(event);
   }
 
