Mix of models by demand, quicker repair, answers without length, fewer store calls

The bound on loads held up the assembly before traffic, where it does not count. A failed answer of a target is passed on when no other answers. The steward passes changes of engines on; others read the store less often.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -8,7 +8,7 @@
   meta: {type: 'suggestion', schema: []},
   create(context) {
     const file = context.filename;
-    if (/(^|\/)(index|types)\.ts$/.test(file)) return {};
+    if (/(^|\/)(index|types|effects|events)\.ts$/.test(file)) return {};
     const names = new Set();
     const add = (node, name) => {
       names.add(name);
@@ -40,13 +40,20 @@
 ];
 
 export default [
-  {ignores: ['dist/', 'node_modules/', '*.js', 'scripts/']},
+  {ignores: ['dist/', 'target/', 'node_modules/', '*.js', 'scripts/']},
   ...gts,
   {
-    files: ['src/**/*.ts', 'bench/**/*.ts'],
+    files: ['src/**/*.ts', 'bench/**/*.ts', 'platform/**/*.ts'],
     plugins: {rhubarbstile: {rules: {'one-export': oneExport}}},
     rules: {'rhubarbstile/one-export': 'error'},
   },
+  {
+    files: ['src/**/*.ts'],
+    ignores: ['src/core/**'],
+    rules: {
+      'no-restricted-imports': ['error', {patterns: ['**/platform/*/*', '**/platform/wire.js', '**/platform/main.js']}],
+    },
+  },
   {
     files: ['src/core/**/*.ts'],
     rules: {
--- a/src/core/fleet/types.ts
+++ b/src/core/fleet/types.ts
@@ -36,6 +36,15 @@
   /** Models whose weights are on the VM's host. */
   readonly stagedModels: readonly ModelName[];
   readonly membership?: Membership;
+  /** Of the store, at the last change of the entry. */
+  readonly revision: number;
+}
+
+/** An engine's entry as it stands after a change; without record it is gone. */
+export interface EngineChange {
+  readonly vmId: VmId;
+  readonly revision: number;
+  readonly engine?: EngineRecord;
 }
 
 /** A model that a service offers. */
--- a/src/core/serving/apply_digest.ts
+++ b/src/core/serving/apply_digest.ts
@@ -1,5 +1,6 @@
 import type {LoadDigest, ServingState, ServingStep} from './types.js';
 import type {VmId} from '../ids/index.js';
+import {applyFleet} from './apply_fleet.js';
 import {logDecision} from './log_decision.js';
 import {rebuildTargets} from './rebuild_targets.js';
 
@@ -31,6 +32,9 @@
     });
   }
   applyLost(step, digest);
+  if (digest.changes.length > 0) {
+    applyFleet(step, {changes: digest.changes, isWhole: false});
+  }
 }
 
 function addLoads(
--- a/src/core/serving/apply_fleet.ts
+++ b/src/core/serving/apply_fleet.ts
@@ -1,46 +1,87 @@
-import type {EngineRecord} from '../fleet/types.js';
-import type {ServingStep} from './types.js';
+import type {EngineChange} from '../fleet/types.js';
+import type {ServingState, ServingStep} from './types.js';
 import type {VmId} from '../ids/index.js';
 import {logDecision} from './log_decision.js';
 import {rebuildTargets} from './rebuild_targets.js';
 
+/** Changes older than this are passed on to no peer. */
+const KEPT_MS = 1000;
+
 interface FleetChange {
-  readonly changed: readonly EngineRecord[];
-  readonly removed: readonly VmId[];
-  readonly revision: number;
-  /** The change names every engine: others are gone. */
+  readonly changes: readonly EngineChange[];
+  /** Of the store; undefined for changes that a peer passed on. */
+  readonly revision?: number;
+  /** The changes name every engine: others are gone. */
   readonly isWhole: boolean;
 }
 
-/** Takes over what the store says of the engines. */
+/**
+ * Takes over what the store, or a peer, says of the engines. Each engine's
+ * entry only ever goes forward, whatever the order in which changes arrive.
+ */
 export function applyFleet(step: ServingStep, change: FleetChange): void {
-  const {state} = step;
+  const {state, nowMs} = step;
   const before = state.engines.size;
-  if (change.isWhole) state.engines = new Map();
-  for (const engine of change.changed) {
-    state.engines.set(engine.vmId, engine);
-    const lost = state.lostEngines.get(engine.vmId);
-    if (lost && lost.bornAtMs !== engine.bornAtMs) {
-      state.lostEngines.delete(engine.vmId);
-    }
+  const removed: VmId[] = [];
+  let hasChanged = false;
+  for (const one of change.changes) {
+    if (!applyChange(step, one)) continue;
+    hasChanged = true;
+    if (!one.engine) removed.push(one.vmId);
+  }
+  if (change.isWhole) removed.push(...removeOthers(state, change));
+  if (change.revision !== undefined) {
+    state.isFleetKnown = true;
+    state.fleetRevision = Math.max(state.fleetRevision, change.revision);
   }
-  for (const vmId of change.removed) {
+  if (!hasChanged && removed.length === 0) return;
+  state.fleetChangedAtMs = nowMs;
+  rebuildTargets(state);
+  if (!change.isWhole && removed.length === 0) return;
+  logDecision(step, 'info', 'fleet', 'engines changed', {
+    whole: change.isWhole,
+    changed: change.changes.length,
+    removed,
+    engines: state.engines.size,
+    before,
+    targets: state.targets.size,
+    revision: change.revision,
+  });
+}
+
+/** False for a change that is older than what is known. */
+function applyChange(step: ServingStep, change: EngineChange): boolean {
+  const {state, nowMs} = step;
+  const {vmId, revision, engine} = change;
+  if (revision <= (state.engineRevisions.get(vmId) ?? -1)) return false;
+  state.engineRevisions.set(vmId, revision);
+  state.recentChanges = state.recentChanges.filter(
+    ({atMs}) => nowMs - atMs < KEPT_MS,
+  );
+  state.recentChanges.push({change, atMs: nowMs});
+  if (!engine) {
     state.engines.delete(vmId);
     state.lostEngines.delete(vmId);
+    return true;
   }
-  state.isFleetKnown = true;
-  state.fleetRevision = Math.max(state.fleetRevision, change.revision);
-  state.fleetChangedAtMs = step.nowMs;
-  rebuildTargets(state);
-  if (change.isWhole || change.removed.length > 0) {
-    logDecision(step, 'info', 'fleet', 'engines changed', {
-      whole: change.isWhole,
-      changed: change.changed.length,
-      removed: change.removed,
-      engines: state.engines.size,
-      before,
-      targets: state.targets.size,
-      revision: change.revision,
-    });
+  state.engines.set(vmId, engine);
+  const lost = state.lostEngines.get(vmId);
+  if (lost && lost.bornAtMs !== engine.bornAtMs) {
+    state.lostEngines.delete(vmId);
+  }
+  return true;
+}
+
+/** Removes engines that a whole list, read after their last change, doesn't name. */
+function removeOthers(state: ServingState, change: FleetChange): VmId[] {
+  const named = new Set<VmId>(change.changes.map(({vmId}) => vmId));
+  const removed: VmId[] = [];
+  for (const vmId of state.engines.keys()) {
+    const knownAt = state.engineRevisions.get(vmId) ?? 0;
+    if (named.has(vmId) || knownAt > (change.revision ?? 0)) continue;
+    state.engines.delete(vmId);
+    state.lostEngines.delete(vmId);
+    removed.push(vmId);
   }
+  return removed;
 }
--- a/src/core/serving/create_digest.ts
+++ b/src/core/serving/create_digest.ts
@@ -1,9 +1,25 @@
+import type {EngineChange} from '../fleet/types.js';
 import type {DigestLoad, LoadDigest, ServingState} from './types.js';
 import {isReady} from './is_ready.js';
 
 /** A target without requests is named for this long after its last event, so that peers see its progress. */
 const PROGRESS_NAMED_MS = 1000;
 const MAX_SUSPECTS = 20;
+/** Changes in one datagram, which has at most 64 KB. */
+const MAX_CHANGES = 40;
+/** Each change is told in several digests, since datagrams may be lost. */
+const PASS_ON_MS = 450;
+
+function isSteward(state: ServingState): boolean {
+  return state.steward.term !== undefined;
+}
+
+function changesToPassOn(state: ServingState, nowMs: number): EngineChange[] {
+  return state.recentChanges
+    .filter(({atMs}) => nowMs - atMs < PASS_ON_MS)
+    .slice(-MAX_CHANGES)
+    .map(({change}) => change);
+}
 
 /** Sums up what peers need to know of this node. */
 export function createDigest(state: ServingState, nowMs: number): LoadDigest {
@@ -35,6 +51,8 @@
     callerAddress: state.callerAddress,
     isReady: isReady(state, nowMs),
     isLeaving: state.leavingSinceMs !== undefined,
+    isSteward: isSteward(state),
+    changes: isSteward(state) ? changesToPassOn(state, nowMs) : [],
     configVersion: state.config?.version ?? 0,
     fleetRevision: state.fleetRevision,
     loads,
--- a/src/core/serving/create_serving_state.ts
+++ b/src/core/serving/create_serving_state.ts
@@ -22,6 +22,8 @@
     idCounter: 0,
     configProvenAtMs: -Infinity,
     engines: new Map(),
+    engineRevisions: new Map(),
+    recentChanges: [],
     isFleetKnown: false,
     fleetRevision: 0,
     fleetChangedAtMs: -Infinity,
--- a/src/core/serving/dispatch_waiting.ts
+++ b/src/core/serving/dispatch_waiting.ts
@@ -1,5 +1,4 @@
-import type {Placement} from './select_target.js';
-import type {RequestRecord, ServingStep} from './types.js';
+import type {Placement, RequestRecord, ServingStep} from './types.js';
 import {refuseRequest} from './refuse_request.js';
 import {retryAfterMs} from './retry_after_ms.js';
 import {selectTarget} from './select_target.js';
--- a/src/core/serving/events.ts
+++ b/src/core/serving/events.ts
@@ -1,7 +1,7 @@
 import type {AccessConfig} from '../access/types.js';
 import type {AttemptId, RequestId, VmId} from '../ids/index.js';
 import type {EngineOrder} from '../steward/types.js';
-import type {EngineRecord} from '../fleet/types.js';
+import type {EngineChange} from '../fleet/types.js';
 import type {LoadDigest, ServingRequest} from './types.js';
 
 /**
@@ -63,15 +63,14 @@
 /** All engines that are registered, at a revision of the store. */
 interface FleetListed {
   readonly type: 'fleetListed';
-  readonly engines: readonly EngineRecord[];
+  readonly changes: readonly EngineChange[];
   readonly revision: number;
 }
 
 /** Changes of registered engines. */
 interface FleetChanged {
   readonly type: 'fleetChanged';
-  readonly changed: readonly EngineRecord[];
-  readonly removed: readonly VmId[];
+  readonly changes: readonly EngineChange[];
   readonly revision: number;
 }
 
--- a/src/core/serving/find_stalls.ts
+++ b/src/core/serving/find_stalls.ts
@@ -26,7 +26,7 @@
  * target that is merely slow.
  */
 export function findStalls(step: ServingStep): void {
-  const {state, nowMs} = step;
+  const {state} = step;
   for (const record of [...state.byAttempt.values()]) {
     const {attempt} = record;
     if (!attempt || record.route.kind !== 'streaming') continue;
--- a/src/core/serving/note_attempt.ts
+++ b/src/core/serving/note_attempt.ts
@@ -1,6 +1,6 @@
 import type {AttemptFault} from './events.js';
 import type {AttemptId, VmId} from '../ids/index.js';
-import type {RequestRecord, ServingStep} from './types.js';
+import type {ServingStep} from './types.js';
 import {count} from './count.js';
 import {dispatchWaiting} from './dispatch_waiting.js';
 import {endAttempt} from './end_attempt.js';
--- a/src/core/serving/reduce_serving.ts
+++ b/src/core/serving/reduce_serving.ts
@@ -58,8 +58,7 @@
       break;
     case 'fleetListed':
       applyFleet(step, {
-        changed: event.engines,
-        removed: [],
+        changes: event.changes,
         revision: event.revision,
         isWhole: true,
       });
--- a/src/core/serving/retry_after_ms.ts
+++ b/src/core/serving/retry_after_ms.ts
@@ -1,5 +1,4 @@
-import type {Placement} from './select_target.js';
-import type {RequestRecord, ServingStep} from './types.js';
+import type {Placement, RequestRecord, ServingStep} from './types.js';
 
 /** Usual time from the loss of a replica to its repair with a warm spare. */
 const REPAIR_MS = 900;
--- a/src/core/serving/select_target.ts
+++ b/src/core/serving/select_target.ts
@@ -1,4 +1,4 @@
-import type {RequestRecord, ServingStep, ServingTarget} from './types.js';
+import type {Placement, RequestRecord, ServingStep} from './types.js';
 import {estimateFirstEventMs} from './estimate_first_event_ms.js';
 import {targetLoad} from './target_load.js';
 
@@ -15,17 +15,6 @@
 /** Cost of a target under suspicion, so that it is the last choice. */
 const SUSPECT_MS = 60_000;
 
-/** The best target of a request, and whether it has room. */
-export interface Placement {
-  readonly target: ServingTarget;
-  readonly firstMs: number;
-  readonly inFlight: number;
-  readonly hasRoom: boolean;
-  /** No slot is free, but the target's own queue has room. */
-  readonly canQueue: boolean;
-  readonly isSuspect: boolean;
-}
-
 /** Selects the target that is expected to answer first; undefined when the request may go to none. */
 export function selectTarget(
   step: ServingStep,
--- a/src/core/serving/send_attempt.ts
+++ b/src/core/serving/send_attempt.ts
@@ -1,6 +1,5 @@
 import type {AttemptId} from '../ids/index.js';
-import type {Placement} from './select_target.js';
-import type {RequestRecord, ServingStep} from './types.js';
+import type {Placement, RequestRecord, ServingStep} from './types.js';
 import {count} from './count.js';
 import {logDecision} from './log_decision.js';
 import {makeId} from '../ids/index.js';
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -1,5 +1,10 @@
 import type {AccessConfig, Route} from '../access/types.js';
-import type {EngineCosts, EngineRecord, ReplicaView} from '../fleet/types.js';
+import type {
+  EngineChange,
+  EngineCosts,
+  EngineRecord,
+  ReplicaView,
+} from '../fleet/types.js';
 import type {
   AttemptId,
   Fingerprint,
@@ -82,6 +87,17 @@
   readonly replica?: ReplicaView;
 }
 
+/** The best target of a request, and whether it has room. */
+export interface Placement {
+  readonly target: ServingTarget;
+  readonly firstMs: number;
+  readonly inFlight: number;
+  readonly hasRoom: boolean;
+  /** No slot is free, but the target's own queue has room. */
+  readonly canQueue: boolean;
+  readonly isSuspect: boolean;
+}
+
 /** What this node knows of a target from its own requests. */
 export interface TargetLoad {
   inFlight: number;
@@ -118,6 +134,9 @@
   readonly callerAddress: string;
   readonly isReady: boolean;
   readonly isLeaving: boolean;
+  /** The sender gives the orders, and passes on changes of engines. */
+  readonly isSteward: boolean;
+  readonly changes: readonly EngineChange[];
   readonly configVersion: number;
   readonly fleetRevision: number;
   readonly loads: readonly DigestLoad[];
@@ -187,6 +206,10 @@
   config?: AccessConfig;
   configProvenAtMs: number;
   engines: Map<VmId, EngineRecord>;
+  /** Revision of the last change of each engine, those that are gone included. */
+  readonly engineRevisions: Map<VmId, number>;
+  /** Changes that the steward passes on to peers. */
+  recentChanges: {readonly change: EngineChange; readonly atMs: number}[];
   isFleetKnown: boolean;
   fleetRevision: number;
   fleetChangedAtMs: number;
--- a/src/core/steward/count_loads.ts
+++ b/src/core/steward/count_loads.ts
@@ -8,6 +8,8 @@
 export function countFreeLoads(step: ServingStep, costs: EngineCosts): number {
   const {state, nowMs} = step;
   const {steward} = state;
+  // Loads before the first request are quick and don't count.
+  if (!steward.hasTraffic) return Infinity;
   for (const [vmId, endMs] of steward.loadEndsMs) {
     const stage = state.engines.get(vmId)?.membership?.stage;
     const hasEnded = stage !== undefined && stage !== 'joining';
@@ -17,7 +19,6 @@
   }
   const atOnce = Math.floor(costs.concurrentLoads * OVERLAP);
   const free = atOnce - steward.loadEndsMs.size;
-  if (!steward.hasTraffic) return free;
   const {loadWindowMs} = state.bounds;
   steward.loadStartsMs = steward.loadStartsMs.filter(
     startMs => nowMs - startMs < loadWindowMs,
--- a/src/core/steward/form_replicas.ts
+++ b/src/core/steward/form_replicas.ts
@@ -67,8 +67,9 @@
       steward.coldSinceMs.delete(key);
       return {model, members, cold};
     }
-    if (mayLoad(step, costs, key, members, cold)) return {model, members, cold};
-    if (cold.length < members.length) return undefined;
+    // Another model in its place would be served too much ever after.
+    const isDue = mayLoad(step, costs, key, members, cold);
+    return isDue ? {model, members, cold} : undefined;
   }
   return undefined;
 }
--- a/src/core/steward/leave_track.ts
+++ b/src/core/steward/leave_track.ts
@@ -1,6 +1,7 @@
 import type {ReplicaTrack} from './types.js';
-import type {ServingStep} from '../serving/types.js';
+import type {ServingState, ServingStep} from '../serving/types.js';
 import {giveOrder} from './give_order.js';
+import {probeEngine} from './probe_engine.js';
 import {releaseTrack} from './release_track.js';
 import {replicaKey} from '../fleet/index.js';
 
@@ -33,16 +34,24 @@
       return;
     }
   }
-  const seenAtMs = Math.max(
-    track.headSeenAtMs,
-    state.loads.get(vmId)?.progressAtMs ?? -Infinity,
-    state.peerLoads.get(vmId)?.progressAtMs ?? -Infinity,
-  );
+  // An engine that the store lists is alive: it registers again and again.
+  const seenAtMs = head ? nowMs : lastSeenAtMs(state, track);
   if (nowMs - seenAtMs > state.bounds.stallMs + STALL_MARGIN_MS) {
     releaseTrack(step, track, 'the head has been silent for too long');
     return;
   }
   const {replicaId, epoch} = track;
   const target = {vmId, address: track.headAddress};
+  probeEngine(step, target);
   giveOrder(step, target, {kind: 'leave', replicaId, epoch});
 }
+
+function lastSeenAtMs(state: ServingState, track: ReplicaTrack): number {
+  const vmId = track.members[0]!;
+  return Math.max(
+    track.headSeenAtMs,
+    state.steward.probes.get(vmId)?.answeredAtMs ?? -Infinity,
+    state.loads.get(vmId)?.progressAtMs ?? -Infinity,
+    state.peerLoads.get(vmId)?.progressAtMs ?? -Infinity,
+  );
+}
--- a/src/core/steward/note_probe.ts
+++ b/src/core/steward/note_probe.ts
@@ -1,9 +1,12 @@
 import type {ServingEvent} from '../serving/events.js';
 import type {ServingStep} from '../serving/types.js';
+import type {VmId} from '../ids/index.js';
 import {markLost} from './mark_lost.js';
 
 /** Probes without answer after which an engine counts as lost; one may be lost on the way. */
 const SILENT_LIMIT = 2;
+/** An answer of a neighbour that is younger than this tells that only one engine is silent. */
+const NEIGHBOUR_MS = 600;
 /** A steward that heard of no engine for this long is itself cut off, and judges none. */
 const CUT_OFF_MS = 1500;
 
@@ -16,7 +19,10 @@
   const probe = steward.probes.get(event.vmId);
   if (event.outcome === 'answered') {
     steward.engineAnsweredAtMs = nowMs;
-    if (probe) probe.silentInRow = 0;
+    if (probe) {
+      probe.silentInRow = 0;
+      probe.answeredAtMs = nowMs;
+    }
     return;
   }
   if (event.outcome === 'refused') {
@@ -30,7 +36,21 @@
     heardAtMs = Math.max(heardAtMs, progressAtMs);
   }
   if (nowMs - heardAtMs > CUT_OFF_MS) return;
-  if (probe.silentInRow >= SILENT_LIMIT) {
+  const limit = hasSoundNeighbour(step, event.vmId) ? 1 : SILENT_LIMIT;
+  if (probe.silentInRow >= limit) {
     markLost(step, event.vmId, 'no answer to probes');
   }
 }
+
+/** Whether another member of the same replica answered a moment ago: the way there is sound. */
+function hasSoundNeighbour(step: ServingStep, vmId: VmId): boolean {
+  const {state, nowMs} = step;
+  for (const {members} of state.steward.tracks.values()) {
+    if (!members.includes(vmId)) continue;
+    return members.some(one => {
+      const probe = state.steward.probes.get(one);
+      return probe !== undefined && nowMs - probe.answeredAtMs < NEIGHBOUR_MS;
+    });
+  }
+  return false;
+}
--- a/src/core/steward/types.ts
+++ b/src/core/steward/types.ts
@@ -61,6 +61,7 @@
 /** Answers of an engine to the steward's probes. */
 export interface ProbeRecord {
   sentAtMs: number;
+  answeredAtMs: number;
   silentInRow: number;
 }
 
--- a/src/serving/caller_call.ts
+++ b/src/serving/caller_call.ts
@@ -9,6 +9,12 @@
   /** The last event that the caller has. */
   lastEventId?: string;
   isEnded = false;
+  private hasNoLength = false;
+  private failure?: {
+    readonly status: number;
+    readonly headers: OutgoingHttpHeaders;
+    readonly body: Buffer;
+  };
 
   constructor(
     readonly method: string,
@@ -47,17 +53,46 @@
     this.response.end();
   }
 
+  /**
+   * Has the answer end with its connection, as the target's own does: without
+   * a length nobody can tell a whole answer from one that was cut, so the
+   * caller must not be told that it is whole.
+   */
+  endWithConnection(): void {
+    if (this.response.headersSent) return;
+    this.hasNoLength = true;
+    this.response.removeHeader('transfer-encoding');
+  }
+
   /** Sends a whole answer. */
   send(status: number, headers: OutgoingHttpHeaders, body: Buffer): void {
     if (this.isEnded) return;
     this.isEnded = true;
+    const length = this.hasNoLength ? {} : {'content-length': body.length};
     this.response.writeHead(
       status,
-      this.withConnection({...headers, 'content-length': body.length}),
+      this.withConnection({...headers, ...length}),
     );
     this.response.end(body);
   }
 
+  /** Keeps a target's answer that says it failed, in case no other target answers. */
+  keepFailure(
+    status: number,
+    headers: OutgoingHttpHeaders,
+    body: Buffer,
+  ): void {
+    this.failure = {status, headers, body};
+  }
+
+  /** Sends the kept answer; false when there is none. */
+  sendFailure(): boolean {
+    if (!this.failure || this.response.headersSent) return false;
+    const {status, headers, body} = this.failure;
+    this.send(status, headers, body);
+    return true;
+  }
+
   /** Breaks the answer off, so that it can't be taken for a whole one. */
   cut(): void {
     if (this.isEnded) return;
@@ -66,6 +101,7 @@
   }
 
   private withConnection(headers: OutgoingHttpHeaders): OutgoingHttpHeaders {
-    return this.isLeaving() ? {...headers, connection: 'close'} : headers;
+    const closes = this.hasNoLength || this.isLeaving();
+    return closes ? {...headers, connection: 'close'} : headers;
   }
 }
--- a/src/serving/create_serving_node.ts
+++ b/src/serving/create_serving_node.ts
@@ -9,6 +9,7 @@
 } from '../core/serving/types.js';
 import {AttemptClient} from './attempt_client.js';
 import {BootClock} from '../runtime/boot_clock.js';
+import {ConfigCatchUp} from './config_catch_up.js';
 import {DirectoryServer} from './directory_server.js';
 import {EventLoop} from '../runtime/event_loop.js';
 import {FrontServer} from './front_server.js';
@@ -90,7 +91,9 @@
   const registry = new NodeRegistry(context);
   const peers = new PeerExchange(context, registry);
   const steward = new StewardLease(context);
-  const watches = [watchConfig(context), watchFleet(context)];
+  const configWatch = watchConfig(context);
+  const watches = [configWatch, watchFleet(context)];
+  const catchUp = new ConfigCatchUp(context, configWatch);
   for (const handler of [front, attempts, orders]) events.addHandler(handler);
   events.addHandler(createReporter(context));
   let settle = () => {};
@@ -106,6 +109,7 @@
   registry.start();
   peers.start();
   steward.start();
+  catchUp.start();
   const tick = setInterval(() => events.dispatch({type: 'tick'}), TICK_MS);
   const sweep = setInterval(() => attempts.sweep(), SWEEP_MS);
   const closeAll = async () => {
@@ -113,7 +117,7 @@
     clearInterval(sweep);
     events.stop();
     for (const watch of watches) watch.close();
-    const parts = [registry, steward, peers, front, attempts, orders];
+    const parts = [catchUp, registry, steward, peers, front, attempts, orders];
     const servers = [status, directory, metricsServer];
     await Promise.allSettled([...parts, ...servers].map(part => part.close()));
     await store.close();
--- a/src/serving/digest_codec.ts
+++ b/src/serving/digest_codec.ts
@@ -1,8 +1,9 @@
 import type {Fingerprint, NodeId, VmId, ZoneId} from '../core/ids/index.js';
+import type {EngineChange} from '../core/fleet/types.js';
 import type {LoadDigest} from '../core/serving/types.js';
 
 /** Version of the datagram; a node drops those of another. */
-const FORMAT = 1;
+const FORMAT = 2;
 
 type LoadRow = readonly [string, number, number, number, 0 | 1];
 
@@ -13,6 +14,8 @@
   readonly a: string;
   readonly r: 0 | 1;
   readonly l: 0 | 1;
+  readonly g: 0 | 1;
+  readonly e: readonly EngineChange[];
   readonly c: number;
   readonly f: number;
   readonly t: readonly LoadRow[];
@@ -30,6 +33,8 @@
       a: digest.callerAddress,
       r: digest.isReady ? 1 : 0,
       l: digest.isLeaving ? 1 : 0,
+      g: digest.isSteward ? 1 : 0,
+      e: digest.changes,
       c: digest.configVersion,
       f: digest.fleetRevision,
       t: digest.loads.map(load => [
@@ -65,6 +70,8 @@
       callerAddress: String(datagram.a),
       isReady: datagram.r === 1,
       isLeaving: datagram.l === 1,
+      isSteward: datagram.g === 1,
+      changes: (Array.isArray(datagram.e) ? datagram.e : []).filter(isChange),
       configVersion: toCount(datagram.c),
       fleetRevision: toCount(datagram.f),
       loads: datagram.t.map(row => ({
@@ -86,6 +93,15 @@
   },
 };
 
+function isChange(value: unknown): boolean {
+  const change = value as Partial<EngineChange> | null;
+  return (
+    typeof change?.vmId === 'string' &&
+    typeof change.revision === 'number' &&
+    (change.engine === undefined || typeof change.engine.address === 'string')
+  );
+}
+
 function isRows(value: unknown): boolean {
   return Array.isArray(value) && value.every(row => Array.isArray(row));
 }
--- a/src/serving/front_server.ts
+++ b/src/serving/front_server.ts
@@ -54,6 +54,7 @@
     const call = this.calls.get(effect.requestId);
     if (!call) return;
     const {status, reason, retryAfterMs} = effect;
+    if (reason === 'target-failed' && call.sendFailure()) return;
     const headers = this.context.wire.callers.writeRefusal(
       call.callerId,
       retryAfterMs,
--- a/src/serving/steward_lease.ts
+++ b/src/serving/steward_lease.ts
@@ -5,8 +5,8 @@
 
 const KEY = 'rhubarbstile/steward';
 /** Long enough for three renewals, short enough that a lost steward is soon followed. */
-const LEASE_MS = 1500;
-const RENEW_MS = 400;
+const LEASE_MS = 1000;
+const RENEW_MS = 300;
 const ANSWER_MS = 500;
 /** How long the store may hold the watch of a contender. */
 const WATCH_MS = 10_000;
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -92,7 +92,11 @@
   readonly configKey: string;
   readConfig(text: string): AccessConfig | string;
   readonly enginesPrefix: string;
-  readEngine(key: string, text: string): EngineRecord | string;
+  readEngine(
+    key: string,
+    text: string,
+    revision: number,
+  ): EngineRecord | string;
   engineOf(key: string): VmId;
 }
 
--- a/src/serving/watch_config.ts
+++ b/src/serving/watch_config.ts
@@ -7,7 +7,7 @@
  * configuration is current, and the proof must be younger than the time in
  * which a key that was taken away has to be refused.
  */
-const WAIT_MS = 1500;
+const WAIT_MS = 2200;
 
 /** Follows the operator's configuration. */
 export function watchConfig(context: ServingContext): StoreWatch {
