--- a/src/core/serving/apply_digest.ts
+++ b/src/core/serving/apply_digest.ts
@@ -54,11 +54,12 @@
   digest: LoadDigest,
   nowMs: number,
 ): void {
-  for (const {vmId, progressAgeMs, isSuspect} of digest.loads) {
+  for (const {vmId, progressAgeMs, isSuspect, isSlow} of digest.loads) {
     const load = peerLoad(state, vmId);
     if (progressAgeMs >= 0) {
       load.progressAtMs = Math.max(load.progressAtMs, nowMs - progressAgeMs);
     }
+    if (isSlow) load.slowUntilMs = nowMs + PEER_SUSPECT_MS;
     if (isSuspect) load.suspectUntilMs = nowMs + PEER_SUSPECT_MS;
   }
 }
@@ -71,6 +72,7 @@
       unreadTokens: 0,
       progressAtMs: -Infinity,
       suspectUntilMs: -Infinity,
+      slowUntilMs: -Infinity,
     };
     state.peerLoads.set(vmId, load);
   }
--- a/src/core/serving/apply_fleet.ts
+++ b/src/core/serving/apply_fleet.ts
@@ -1,5 +1,5 @@
 import type {EngineChange} from '../fleet/types.js';
-import type {ServingState, ServingStep} from './types.js';
+import type {ServingStep} from './types.js';
 import type {VmId} from '../ids/index.js';
 import {logDecision} from './log_decision.js';
 import {rebuildTargets} from './rebuild_targets.js';
@@ -29,7 +29,7 @@
     hasChanged = true;
     if (!one.engine) removed.push(one.vmId);
   }
-  if (change.isWhole) removed.push(...removeOthers(state, change));
+  if (change.isWhole) removed.push(...removeOthers(step, change));
   if (change.revision !== undefined) {
     state.isFleetKnown = true;
     state.fleetRevision = Math.max(state.fleetRevision, change.revision);
@@ -60,10 +60,10 @@
   );
   state.recentChanges.push({change, atMs: nowMs});
   if (!engine) {
-    state.engines.delete(vmId);
-    state.lostEngines.delete(vmId);
+    removeEngine(step, vmId);
     return true;
   }
+  state.departed.delete(vmId);
   state.engines.set(vmId, engine);
   const lost = state.lostEngines.get(vmId);
   if (lost && lost.bornAtMs !== engine.bornAtMs) {
@@ -73,15 +73,22 @@
 }
 
 /** Removes engines that a whole list, read after their last change, doesn't name. */
-function removeOthers(state: ServingState, change: FleetChange): VmId[] {
+function removeOthers(step: ServingStep, change: FleetChange): VmId[] {
+  const {state} = step;
   const named = new Set<VmId>(change.changes.map(({vmId}) => vmId));
   const removed: VmId[] = [];
   for (const vmId of state.engines.keys()) {
     const knownAt = state.engineRevisions.get(vmId) ?? 0;
     if (named.has(vmId) || knownAt > (change.revision ?? 0)) continue;
-    state.engines.delete(vmId);
-    state.lostEngines.delete(vmId);
+    removeEngine(step, vmId);
     removed.push(vmId);
   }
   return removed;
 }
+
+function removeEngine({state, nowMs}: ServingStep, vmId: VmId): void {
+  const record = state.engines.get(vmId);
+  if (record) state.departed.set(vmId, {record, atMs: nowMs});
+  state.engines.delete(vmId);
+  state.lostEngines.delete(vmId);
+}
--- a/src/core/serving/create_digest.ts
+++ b/src/core/serving/create_digest.ts
@@ -1,5 +1,6 @@
 import type {EngineChange} from '../fleet/types.js';
 import type {DigestLoad, LoadDigest, ServingState} from './types.js';
+import {isSlow} from './is_slow.js';
 import {isReady} from './is_ready.js';
 
 /** A target without requests is named for this long after its last event, so that peers see its progress. */
@@ -36,6 +37,7 @@
       unreadTokens: load.unreadTokens,
       progressAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : -1,
       isSuspect,
+      isSlow: isSlow(load) && ageMs < PROGRESS_NAMED_MS,
     });
   }
   const suspects = [...state.crashSuspects]
--- a/src/core/serving/estimate_first_event_ms.ts
+++ b/src/core/serving/estimate_first_event_ms.ts
@@ -1,4 +1,6 @@
 import type {ServingState, ServingTarget} from './types.js';
+import {expectedPassMs} from './expected_pass_ms.js';
+import {isSlow} from './is_slow.js';
 import {targetLoad} from './target_load.js';
 
 /** Time that a slot stays taken, where a target has none free; a guess that only orders full targets. */
@@ -35,13 +37,12 @@
     const queueMs = (excess * USUAL_HOLD_MS) / target.slotCount;
     return {firstMs: inFlight + queueMs, inFlight, unreadTokens};
   }
-  const writers = Math.min(inFlight + 1, target.slotCount);
-  const stepMs = costs.stepMs + costs.stepMsPerSequence * writers;
-  const passMs = stepMs * costs.stepsPerPass;
+  const passMs = expectedPassMs(target, inFlight + 1);
   const readMs = (unreadTokens + promptTokens) / costs.readTokensPerMs;
   const queueMs = (excess * USUAL_HOLD_MS) / target.slotCount;
+  const slowness = isSlow(own) ? own.slowness : 1;
   return {
-    firstMs: target.pace * (passMs + readMs + queueMs),
+    firstMs: slowness * (passMs + target.pace * (readMs + queueMs)),
     inFlight,
     unreadTokens,
   };
--- a/src/core/serving/events.ts
+++ b/src/core/serving/events.ts
@@ -27,6 +27,7 @@
 interface AttemptProgress {
   readonly type: 'attemptProgress';
   readonly attemptId: AttemptId;
+  readonly eventCount: number;
 }
 
 interface AttemptEnded {
--- a/src/core/serving/expire.ts
+++ b/src/core/serving/expire.ts
@@ -2,6 +2,7 @@
 import {dispatchWaiting} from './dispatch_waiting.js';
 import {isLeavingForGood} from './is_leaving_for_good.js';
 import {logDecision} from './log_decision.js';
+import {noteLostWhileRunning} from './note_lost_while_running.js';
 import {rebuildTargets} from './rebuild_targets.js';
 import {refuseRequest} from './refuse_request.js';
 
@@ -9,6 +10,8 @@
 const PEER_SILENT_MS = 1500;
 /** An engine that was found lost is asked again by use after this time, when the store still lists it. */
 const LOST_FOR_MS = 20_000;
+/** Longer than any head is waited for. */
+const DEPARTED_KEPT_MS = 60_000;
 /** Time before SIGKILL at which a leaving node ends, whatever still runs. */
 const END_MARGIN_MS = 500;
 
@@ -22,9 +25,13 @@
   }
   for (const pool of state.waiting.keys()) dispatchWaiting(step, pool);
   expirePeers(step);
+  noteLostWhileRunning.expire(step);
   for (const [fingerprint, {untilMs}] of state.crashSuspects) {
     if (nowMs > untilMs) state.crashSuspects.delete(fingerprint);
   }
+  for (const [vmId, {atMs}] of state.departed) {
+    if (nowMs - atMs > DEPARTED_KEPT_MS) state.departed.delete(vmId);
+  }
   let hasFreed = false;
   for (const [vmId, {atMs}] of state.lostEngines) {
     if (nowMs - atMs <= LOST_FOR_MS) continue;
--- a/src/core/serving/note_attempt.ts
+++ b/src/core/serving/note_attempt.ts
@@ -6,6 +6,7 @@
 import {endAttempt} from './end_attempt.js';
 import {forgetRequest} from './forget_request.js';
 import {logDecision} from './log_decision.js';
+import {notePause} from './note_pause.js';
 import {moveRequest} from './move_request.js';
 import {noteLostWhileRunning} from './note_lost_while_running.js';
 import {suspectTarget} from './suspect_target.js';
@@ -26,11 +27,15 @@
 
 /** Follows one dispatch of a request to its end. */
 export const noteAttempt = {
-  progress(step: ServingStep, attemptId: AttemptId): void {
+  progress(step: ServingStep, attemptId: AttemptId, eventCount: number): void {
     const record = step.state.byAttempt.get(attemptId);
     const attempt = record?.attempt;
     if (!record || !attempt) return;
     const load = targetLoad(step.state, attempt.vmId);
+    if (attempt.hasStarted) {
+      const pauseMs = (step.nowMs - attempt.progressAtMs) / eventCount;
+      notePause(step, attempt.vmId, pauseMs);
+    }
     attempt.progressAtMs = step.nowMs;
     load.progressAtMs = step.nowMs;
     load.suspectUntilMs = -Infinity;
@@ -93,7 +98,7 @@
       afterMs: Math.round(nowMs - attempt.sentAtMs),
     });
     count(step, 'attemptFaults', 1, {service: record.service, fault});
-    const {hasStarted, vmId} = attempt;
+    const {vmId} = attempt;
     endAttempt(state, record);
     if (fault === 'not-sent' || fault === 'turned-away') {
       record.runCount -= 1;
@@ -101,7 +106,7 @@
     }
     judgeTarget(step, vmId, failure);
     if (fault === 'broken') {
-      noteLostWhileRunning(step, record, vmId, hasStarted);
+      noteLostWhileRunning.broken(step, record, vmId);
     }
     moveRequest(step, record);
     dispatchWaiting(step, record.pool);
--- a/src/core/serving/note_lost_while_running.ts
+++ b/src/core/serving/note_lost_while_running.ts
@@ -1,23 +1,73 @@
+import type {Fingerprint, VmId} from '../ids/index.js';
 import type {RequestRecord, ServingStep} from './types.js';
-import type {VmId} from '../ids/index.js';
 import {logDecision} from './log_decision.js';
+import {markLost} from '../steward/mark_lost.js';
 
 /** How long a request stays under suspicion of ending its targets. */
 const SUSPECT_FOR_MS = 60_000;
+/** A broken connection and the loss of the target belong together within this time. */
+const CHECK_MS = 5000;
 
 /**
- * Counts targets that were lost while they ran a request. A request that ends
- * every target that runs it comes again with the same content; those beside it
- * on the same target are seldom there twice.
+ * Finds requests that end the targets that run them.
+ *
+ * A broken connection alone says little: heads are taken out of service, and
+ * answers are cut. The target is asked whether it lives, and only when it has
+ * ended do the requests that it ran come under suspicion. A request that ends
+ * every target comes again with the same content; those beside it on the same
+ * target are seldom there twice.
  */
-export function noteLostWhileRunning(
+export const noteLostWhileRunning = {
+  /** A connection broke while the target had the request. */
+  broken(step: ServingStep, record: RequestRecord, vmId: VmId): void {
+    const {state, nowMs} = step;
+    const engine = state.engines.get(vmId);
+    if (!engine) return;
+    const {crashChecks} = state;
+    const known = crashChecks.get(vmId);
+    const check =
+      known && known.bornAtMs === engine.bornAtMs
+        ? known
+        : {
+            bornAtMs: engine.bornAtMs,
+            atMs: nowMs,
+            fingerprints: new Set<Fingerprint>(),
+          };
+    crashChecks.set(vmId, check);
+    check.fingerprints.add(record.request.fingerprint);
+    const {address} = engine;
+    if (check !== known) {
+      step.effects.push({type: 'probeEngine', vmId, address});
+    }
+  },
+
+  /** The target refuses connections: its process has ended. */
+  refused(step: ServingStep, vmId: VmId): void {
+    const {state} = step;
+    const check = state.crashChecks.get(vmId);
+    if (!check) return;
+    state.crashChecks.delete(vmId);
+    markLost(step, vmId, 'connection refused after a broken one');
+    for (const fingerprint of check.fingerprints) {
+      addLoss(step, fingerprint, vmId);
+    }
+  },
+
+  /** Drops checks that no loss has followed. */
+  expire(step: ServingStep): void {
+    const {crashChecks} = step.state;
+    for (const [vmId, {atMs}] of crashChecks) {
+      if (step.nowMs - atMs > CHECK_MS) crashChecks.delete(vmId);
+    }
+  },
+};
+
+function addLoss(
   step: ServingStep,
-  record: RequestRecord,
+  fingerprint: Fingerprint,
   vmId: VmId,
-  hasStarted: boolean,
 ): void {
   const {state, nowMs} = step;
-  const {fingerprint, requestId} = record.request;
   let suspect = state.crashSuspects.get(fingerprint);
   if (!suspect) {
     suspect = {losses: 0, untilMs: 0, lostAt: new Set()};
@@ -28,10 +78,8 @@
   suspect.losses += 1;
   suspect.untilMs = nowMs + SUSPECT_FOR_MS;
   logDecision(step, 'warn', 'requests', 'target lost while running', {
-    requestId,
     fingerprint,
     target: vmId,
     losses: suspect.losses,
-    hasStarted,
   });
 }
--- a/src/core/serving/reduce_serving.ts
+++ b/src/core/serving/reduce_serving.ts
@@ -10,6 +10,7 @@
 import {forgetRequest} from './forget_request.js';
 import {logDecision} from './log_decision.js';
 import {noteAttempt} from './note_attempt.js';
+import {noteLostWhileRunning} from './note_lost_while_running.js';
 import {rebuildTargets} from './rebuild_targets.js';
 import {reduceSteward} from '../steward/reduce_steward.js';
 import {targetLoad} from './target_load.js';
@@ -38,7 +39,7 @@
       leaveCaller(step, event.requestId);
       break;
     case 'attemptProgress':
-      noteAttempt.progress(step, event.attemptId);
+      noteAttempt.progress(step, event.attemptId, event.eventCount);
       break;
     case 'attemptEnded':
       noteAttempt.ended(step, event.attemptId, event.status);
@@ -71,6 +72,11 @@
     case 'digestReceived':
       applyDigest(step, event.digest);
       break;
+    case 'probeAnswered':
+      if (event.outcome === 'refused') {
+        noteLostWhileRunning.refused(step, event.vmId);
+      }
+      break;
     case 'leaveRequested':
       if (state.leavingSinceMs !== undefined) break;
       state.leavingSinceMs = nowMs;
--- a/src/core/serving/target_load.ts
+++ b/src/core/serving/target_load.ts
@@ -12,6 +12,8 @@
       progressAtMs: -Infinity,
       suspectUntilMs: -Infinity,
       failuresInRow: 0,
+      slowness: 1,
+      pauseCount: 0,
     };
     state.loads.set(vmId, load);
   }
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -109,6 +109,10 @@
   /** Passed over until then, while others can take the work. */
   suspectUntilMs: number;
   failuresInRow: number;
+  /** Mean pause between events of a stream, over the expected one. */
+  slowness: number;
+  /** Pauses that the mean is made of. */
+  pauseCount: number;
   /** Shares of the load that the target's last answer reported. */
   reported?: {
     readonly running: number;
@@ -125,6 +129,8 @@
   /** Age of the last event of any stream there; -1 for none. */
   readonly progressAgeMs: number;
   readonly isSuspect: boolean;
+  /** Its streams are much slower than the published costs say. */
+  readonly isSlow: boolean;
 }
 
 /** What a node tells its peers several times a second. */
@@ -164,6 +170,7 @@
   unreadTokens: number;
   progressAtMs: number;
   suspectUntilMs: number;
+  slowUntilMs: number;
 }
 
 /** Arrivals and repeats of one service in the last seconds. */
@@ -174,6 +181,13 @@
   second: number;
 }
 
+/** A target whose connections broke, until it is known whether it has ended. */
+export interface CrashCheck {
+  readonly bornAtMs: number;
+  readonly atMs: number;
+  readonly fingerprints: Set<Fingerprint>;
+}
+
 /** A request that was running at targets that were lost. */
 export interface CrashSuspect {
   losses: number;
@@ -206,6 +220,8 @@
   config?: AccessConfig;
   configProvenAtMs: number;
   engines: Map<VmId, EngineRecord>;
+  /** Last records of engines that the store no longer lists: they may live on. */
+  readonly departed: Map<VmId, {record: EngineRecord; atMs: number}>;
   /** Revision of the last change of each engine, those that are gone included. */
   readonly engineRevisions: Map<VmId, number>;
   /** Changes that the steward passes on to peers. */
@@ -225,6 +241,8 @@
   readonly byAttempt: Map<AttemptId, RequestRecord>;
   readonly waiting: Map<string, RequestRecord[]>;
   readonly repeatWindows: Map<ServiceName, RepeatWindow>;
+  /** Targets whose connections broke, and what they ran. */
+  readonly crashChecks: Map<VmId, CrashCheck>;
   readonly crashSuspects: Map<Fingerprint, CrashSuspect>;
   /** Set from the first signal to leave. */
   leavingSinceMs?: number;
--- a/src/core/steward/adopt_replicas.ts
+++ b/src/core/steward/adopt_replicas.ts
@@ -73,7 +73,7 @@
     bornAtMs,
     createdAtMs: nowMs,
     dueAtMs: nowMs + FINISH_MS,
-    headAddress: head?.address ?? '',
+    headAddress: (head ?? state.departed.get(headId)?.record)?.address,
     phase,
     phaseSinceMs: nowMs,
     headSeenAtMs: nowMs,
--- a/src/core/steward/create_steward_state.ts
+++ b/src/core/steward/create_steward_state.ts
@@ -10,6 +10,7 @@
     released: new Set(),
     sentAtMs: new Map(),
     probes: new Map(),
+    slowEngines: new Map(),
     engineAnsweredAtMs: -Infinity,
     loadEndsMs: new Map(),
     loadStartsMs: [],
--- a/src/core/steward/follow_track.ts
+++ b/src/core/steward/follow_track.ts
@@ -1,6 +1,7 @@
 import type {MemberCondition, ReplicaTrack} from './types.js';
 import type {ServingStep} from '../serving/types.js';
 import type {VmId} from '../ids/index.js';
+import {findReplaceable} from './find_replaceable.js';
 import {giveOrder} from './give_order.js';
 import {judgeMember} from './judge_member.js';
 import {leaveTrack} from './leave_track.js';
@@ -90,6 +91,12 @@
 
 function followOpen(step: ServingStep, track: ReplicaTrack): void {
   if (retireIfBroken(step, track)) return;
+  const slow = findReplaceable(step, track);
+  if (slow !== undefined) {
+    setPhase(step, track, 'leaving', `${slow} is slow and a spare is warm`);
+    leaveTrack(step, track);
+    return;
+  }
   if (headStage(step, track) === 'ready') {
     setPhase(step, track, 'opening', 'the head was closed');
   }
--- a/src/core/steward/form_replicas.ts
+++ b/src/core/steward/form_replicas.ts
@@ -8,11 +8,17 @@
 import {logDecision} from '../serving/log_decision.js';
 import {nextEpoch} from './next_epoch.js';
 import {noteLoad} from './note_load.js';
+import {supplyOf} from './supply_of.js';
 import {replicaKey} from '../fleet/index.js';
 import {replicaName} from './replica_name.js';
 
 /** Time in which an engine that has the weights may come back before another loads them. */
 const COLD_WAIT_MS = 1500;
+/**
+ * The same for a model that others need less: engines that hold the weights of
+ * the neediest model are given away only when their lost neighbours stay away.
+ */
+const OTHER_WAIT_MS = 7000;
 /** Added to the load time of a replica before it counts as failed. */
 const JOIN_MARGIN_MS = 15_000;
 
@@ -56,7 +62,7 @@
   for (const model of models) {
     const key = `${domain}/${model.name}`;
     const members = [...free]
-      .sort((a, b) => compareWarmth(a, b, model))
+      .sort((a, b) => compareFitness(step, a, b, model))
       .slice(0, model.size);
     const cold = members.filter(one => engineWarmth(one, model.name) >= 2);
     if (members.length < model.size) {
@@ -67,52 +73,57 @@
       steward.coldSinceMs.delete(key);
       return {model, members, cold};
     }
-    // Another model in its place would be served too much ever after.
-    const isDue = mayLoad(step, costs, key, members, cold);
+    const isNeediest = model === models[0];
+    const waitMs = isNeediest ? COLD_WAIT_MS : OTHER_WAIT_MS;
+    const isDue = mayLoad(step, costs, {key, waitMs, members, cold});
     return isDue ? {model, members, cold} : undefined;
   }
   return undefined;
 }
 
+interface ColdCandidate {
+  readonly key: string;
+  readonly waitMs: number;
+  readonly members: readonly EngineRecord[];
+  readonly cold: readonly EngineRecord[];
+}
+
+/** Whether engines may load weights for a replica: empty ones at once, others when no warm engine has come in time. */
 function mayLoad(
   step: ServingStep,
   costs: EngineCosts,
-  key: string,
-  members: readonly EngineRecord[],
-  cold: readonly EngineRecord[],
+  {key, waitMs, members, cold}: ColdCandidate,
 ): boolean {
   const {state, nowMs} = step;
   const {coldSinceMs} = state.steward;
   const since = coldSinceMs.get(key) ?? nowMs;
   coldSinceMs.set(key, since);
-  const isAllCold = cold.length === members.length;
-  if (!isAllCold && nowMs - since < COLD_WAIT_MS) return false;
+  const isEmpty = members.every(
+    ({models, stagedModels}) => models.length + stagedModels.length === 0,
+  );
+  if (!isEmpty && nowMs - since < waitMs) return false;
   return (
     countFreeLoads(step, costs) >= Math.min(cold.length, costs.concurrentLoads)
   );
 }
 
-function compareWarmth(
+/** Engines that are not slow first, then those that have the weights. */
+function compareFitness(
+  step: ServingStep,
   a: EngineRecord,
   b: EngineRecord,
   model: ModelSpec,
 ): number {
+  const {slowEngines} = step.state.steward;
+  const slowness =
+    Number(slowEngines.has(a.vmId)) - Number(slowEngines.has(b.vmId));
   return (
+    slowness ||
     engineWarmth(a, model.name) - engineWarmth(b, model.name) ||
     (a.vmId < b.vmId ? -1 : 1)
   );
 }
 
-/** Engines that serve a model or will, per part of the work that it has. */
-function supplyOf(step: ServingStep, model: ModelSpec): number {
-  let replicas = 0;
-  for (const track of step.state.steward.tracks.values()) {
-    const counts = track.phase !== 'closing' && track.phase !== 'leaving';
-    if (counts && track.model === model.name) replicas += 1;
-  }
-  return (replicas * model.size) / Math.max(model.workShare, 0.01);
-}
-
 function startReplica(
   step: ServingStep,
   service: ServiceName,
--- a/src/core/steward/leave_track.ts
+++ b/src/core/steward/leave_track.ts
@@ -7,6 +7,8 @@
 
 /** Added to the time in which a head without its members gives up by itself. */
 const STALL_MARGIN_MS = 700;
+/** How long a head is waited for that can't be asked, since its address is not known: longer than VMs are usually cut off. */
+const UNKNOWN_HEAD_MS = 15_000;
 
 /**
  * Has the head leave, and frees the members once it is known to have left, to
@@ -36,10 +38,15 @@
   }
   // An engine that the store lists is alive: it registers again and again.
   const seenAtMs = head ? nowMs : lastSeenAtMs(state, track);
-  if (nowMs - seenAtMs > state.bounds.stallMs + STALL_MARGIN_MS) {
+  const goneAfterMs =
+    track.headAddress === undefined
+      ? UNKNOWN_HEAD_MS
+      : state.bounds.stallMs + STALL_MARGIN_MS;
+  if (nowMs - seenAtMs > goneAfterMs) {
     releaseTrack(step, track, 'the head has been silent for too long');
     return;
   }
+  if (track.headAddress === undefined) return;
   const {replicaId, epoch} = track;
   const target = {vmId, address: track.headAddress};
   probeEngine(step, target);
--- a/src/core/steward/note_probe.ts
+++ b/src/core/steward/note_probe.ts
@@ -1,8 +1,11 @@
 import type {ServingEvent} from '../serving/events.js';
 import type {ServingStep} from '../serving/types.js';
 import type {VmId} from '../ids/index.js';
+import {logDecision} from '../serving/log_decision.js';
 import {markLost} from './mark_lost.js';
 
+/** Factor on an engine's times from which its replica is better off with a spare. */
+const SLOW_PACE = 1.8;
 /** Probes without answer after which an engine counts as lost; one may be lost on the way. */
 const SILENT_LIMIT = 2;
 /** An answer of a neighbour that is younger than this tells that only one engine is silent. */
@@ -19,6 +22,7 @@
   const probe = steward.probes.get(event.vmId);
   if (event.outcome === 'answered') {
     steward.engineAnsweredAtMs = nowMs;
+    notePace(step, event);
     if (probe) {
       probe.silentInRow = 0;
       probe.answeredAtMs = nowMs;
@@ -42,6 +46,18 @@
   }
 }
 
+function notePace(step: ServingStep, {vmId, pace}: ProbeAnswered): void {
+  const {slowEngines} = step.state.steward;
+  if (pace === undefined || pace < SLOW_PACE) {
+    slowEngines.delete(vmId);
+    return;
+  }
+  if (!slowEngines.has(vmId)) {
+    logDecision(step, 'info', 'fleet', 'engine is slow', {vmId, pace});
+  }
+  slowEngines.set(vmId, {pace, atMs: step.nowMs});
+}
+
 /** Whether another member of the same replica answered a moment ago: the way there is sound. */
 function hasSoundNeighbour(step: ServingStep, vmId: VmId): boolean {
   const {state, nowMs} = step;
--- a/src/core/steward/plan_service.ts
+++ b/src/core/steward/plan_service.ts
@@ -7,6 +7,8 @@
 import {freeEngines} from './free_engines.js';
 import {keepSpares} from './keep_spares.js';
 import {probeMembers} from './probe_members.js';
+import {probeSlow} from './probe_slow.js';
+import {rebalanceModels} from './rebalance_models.js';
 
 /** A first assembly waits until the list of engines has been still for this long. */
 const STILL_MS = 500;
@@ -25,6 +27,7 @@
     probeMembers(step, track);
     followTrack(step, track);
   }
+  probeSlow(step);
   const isFirst = steward.tracks.size === 0;
   if (isFirst && nowMs - state.fleetChangedAtMs < STILL_MS) return;
   const domains = [...freeEngines(state, service)].sort(([a], [b]) =>
@@ -37,4 +40,5 @@
       keepSpares(step, costs, free);
     }
   }
+  if (steward.hasTraffic) rebalanceModels(step, service, costs);
 }
--- a/src/core/steward/probe_members.ts
+++ b/src/core/steward/probe_members.ts
@@ -1,15 +1,22 @@
 import type {ReplicaTrack} from './types.js';
 import type {ServingStep} from '../serving/types.js';
 import type {VmId} from '../ids/index.js';
+import {isSlow} from '../serving/is_slow.js';
 import {probeEngine} from './probe_engine.js';
 
-/** Probes the members of replicas that some node sees standing still, to find the one that is lost before the store does. */
+/** Pause between two probes of an engine whose replica is slow. */
+const SLOW_AGAIN_MS = 1500;
+
+/** Probes the members of replicas that some node sees slow or standing still, to find the one that is lost, or slow, before the store does. */
 export function probeMembers(step: ServingStep, track: ReplicaTrack): void {
   if (track.phase !== 'open' && track.phase !== 'opening') return;
-  if (!isSuspect(step, track.members[0]!)) return;
+  const head = track.members[0]!;
+  const isSilent = isSuspect(step, head);
+  if (!isSilent && !isSlowReplica(step, head)) return;
   for (const vmId of track.members) {
     const engine = step.state.engines.get(vmId);
-    if (engine) probeEngine(step, engine);
+    if (!engine) continue;
+    probeEngine(step, engine, isSilent ? undefined : SLOW_AGAIN_MS);
   }
 }
 
@@ -19,3 +26,11 @@
   const peers = state.peerLoads.get(vmId)?.suspectUntilMs ?? -Infinity;
   return Math.max(own, peers) > nowMs;
 }
+
+function isSlowReplica(step: ServingStep, vmId: VmId): boolean {
+  const {state, nowMs} = step;
+  const load = state.loads.get(vmId);
+  const isSlowHere = load !== undefined && load.inFlight > 0 && isSlow(load);
+  const slowUntilMs = state.peerLoads.get(vmId)?.slowUntilMs ?? -Infinity;
+  return isSlowHere || slowUntilMs > nowMs;
+}
--- a/src/core/steward/types.ts
+++ b/src/core/steward/types.ts
@@ -50,7 +50,8 @@
   readonly createdAtMs: number;
   /** A joining replica that is not ready by then is given up. */
   readonly dueAtMs: number;
-  headAddress: string;
+  /** Undefined: this node has never known it. */
+  headAddress?: string;
   phase: TrackPhase;
   phaseSinceMs: number;
   cause?: string;
@@ -78,6 +79,8 @@
   /** When each order was last sent, by engine and order. */
   readonly sentAtMs: Map<string, number>;
   readonly probes: Map<VmId, ProbeRecord>;
+  /** Engines that reported to be slow, and when. */
+  readonly slowEngines: Map<VmId, {pace: number; atMs: number}>;
   /** Last answer of any engine to this node. */
   engineAnsweredAtMs: number;
   /** Ends of loads of weights that are running, as expected. */
@@ -85,6 +88,8 @@
   loadStartsMs: number[];
   /** Since when each domain lacks engines that have the model's weights. */
   readonly coldSinceMs: Map<string, number>;
+  /** Since when a model has had much less supply than another. */
+  shortSinceMs?: number;
   hasTraffic: boolean;
 }
 
--- /dev/null
+++ b/src/replay/serving/create_serving_config.ts
@@ -0,0 +1,89 @@
+import type {AccessConfig, Route} from '../../core/access/types.js';
+import type {OrganisationId, ServiceName} from '../../core/ids/index.js';
+import {SERVING_MODELS} from './serving_models.js';
+import {indexRoutes} from '../../core/access/index.js';
+import {makeId} from '../../core/ids/index.js';
+
+const ORGANISATIONS = 4;
+
+/** A configuration of one model service with two models and three kinds of streams. */
+export function createServingConfig(service: ServiceName): AccessConfig {
+  const route = (
+    name: string,
+    goalMs: number,
+    gapGoalMs: number,
+    timeoutMs: number,
+  ): Route => ({
+    name,
+    host: 'host',
+    pathPrefix: `/${name}/`,
+    kind: 'streaming',
+    isResumable: true,
+    isAnonymous: false,
+    timeoutMs,
+    goalMs,
+    gapGoalMs,
+    priority: 1,
+    maxAttempts: 2,
+    shares: [{service, weight: 1}],
+  });
+  const routes = [
+    route('chat', 400, 250, 8000),
+    route('draft', 250, 200, 6000),
+    route('summary', 400, 250, 5000),
+  ];
+  const organisations = Array.from({length: ORGANISATIONS}, (_, at) => {
+    const organisationId = makeId<OrganisationId>(`organisation-${at}`);
+    return [`key-${at}`, {organisationId}] as const;
+  });
+  return {
+    version: 1,
+    routesByHost: indexRoutes(routes),
+    organisationsByKey: new Map(organisations),
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 4_194_304,
+      headerTimeoutMs: 3000,
+      idleTimeoutMs: 15_000,
+    },
+    services: new Map([
+      [
+        service,
+        {
+          name: service,
+          maxConnections: 900,
+          engine: {
+            slotCount: 18,
+            capacityTokens: 1_710_000,
+            stepMs: 6.45,
+            stepMsPerSequence: 0.14,
+            stepMsPerKilotoken: 0.0042,
+            readTokensPerMs: 56.1,
+            stepsPerPass: 6,
+            formMs: 300,
+            loadsPerS: 5.5,
+            concurrentLoads: 8,
+            models: [
+              {
+                name: SERVING_MODELS.large,
+                size: 6,
+                workShare: 0.67,
+                pace: 1,
+                loadMs: 16_000,
+                warmUpMs: 1600,
+              },
+              {
+                name: SERVING_MODELS.small,
+                size: 3,
+                workShare: 0.33,
+                pace: 0.6,
+                loadMs: 12_000,
+                warmUpMs: 1100,
+              },
+            ],
+          },
+        },
+      ],
+    ]),
+  };
+}
--- /dev/null
+++ b/src/replay/serving/send_load.ts
@@ -0,0 +1,75 @@
+import type {Random} from '../../core/random/index.js';
+import type {ServingWorld} from './serving_world.js';
+import {SERVING_MODELS} from './serving_models.js';
+
+const MS_PER_S = 1000;
+const KINDS = [
+  {
+    kind: 'chat',
+    path: '/chat/',
+    model: SERVING_MODELS.large,
+    share: 0.22,
+    promptTokens: 1420,
+    events: 29,
+  },
+  {
+    kind: 'draft',
+    path: '/draft/',
+    model: SERVING_MODELS.small,
+    share: 0.6,
+    promptTokens: 674,
+    events: 31,
+  },
+  {
+    kind: 'summary',
+    path: '/summary/',
+    model: SERVING_MODELS.large,
+    share: 0.18,
+    promptTokens: 1960,
+    events: 4,
+  },
+] as const;
+const MAX_SIZE_FACTOR = 3;
+
+interface LoadShape {
+  readonly forMs: number;
+  /** Requests a second at a time since the start of the load. */
+  readonly perS: (atMs: number) => number;
+}
+
+/** Schedules a mixed load of streams of unlike sizes on a world. */
+export function sendLoad(
+  world: ServingWorld,
+  random: Random,
+  shape: LoadShape,
+): void {
+  let atMs = 0;
+  while (atMs < shape.forMs) {
+    atMs += (-Math.log(1 - random.next()) * MS_PER_S) / shape.perS(atMs);
+    const one = selectKind(random.next());
+    const sizeFactor = sampleSize(random);
+    world.after(atMs, () =>
+      world.send({
+        kind: one.kind,
+        path: one.path,
+        model: one.model,
+        promptTokens: Math.round(one.promptTokens * sizeFactor),
+        events: Math.max(1, Math.round(one.events * sampleSize(random))),
+      }),
+    );
+  }
+}
+
+function selectKind(chance: number): (typeof KINDS)[number] {
+  let left = chance;
+  for (const one of KINDS) {
+    left -= one.share;
+    if (left < 0) return one;
+  }
+  return KINDS[0];
+}
+
+/** Exponential with mean one, cut off: most requests are small, a few are long. */
+function sampleSize(random: Random): number {
+  return Math.min(MAX_SIZE_FACTOR, 0.1 - 0.9 * Math.log(1 - random.next()));
+}
--- /dev/null
+++ b/src/replay/serving/serving_world.ts
@@ -0,0 +1,601 @@
+import type {
+  AttemptId,
+  DomainId,
+  NodeId,
+  ReplicaId,
+  RequestId,
+  ServiceName,
+  VmId,
+  ZoneId,
+} from '../../core/ids/index.js';
+import type {CallerOutcome, EngineWorld, JoinOrder} from './types.js';
+import type {EngineCosts} from '../../core/fleet/types.js';
+import type {EngineOrder} from '../../core/steward/types.js';
+import type {Random} from '../../core/random/index.js';
+import type {
+  ServingEffect,
+  ServingEvent,
+  ServingRequest,
+  ServingState,
+} from '../../core/serving/types.js';
+import {ServingEngine} from './serving_engine.js';
+import {SERVING_BOUNDS} from './serving_bounds.js';
+import {createServingConfig} from './create_serving_config.js';
+import {VirtualTime} from '../virtual_time.js';
+import {
+  createDigest,
+  createServingState,
+  reduceServing,
+} from '../../core/serving/index.js';
+import {createRandom} from '../../core/random/index.js';
+import {makeId} from '../../core/ids/index.js';
+
+const SERVICE = makeId<ServiceName>('pool');
+const TICK_MS = 50;
+const DIGEST_MS = 100;
+const HOP_MS = 1;
+const CONNECT_MS = 300;
+const PROBE_MS = 250;
+const ORDER_MS = 600;
+const STORE_MS = 8;
+/** A node that only routes hears of a change from the store by then. */
+const FOLLOWER_MS = 1200;
+const LEASE_MS = 1000;
+const RENEW_MS = 300;
+/** Time from the loss of a VM to its removal from the store. */
+const EXPIRE_MS = 3600;
+/** Callers come back at most after this part of the time that they have left. */
+const RETURN_SHARE = 1 / 3;
+const EARLY_LOAD_FACTOR = 0.1;
+const RESTART_MS = 2500;
+const MAX_SEED = 2 ** 31;
+
+interface WorldOptions {
+  readonly seed: number;
+  readonly nodeCount: number;
+  readonly domainCount: number;
+  readonly domainSize: number;
+  /** Share of orders that get no answer and are carried out seconds later. */
+  readonly lateOrderShare?: number;
+}
+
+interface WorldNode {
+  state: ServingState;
+  isUp: boolean;
+}
+
+interface ReplicaRecord {
+  readonly members: readonly VmId[];
+  readonly wasReady: Set<VmId>;
+}
+
+interface CallerCallState {
+  readonly outcome: CallerOutcome;
+  readonly request: Omit<ServingRequest, 'requestId' | 'arrivedAtMs'>;
+  readonly events: number;
+  readonly node: WorldNode;
+  eventsSeen: number;
+  lastEventAtMs?: number;
+  tries: number;
+}
+
+/** A load on the system: one request of a caller. */
+interface WorldRequest {
+  readonly kind: string;
+  readonly path: string;
+  readonly model: ServingRequest['model'];
+  readonly promptTokens: number;
+  readonly events: number;
+  readonly apiKey?: string;
+}
+
+/**
+ * Serving nodes, engines and callers in virtual time.
+ *
+ * The engines follow the published costs and the rules of replicas. The world
+ * notes each breach of a promise as an engine sees it: a request that begins in
+ * a replica with a member that was never ready, or a member that joins another
+ * replica while its head serves.
+ */
+export class ServingWorld implements EngineWorld {
+  readonly time = new VirtualTime(1_000_000);
+  readonly costs: EngineCosts;
+  readonly stallMs = SERVING_BOUNDS.stallMs;
+  readonly engines = new Map<VmId, ServingEngine>();
+  readonly nodes: WorldNode[] = [];
+  readonly outcomes: CallerOutcome[] = [];
+  readonly breaches: string[] = [];
+  readonly logs: string[] = [];
+  lateOrderShare: number;
+  loadStartsMs: number[] = [];
+  hasTraffic = false;
+  /** Decides whether bytes get from a node to an engine. */
+  isReachable: (node: NodeId, vmId: VmId) => boolean = () => true;
+  private readonly random: Random;
+  private readonly config = createServingConfig(SERVICE);
+  private readonly replicas = new Map<string, ReplicaRecord>();
+  private readonly calls = new Map<RequestId, CallerCallState>();
+  private readonly attempts = new Map<AttemptId, VmId>();
+  private readonly listed = new Set<VmId>();
+  private revision = 1;
+  private requestCount = 0;
+  private term = 0;
+  private steward?: WorldNode;
+
+  constructor(options: WorldOptions) {
+    this.random = createRandom(options.seed);
+    this.costs = this.config.services.get(SERVICE)!.engine!;
+    this.lateOrderShare = options.lateOrderShare ?? 0;
+    for (let at = 0; at < options.domainCount * options.domainSize; at++) {
+      this.addEngine(`d${Math.floor(at / options.domainSize)}`);
+    }
+    for (let at = 0; at < options.nodeCount; at++) {
+      this.nodes.push({state: this.createState(at), isUp: true});
+    }
+    this.startNodes();
+  }
+
+  get nowMs(): number {
+    return this.time.nowMs;
+  }
+
+  after(delayMs: number, run: () => void): void {
+    this.time.after(delayMs, run);
+  }
+
+  findEngine(vmId: VmId): ServingEngine | undefined {
+    return this.engines.get(vmId);
+  }
+
+  addEngine(domain: string): VmId {
+    const vmId = makeId<VmId>(`e${this.engines.size}`);
+    const engine = new ServingEngine(
+      {
+        vmId,
+        service: SERVICE,
+        address: `10.0.0.1:${this.engines.size + 1000}`,
+        zone: makeId<ZoneId>('zone'),
+        domain: makeId<DomainId>(domain),
+        slotCount: this.costs.slotCount,
+        isLeaving: false,
+        bornAtMs: this.nowMs,
+        models: [],
+        stagedModels: [],
+        revision: 0,
+      },
+      this,
+    );
+    this.engines.set(vmId, engine);
+    this.noteChange(vmId);
+    return vmId;
+  }
+
+  /** A VM is lost without a word; the store finds out seconds later. */
+  loseEngine(vmId: VmId, options: {readonly isSilent: boolean}): void {
+    const engine = this.engines.get(vmId)!;
+    engine.crash(options.isSilent);
+    const {bornAtMs} = engine.record;
+    this.after(EXPIRE_MS, () => {
+      if (engine.isUp && engine.record.bornAtMs !== bornAtMs) return;
+      this.listed.delete(vmId);
+      this.publish(vmId, undefined);
+    });
+  }
+
+  restartEngine(vmId: VmId): void {
+    this.engines.get(vmId)!.restart();
+  }
+
+  /** The steward's process ends and starts anew; another follows when the lease has run out. */
+  loseSteward(): void {
+    const node = this.steward;
+    if (!node) return;
+    node.isUp = false;
+    this.steward = undefined;
+    this.after(LEASE_MS, () => this.electSteward());
+    this.after(RESTART_MS, () => {
+      node.state = this.createState(this.nodes.indexOf(node));
+      node.isUp = true;
+      this.startNode(node);
+    });
+  }
+
+  /** Another node holds the lease now, while the earlier one still acts until its time is over. */
+  electSteward(): void {
+    const candidates = this.nodes.filter(
+      node => node.isUp && node !== this.steward,
+    );
+    const next = candidates[this.random.below(candidates.length)];
+    if (!next) return;
+    this.steward = next;
+    this.term += 1;
+    this.renewLease(next, this.term + this.revision * 1000);
+  }
+
+  /** Sends a caller's request to a node by chance. */
+  send(request: WorldRequest): void {
+    this.hasTraffic = true;
+    const route = this.config.routesByHost
+      .get('host')!
+      .find(({pathPrefix}) => request.path.startsWith(pathPrefix))!;
+    const outcome: CallerOutcome = {
+      kind: request.kind,
+      model: request.model,
+      promptTokens: request.promptTokens,
+      arrivedAtMs: this.nowMs,
+      goalMs: route.goalMs,
+      gapGoalMs: route.gapGoalMs ?? Infinity,
+      longestGapMs: 0,
+      refusals: 0,
+    };
+    this.outcomes.push(outcome);
+    const nodes = this.nodes.filter(({isUp}) => isUp);
+    const node = nodes[this.random.below(nodes.length)]!;
+    const call: CallerCallState = {
+      outcome,
+      node,
+      events: request.events,
+      eventsSeen: 0,
+      tries: 0,
+      request: {
+        callerId: `c${this.outcomes.length}`,
+        host: 'host',
+        path: request.path,
+        apiKey: request.apiKey ?? 'key-0',
+        patienceMs: route.timeoutMs,
+        model: request.model,
+        promptTokens: request.promptTokens,
+        fingerprint: makeId(`f${this.outcomes.length}`),
+      },
+    };
+    this.arrive(call);
+  }
+
+  runFor(ms: number): void {
+    this.time.runUntil(this.nowMs + ms);
+  }
+
+  /** Heads that serve now, by model. */
+  countServing(model: ServingRequest['model']): number {
+    return [...this.engines.values()].filter(
+      engine => engine.isServing && engine.record.models[0] === model,
+    ).length;
+  }
+
+  noteChange(vmId: VmId): void {
+    const engine = this.engines.get(vmId)!;
+    if (!engine.isUp) return;
+    this.listed.add(vmId);
+    this.publish(vmId, engine);
+  }
+
+  noteJoin(vmId: VmId, order: JoinOrder): void {
+    const engine = this.engines.get(vmId)!;
+    const {membership} = engine.record;
+    const headId = engine.members[0];
+    const head = headId === undefined ? undefined : this.engines.get(headId);
+    const theirs = head?.record.membership;
+    const serves =
+      membership !== undefined &&
+      theirs?.replicaId === membership.replicaId &&
+      theirs.epoch === membership.epoch &&
+      head!.isServing;
+    if (serves) {
+      this.breaches.push(
+        `TWO at ${this.nowMs}: ${vmId} joins ${order.replicaId} while ${headId} serves ${membership.replicaId}`,
+      );
+    }
+    const key = replicaKeyOf(order.replicaId, order.epoch);
+    if (!this.replicas.has(key)) {
+      this.replicas.set(key, {members: order.members, wasReady: new Set()});
+    }
+  }
+
+  noteReady(vmId: VmId): void {
+    const {membership} = this.engines.get(vmId)!.record;
+    if (!membership) return;
+    this.replicas
+      .get(replicaKeyOf(membership.replicaId, membership.epoch))
+      ?.wasReady.add(vmId);
+  }
+
+  noteStart(vmId: VmId): void {
+    const {membership, models} = this.engines.get(vmId)!.record;
+    if (!membership) return;
+    const key = replicaKeyOf(membership.replicaId, membership.epoch);
+    const replica = this.replicas.get(key);
+    const size = this.costs.models.find(({name}) => name === models[0])?.size;
+    const isWhole =
+      replica !== undefined &&
+      replica.members.length === size &&
+      replica.members.every(member => replica.wasReady.has(member));
+    if (!isWhole) {
+      this.breaches.push(`PARTIAL at ${this.nowMs}: ${vmId} runs in ${key}`);
+    }
+  }
+
+  noteLoad(): void {
+    if (!this.hasTraffic) return;
+    this.loadStartsMs.push(this.nowMs);
+    const windowMs = SERVING_BOUNDS.loadWindowMs;
+    const recent = this.loadStartsMs.filter(
+      atMs => this.nowMs - atMs < windowMs,
+    );
+    const limit = (this.costs.loadsPerS * windowMs * 1.1) / 1000 + 3;
+    if (recent.length > limit) {
+      this.breaches.push(`CEILING at ${this.nowMs}: ${recent.length} loads`);
+    }
+  }
+
+  loadFactor(): number {
+    return this.hasTraffic ? 1 : EARLY_LOAD_FACTOR;
+  }
+
+  private createState(at: number): ServingState {
+    return createServingState(
+      {
+        nodeId: makeId<NodeId>(`n${at}`),
+        zone: makeId<ZoneId>('zone'),
+        callerAddress: `10.0.1.${at}:80`,
+      },
+      SERVING_BOUNDS,
+      this.random.below(MAX_SEED),
+    );
+  }
+
+  /** What a node reads first: the configuration, and the engines that are listed. */
+  private startNode(node: WorldNode): void {
+    this.dispatch(node, {
+      type: 'configRead',
+      config: this.config,
+      provenAtMs: Infinity,
+    });
+    const listed = [...this.engines.values()].filter(({record}) =>
+      this.listed.has(record.vmId),
+    );
+    this.dispatch(node, {
+      type: 'fleetListed',
+      changes: listed.map(({record}) => ({
+        vmId: record.vmId,
+        revision: record.revision,
+        engine: record,
+      })),
+      revision: this.revision,
+    });
+  }
+
+  private startNodes(): void {
+    for (const [at, node] of this.nodes.entries()) {
+      this.startNode(node);
+      const offset = (at * TICK_MS) / this.nodes.length;
+      this.repeat(TICK_MS, offset, () => this.dispatch(node, {type: 'tick'}));
+      this.repeat(DIGEST_MS, offset, () => this.sendDigest(node));
+    }
+    this.electSteward();
+  }
+
+  private repeat(everyMs: number, offsetMs: number, run: () => void): void {
+    this.after(offsetMs, () => {
+      run();
+      this.repeat(everyMs, everyMs, run);
+    });
+  }
+
+  private dispatch(node: WorldNode, event: ServingEvent): void {
+    if (!node.isUp) return;
+    const dated = {...event, nowMs: this.nowMs};
+    for (const effect of reduceServing(node.state, dated)) {
+      this.perform(node, effect);
+    }
+  }
+
+  private perform(node: WorldNode, effect: ServingEffect): void {
+    switch (effect.type) {
+      case 'startAttempt':
+        this.startAttempt(node, effect);
+        break;
+      case 'cancelAttempt': {
+        const vmId = this.attempts.get(effect.attemptId);
+        if (vmId === undefined) break;
+        const {attemptId} = effect;
+        this.after(HOP_MS, () => this.engines.get(vmId)?.cancel(attemptId));
+        break;
+      }
+      case 'refuse':
+        this.endRefused(effect);
+        break;
+      case 'cutAnswer':
+        this.end(effect.requestId, 'cut');
+        break;
+      case 'sendOrder':
+        this.sendOrder(node, effect.vmId, effect.order);
+        break;
+      case 'probeEngine':
+        this.probe(node, effect.vmId);
+        break;
+      case 'log':
+        this.logs.push(
+          `${this.nowMs - 1_000_000} ${node.state.nodeId} ${effect.message} ${JSON.stringify(effect.fields)}`,
+        );
+        break;
+      default:
+        break;
+    }
+  }
+
+  private startAttempt(
+    node: WorldNode,
+    effect: Extract<ServingEffect, {type: 'startAttempt'}>,
+  ): void {
+    const {attemptId, requestId, vmId} = effect;
+    const call = this.calls.get(requestId);
+    const engine = this.engines.get(vmId);
+    if (!call || !engine) return;
+    this.attempts.set(attemptId, vmId);
+    if (!engine.isUp || !this.isReachable(node.state.nodeId, vmId)) {
+      this.after(CONNECT_MS, () =>
+        this.dispatch(node, {
+          type: 'attemptFailed',
+          attemptId,
+          fault: 'not-sent',
+        }),
+      );
+      return;
+    }
+    const report = (event: ServingEvent) =>
+      this.after(HOP_MS, () => this.dispatch(node, event));
+    this.after(HOP_MS, () =>
+      engine.submit({
+        attemptId,
+        urgency: effect.urgency,
+        unreadTokens: call.request.promptTokens,
+        eventsLeft: call.events - call.eventsSeen,
+        hasStarted: false,
+        onEvent: () => {
+          report({type: 'attemptProgress', attemptId, eventCount: 1});
+          this.after(2 * HOP_MS, () => this.takeEvent(requestId));
+        },
+        onEnd: () => {
+          report({type: 'attemptEnded', attemptId, status: 200});
+          this.after(2 * HOP_MS, () => this.end(requestId, 'whole'));
+        },
+        onFail: fault => report({type: 'attemptFailed', attemptId, fault}),
+      }),
+    );
+  }
+
+  private takeEvent(requestId: RequestId): void {
+    const call = this.calls.get(requestId);
+    if (!call) return;
+    const {outcome} = call;
+    call.eventsSeen += 1;
+    outcome.firstMs ??= this.nowMs - outcome.arrivedAtMs;
+    if (call.lastEventAtMs !== undefined) {
+      const gapMs = this.nowMs - call.lastEventAtMs;
+      outcome.longestGapMs = Math.max(outcome.longestGapMs, gapMs);
+    }
+    call.lastEventAtMs = this.nowMs;
+  }
+
+  private arrive(call: CallerCallState): void {
+    this.requestCount += 1;
+    call.tries += 1;
+    const requestId = makeId<RequestId>(`r${this.requestCount}`);
+    this.calls.set(requestId, call);
+    this.dispatch(call.node, {
+      type: 'requestArrived',
+      request: {...call.request, requestId, arrivedAtMs: this.nowMs},
+    });
+  }
+
+  private endRefused(effect: Extract<ServingEffect, {type: 'refuse'}>): void {
+    const call = this.calls.get(effect.requestId);
+    if (!call) return;
+    const {outcome} = call;
+    const leftMs =
+      outcome.arrivedAtMs + (call.request.patienceMs ?? 0) - this.nowMs;
+    outcome.refusals += 1;
+    if (effect.status !== 503 || call.tries > 1 || leftMs <= 0) {
+      this.end(effect.requestId, effect.status === 503 ? 'refused' : 'failed');
+      return;
+    }
+    this.calls.delete(effect.requestId);
+    const waitMs = Math.min(effect.retryAfterMs ?? 0, leftMs * RETURN_SHARE);
+    this.after(waitMs, () => this.arrive(call));
+  }
+
+  private end(
+    requestId: RequestId,
+    result: NonNullable<CallerOutcome['result']>,
+  ): void {
+    const call = this.calls.get(requestId);
+    if (!call) return;
+    this.calls.delete(requestId);
+    call.outcome.result = result;
+    call.outcome.endedAtMs = this.nowMs;
+  }
+
+  private sendOrder(node: WorldNode, vmId: VmId, order: EngineOrder): void {
+    const answer = (
+      outcome: Extract<ServingEvent, {type: 'orderAnswered'}>['outcome'],
+    ) => this.dispatch(node, {type: 'orderAnswered', vmId, order, outcome});
+    const engine = this.engines.get(vmId);
+    if (!engine?.isUp || !this.isReachable(node.state.nodeId, vmId)) {
+      this.after(ORDER_MS, () => answer('unknown'));
+      return;
+    }
+    if (this.random.next() < this.lateOrderShare) {
+      const lateMs = 2000 + this.random.below(10_000);
+      const {bornAtMs} = engine.record;
+      this.after(lateMs, () => {
+        const isSameLife = engine.record.bornAtMs === bornAtMs;
+        if (engine.isUp && isSameLife) engine.order(order);
+      });
+      this.after(ORDER_MS, () => answer('unknown'));
+      return;
+    }
+    this.after(HOP_MS, () => {
+      const outcome = engine.isUp ? engine.order(order) : undefined;
+      this.after(HOP_MS, () => answer(outcome ?? 'unknown'));
+    });
+  }
+
+  private probe(node: WorldNode, vmId: VmId): void {
+    const engine = this.engines.get(vmId);
+    const isThere =
+      engine?.isUp === true && this.isReachable(node.state.nodeId, vmId);
+    this.after(isThere ? 2 * HOP_MS : PROBE_MS, () =>
+      this.dispatch(node, {
+        type: 'probeAnswered',
+        vmId,
+        outcome: isThere ? 'answered' : 'silent',
+        pace: isThere ? engine.slowness : undefined,
+      }),
+    );
+  }
+
+  private sendDigest(node: WorldNode): void {
+    if (!node.isUp) return;
+    const digest = createDigest(node.state, this.nowMs);
+    for (const peer of this.nodes) {
+      if (peer === node) continue;
+      this.after(HOP_MS, () =>
+        this.dispatch(peer, {type: 'digestReceived', digest}),
+      );
+    }
+  }
+
+  private publish(vmId: VmId, engine: ServingEngine | undefined): void {
+    this.revision += 1;
+    const {revision} = this;
+    if (engine) engine.record = {...engine.record, revision};
+    const change = {vmId, revision, ...(engine && {engine: engine.record})};
+    for (const node of this.nodes) {
+      const delayMs =
+        node === this.steward
+          ? STORE_MS
+          : STORE_MS + this.random.below(FOLLOWER_MS);
+      this.after(delayMs, () =>
+        this.dispatch(node, {
+          type: 'fleetChanged',
+          changes: [change],
+          revision,
+        }),
+      );
+    }
+  }
+
+  private renewLease(node: WorldNode, term: number): void {
+    if (this.steward !== node) {
+      this.dispatch(node, {type: 'stewardLeaseLost'});
+      return;
+    }
+    const untilMs = this.nowMs + LEASE_MS;
+    this.dispatch(node, {type: 'stewardLeaseHeld', term, untilMs});
+    this.after(RENEW_MS, () => this.renewLease(node, term));
+  }
+}
+
+function replicaKeyOf(replicaId: ReplicaId, epoch: number): string {
+  return `${replicaId}#${epoch}`;
+}
--- a/src/serving/digest_codec.ts
+++ b/src/serving/digest_codec.ts
@@ -5,7 +5,11 @@
 /** Version of the datagram; a node drops those of another. */
 const FORMAT = 2;
 
-type LoadRow = readonly [string, number, number, number, 0 | 1];
+/** Engine, requests, unread tokens, age of progress, and the bits of its condition. */
+type LoadRow = readonly [string, number, number, number, number];
+
+const SUSPECT_BIT = 1;
+const SLOW_BIT = 2;
 
 interface Datagram {
   readonly v: number;
@@ -42,7 +46,7 @@
         load.inFlight,
         load.unreadTokens,
         load.progressAgeMs,
-        load.isSuspect ? 1 : 0,
+        (load.isSuspect ? SUSPECT_BIT : 0) | (load.isSlow ? SLOW_BIT : 0),
       ]),
       s: digest.suspects.map(one => [one.fingerprint, one.losses]),
       x: digest.lostEngines.map(one => [one.vmId, one.bornAtMs]),
@@ -79,7 +83,8 @@
         inFlight: toCount(row[1]),
         unreadTokens: toCount(row[2]),
         progressAgeMs: Number(row[3]),
-        isSuspect: row[4] === 1,
+        isSuspect: (toCount(row[4]) & SUSPECT_BIT) !== 0,
+        isSlow: (toCount(row[4]) & SLOW_BIT) !== 0,
       })),
       suspects: datagram.s.map(row => ({
         fingerprint: row[0] as Fingerprint,
--- a/src/serving/running_attempt.ts
+++ b/src/serving/running_attempt.ts
@@ -133,6 +133,7 @@
       context.events.dispatch({
         type: 'attemptProgress',
         attemptId: effect.attemptId,
+        eventCount: count,
       });
     });
     response.on('end', () => {
--- /dev/null
+++ b/test/units/steward/assembly.test.ts
@@ -0,0 +1,118 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  SERVING_MODELS,
+  ServingWorld,
+} from '../../../src/replay/serving/index.js';
+
+const {large, small} = SERVING_MODELS;
+
+function createWorld(seed: number, lateOrderShare = 0): ServingWorld {
+  return new ServingWorld({
+    seed,
+    nodeCount: 4,
+    domainCount: 3,
+    domainSize: 11,
+    lateOrderShare,
+  });
+}
+
+describe('assembly of replicas', () => {
+  it('forms one replica of each model a domain, and warms the spares', () => {
+    const world = createWorld(1);
+    world.runFor(6000);
+    assert.equal(world.countServing(large), 3);
+    assert.equal(world.countServing(small), 3);
+    const spares = [...world.engines.values()].filter(({record}) =>
+      record.membership?.replicaId.startsWith('spare'),
+    );
+    const warm = spares.filter(
+      ({record}) => record.membership?.stage === 'ready',
+    );
+    assert.equal(warm.length, 6);
+    assert.deepEqual(world.breaches, []);
+  });
+
+  it('replaces a lost member with a warm spare before the store tells of the loss', () => {
+    const world = createWorld(2);
+    world.runFor(6000);
+    keepBusy(world, 8000);
+    world.runFor(3000);
+    const member = [...world.engines.values()].find(
+      ({record}) => record.membership?.rank === 1 && record.models[0] === large,
+    )!;
+    world.loseEngine(member.record.vmId, {isSilent: true});
+    world.runFor(2500);
+    assert.equal(world.countServing(large), 3);
+    assert.deepEqual(world.breaches, []);
+  });
+
+  it('holds the members of a silent head until it must have given up', () => {
+    const world = createWorld(3);
+    world.runFor(6000);
+    keepBusy(world, 12_000);
+    world.runFor(3000);
+    const head = [...world.engines.values()].find(
+      ({record}) =>
+        record.membership?.rank === 0 &&
+        record.membership.stage === 'open' &&
+        record.models[0] === large,
+    )!;
+    const {vmId} = head.record;
+    // The head lives on, and serves, but nobody reaches it.
+    world.isReachable = (_node, to) => to !== vmId;
+    world.runFor(5000);
+    assert.deepEqual(world.breaches, []);
+    world.isReachable = () => true;
+    world.runFor(4000);
+    assert.equal(world.countServing(large), 3);
+    assert.deepEqual(world.breaches, []);
+  });
+
+  it('follows a lost steward without touching replicas that serve', () => {
+    const world = createWorld(4);
+    world.runFor(6000);
+    const before = [...world.engines.values()].map(
+      ({record}) => record.membership?.replicaId,
+    );
+    world.loseSteward();
+    world.runFor(4000);
+    const after = [...world.engines.values()].map(
+      ({record}) => record.membership?.replicaId,
+    );
+    assert.deepEqual(after, before);
+  });
+
+  it('replaces a slow member when a spare is warm', () => {
+    const world = createWorld(5);
+    world.runFor(6000);
+    keepBusy(world, 8000);
+    world.runFor(2000);
+    const member = [...world.engines.values()].find(
+      ({record}) => record.membership?.rank === 2 && record.models[0] === large,
+    )!;
+    member.slowness = 6;
+    world.runFor(4000);
+    const heads = [...world.engines.values()].filter(one => one.isServing);
+    const {vmId} = member.record;
+    assert.ok(heads.every(({members}) => !members.includes(vmId)));
+    assert.equal(world.countServing(large), 3);
+    assert.deepEqual(world.breaches, []);
+  });
+});
+
+/** Small streams all the while, so that a stall shows. */
+function keepBusy(world: ServingWorld, forMs: number): void {
+  for (let atMs = 0; atMs < forMs; atMs += 40) {
+    world.after(atMs, () => {
+      const isLarge = atMs % 80 === 0;
+      world.send({
+        kind: isLarge ? 'chat' : 'draft',
+        path: isLarge ? '/chat/' : '/draft/',
+        model: isLarge ? large : small,
+        promptTokens: 500,
+        events: 20,
+      });
+    });
+  }
+}
