--- /dev/null
+++ b/test/support/serving_node.ts
@@ -0,0 +1,190 @@
+import type {
+  AccessConfig,
+  Route,
+  RouteKind,
+} from '../../src/core/access/types.js';
+import type {EngineRecord} from '../../src/core/fleet/types.js';
+import type {
+  Fingerprint,
+  NodeId,
+  OrganisationId,
+  RequestId,
+  ServiceName,
+  VmId,
+  ZoneId,
+} from '../../src/core/ids/index.js';
+import type {
+  LoadDigest,
+  ServingEffect,
+  ServingEvent,
+  ServingRequest,
+  ServingState,
+} from '../../src/core/serving/types.js';
+import {SERVING_BOUNDS} from '../../src/replay/serving/index.js';
+import {
+  createServingState,
+  reduceServing,
+} from '../../src/core/serving/index.js';
+import {indexRoutes} from '../../src/core/access/index.js';
+import {makeId} from '../../src/core/ids/index.js';
+
+const DESK = makeId<ServiceName>('desk');
+
+type EffectOf<T extends ServingEffect['type']> = Extract<
+  ServingEffect,
+  {type: T}
+>;
+
+/** One node's core with three engines of an application service, driven by hand in virtual time. */
+export class ServingNodeHarness {
+  nowMs = 1_000_000;
+  readonly state: ServingState;
+  readonly effects: ServingEffect[] = [];
+  private count = 0;
+
+  constructor(bounds: Partial<typeof SERVING_BOUNDS> = {}) {
+    this.state = createServingState(
+      {
+        nodeId: makeId<NodeId>('n0'),
+        zone: makeId<ZoneId>('zone'),
+        callerAddress: '10.0.0.1:80',
+      },
+      {...SERVING_BOUNDS, ...bounds},
+      7,
+    );
+  }
+
+  /** Configuration and engines as a node reads them at its start. */
+  start(): this {
+    this.dispatch({
+      type: 'configRead',
+      config: createDeskConfig(1),
+      provenAtMs: this.nowMs,
+    });
+    this.dispatch({
+      type: 'fleetListed',
+      changes: [0, 1, 2].map(at => {
+        const engine = createDeskEngine(at);
+        return {vmId: engine.vmId, revision: engine.revision, engine};
+      }),
+      revision: 10,
+    });
+    return this;
+  }
+
+  dispatch(event: ServingEvent): void {
+    const dated = {...event, nowMs: this.nowMs};
+    this.effects.push(...reduceServing(this.state, dated));
+  }
+
+  /** Lets time pass, with ticks, and proofs of the configuration unless told otherwise. */
+  pass(ms: number, options: {readonly isProven?: boolean} = {}): void {
+    const untilMs = this.nowMs + ms;
+    while (this.nowMs < untilMs) {
+      this.nowMs = Math.min(untilMs, this.nowMs + 50);
+      if (options.isProven !== false) {
+        this.dispatch({type: 'configRead', provenAtMs: this.nowMs});
+      }
+      this.dispatch({type: 'tick'});
+    }
+  }
+
+  arrive(kind: RouteKind, more: Partial<ServingRequest> = {}): RequestId {
+    this.count += 1;
+    const requestId = makeId<RequestId>(`r${this.count}`);
+    this.dispatch({
+      type: 'requestArrived',
+      request: {
+        requestId,
+        callerId: `c${this.count}`,
+        host: 'host',
+        path: `/${kind}/x`,
+        apiKey: 'key',
+        patienceMs: 3000,
+        arrivedAtMs: this.nowMs,
+        promptTokens: 0,
+        fingerprint: makeId<Fingerprint>(`f${this.count}`),
+        ...more,
+      },
+    });
+    return requestId;
+  }
+
+  /** Effects of a type since the last call, which are taken away. */
+  take<T extends ServingEffect['type']>(type: T): EffectOf<T>[] {
+    const taken = this.effects.filter(
+      (effect): effect is EffectOf<T> => effect.type === type,
+    );
+    const left = this.effects.filter(effect => effect.type !== type);
+    this.effects.splice(0, this.effects.length, ...left);
+    return taken;
+  }
+
+  peerDigest(more: Partial<LoadDigest> = {}): LoadDigest {
+    return {
+      from: makeId<NodeId>('n1'),
+      zone: makeId<ZoneId>('zone'),
+      callerAddress: '10.0.0.2:80',
+      isReady: true,
+      isLeaving: false,
+      isSteward: false,
+      changes: [],
+      configVersion: 1,
+      fleetRevision: 10,
+      loads: [],
+      suspects: [],
+      lostEngines: [],
+      ...more,
+    };
+  }
+}
+
+/** A configuration with one route of each kind; `/new/` comes with version 2. */
+export function createDeskConfig(version: number): AccessConfig {
+  const route = (kind: RouteKind, name: string = kind): Route => ({
+    name,
+    host: 'host',
+    pathPrefix: `/${name}/`,
+    kind,
+    isResumable: kind === 'streaming',
+    isAnonymous: false,
+    timeoutMs: 2000,
+    goalMs: 200,
+    gapGoalMs: 200,
+    priority: 2,
+    maxAttempts: kind === 'unsafe' ? 1 : 2,
+    shares: [{service: DESK, weight: 1}],
+  });
+  const routes = [route('safe'), route('unsafe'), route('streaming')];
+  if (version > 1) routes.push(route('safe', 'new'));
+  return {
+    version,
+    routesByHost: indexRoutes(routes),
+    services: new Map([[DESK, {name: DESK, maxConnections: 90}]]),
+    organisationsByKey: new Map([
+      ['key', {organisationId: makeId<OrganisationId>('organisation')}],
+    ]),
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 4_194_304,
+      headerTimeoutMs: 3000,
+      idleTimeoutMs: 15_000,
+    },
+  };
+}
+
+/** An engine of the application service. */
+export function createDeskEngine(at: number): EngineRecord {
+  return {
+    vmId: makeId<VmId>(`e${at}`),
+    service: DESK,
+    address: `10.0.1.${at}:80`,
+    zone: makeId<ZoneId>('zone'),
+    slotCount: 6,
+    isLeaving: false,
+    bornAtMs: 1,
+    models: [],
+    stagedModels: [],
+    revision: at + 1,
+  };
+}
--- /dev/null
+++ b/test/units/serving/repeats.test.ts
@@ -0,0 +1,181 @@
+import assert from 'node:assert/strict';
+import fc from 'fast-check';
+import {describe, it} from 'node:test';
+import type {AttemptFault} from '../../../src/core/serving/types.js';
+import type {Fingerprint, NodeId} from '../../../src/core/ids/index.js';
+import {ServingNodeHarness} from '../../support/serving_node.js';
+import {makeId} from '../../../src/core/ids/index.js';
+import {propertyOptions} from '../../support/property_options.js';
+
+const FAULTS: readonly AttemptFault[] = [
+  'not-sent',
+  'turned-away',
+  'broken',
+  'garbled',
+  'failed',
+];
+
+describe('repeats', () => {
+  it('sends an unsafe request again only after proof that it did not run, and then alone says not-run', () => {
+    fc.assert(
+      fc.property(
+        fc.array(fc.constantFrom(...FAULTS), {minLength: 1, maxLength: 6}),
+        faults => {
+          const node = new ServingNodeHarness().start();
+          node.arrive('unsafe');
+          let mayHaveRun = false;
+          for (const fault of faults) {
+            const [attempt] = node.take('startAttempt');
+            if (!attempt) break;
+            assert.equal(mayHaveRun, false);
+            assert.equal(attempt.freshConnection, true);
+            mayHaveRun ||= fault !== 'not-sent' && fault !== 'turned-away';
+            node.dispatch({
+              type: 'attemptFailed',
+              attemptId: attempt.attemptId,
+              fault,
+            });
+          }
+          if (mayHaveRun) assert.equal(node.take('startAttempt').length, 0);
+          const [refusal] = node.take('refuse');
+          if (refusal) assert.equal(refusal.status === 503, !mayHaveRun);
+          if (mayHaveRun) assert.ok(refusal);
+        },
+      ),
+      propertyOptions(300, 20261206),
+    );
+  });
+
+  it('resumes a stream at most once where two targets are allowed', () => {
+    const node = new ServingNodeHarness().start();
+    node.arrive('streaming');
+    const seen = new Set<string>();
+    for (let sends = 0; sends < 3; sends++) {
+      const [attempt] = node.take('startAttempt');
+      if (!attempt) break;
+      seen.add(attempt.vmId);
+      const {attemptId} = attempt;
+      node.dispatch({type: 'attemptProgress', attemptId, eventCount: 1});
+      node.dispatch({type: 'attemptFailed', attemptId, fault: 'broken'});
+    }
+    assert.equal(seen.size, 2);
+    assert.equal(node.take('cutAnswer').length, 1);
+  });
+
+  it('keeps all nodes together within the budget of repeats', () => {
+    const node = new ServingNodeHarness({repeatSlack: 18, repeatRatio: 0.2});
+    node.start();
+    for (let peer = 1; peer <= 17; peer++) {
+      const digest = node.peerDigest({from: makeId<NodeId>(`n${peer}`)});
+      node.dispatch({type: 'digestReceived', digest});
+    }
+    let repeats = 0;
+    for (let request = 0; request < 50; request++) {
+      node.arrive('safe');
+      for (;;) {
+        const [attempt] = node.take('startAttempt');
+        if (!attempt) break;
+        const {attemptId} = attempt;
+        node.dispatch({type: 'attemptFailed', attemptId, fault: 'turned-away'});
+        if (node.state.byAttempt.size > 0) repeats += 1;
+      }
+    }
+    assert.ok(repeats > 0);
+    assert.ok(repeats <= 0.2 * 50 + 18 / 18);
+  });
+
+  it('sends a request that ended two targets to no more, whichever node had it', () => {
+    const node = new ServingNodeHarness().start();
+    const fingerprint = makeId<Fingerprint>('poison');
+    node.arrive('safe', {fingerprint});
+    for (let lost = 0; lost < 2; lost++) {
+      const [attempt] = node.take('startAttempt');
+      assert.ok(attempt);
+      const {attemptId, vmId} = attempt;
+      node.dispatch({type: 'attemptFailed', attemptId, fault: 'broken'});
+      node.dispatch({type: 'probeAnswered', vmId, outcome: 'refused'});
+    }
+    node.take('refuse');
+    node.arrive('safe', {fingerprint});
+    assert.equal(node.take('startAttempt').length, 0);
+    assert.equal(node.take('refuse')[0]?.status, 503);
+
+    const peer = new ServingNodeHarness().start();
+    const digest = node.peerDigest({suspects: [{fingerprint, losses: 2}]});
+    peer.dispatch({type: 'digestReceived', digest});
+    peer.arrive('safe', {fingerprint});
+    assert.equal(peer.take('startAttempt').length, 0);
+  });
+
+  it('does not suspect a request whose target lives on', () => {
+    const node = new ServingNodeHarness().start();
+    const fingerprint = makeId<Fingerprint>('innocent');
+    node.arrive('safe', {fingerprint});
+    const [attempt] = node.take('startAttempt');
+    const {attemptId, vmId} = attempt!;
+    node.dispatch({type: 'attemptFailed', attemptId, fault: 'broken'});
+    node.dispatch({type: 'probeAnswered', vmId, outcome: 'answered'});
+    assert.equal(node.state.crashSuspects.size, 0);
+  });
+
+  it('ends every request by its time-out, with one answer each', () => {
+    fc.assert(
+      fc.property(
+        fc.array(
+          fc.record({
+            kind: fc.constantFrom(
+              'safe' as const,
+              'unsafe' as const,
+              'streaming' as const,
+            ),
+            fate: fc.constantFrom('hang', 'end', 'gone', ...FAULTS),
+            afterMs: fc.integer({min: 0, max: 400}),
+          }),
+          {minLength: 1, maxLength: 40},
+        ),
+        requests => {
+          const node = new ServingNodeHarness().start();
+          const answers = new Map<string, number>();
+          const note = (requestId: string) =>
+            answers.set(requestId, (answers.get(requestId) ?? 0) + 1);
+          const gone = new Set<string>();
+          for (const {kind, fate, afterMs} of requests) {
+            const requestId = node.arrive(kind);
+            for (const attempt of node.take('startAttempt')) {
+              const {attemptId} = attempt;
+              if (fate === 'hang') continue;
+              if (fate === 'end') {
+                note(attempt.requestId);
+                node.dispatch({type: 'attemptEnded', attemptId, status: 200});
+              } else if (fate === 'gone') {
+                gone.add(requestId);
+                node.dispatch({type: 'callerGone', requestId});
+              } else {
+                node.dispatch({type: 'attemptFailed', attemptId, fault: fate});
+              }
+            }
+            node.pass(afterMs);
+          }
+          node.pass(2500);
+          for (const {requestId} of [
+            ...node.take('refuse'),
+            ...node.take('cutAnswer'),
+          ]) {
+            note(requestId);
+          }
+          assert.equal(node.state.requests.size, 0);
+          for (const [requestId, times] of answers) {
+            assert.ok(gone.has(requestId) || times === 1);
+          }
+          assert.equal(answers.size + gone.size >= requests.length, true);
+          for (const load of node.state.loads.values()) {
+            assert.equal(load.inFlight, 0);
+            assert.equal(load.unreadTokens, 0);
+            assert.equal(load.writing, 0);
+          }
+        },
+      ),
+      propertyOptions(100, 20261207),
+    );
+  });
+});
