--- a/src/core/steward/adopt_replicas.ts
+++ b/src/core/steward/adopt_replicas.ts
@@ -1,12 +1,12 @@
 import type {ReplicaTrack} from './types.js';
-import type {ReplicaView} from '../fleet/types.js';
+import type {ModelSpec, ReplicaView} from '../fleet/types.js';
 import type {ServingStep} from '../serving/types.js';
 import type {ServiceName, VmId} from '../ids/index.js';
 import {logDecision} from '../serving/log_decision.js';
 import {replicaName} from './replica_name.js';
 
-/** Time for a replica that an earlier steward left unfinished. */
-const FINISH_MS = 2500;
+/** Time beyond a load for a replica that an earlier steward left unfinished. */
+const FINISH_MS = 3000;
 
 /**
  * Takes over replicas that engines report and this steward didn't plan: those
@@ -39,7 +39,8 @@
     steward.released.add(key);
     return undefined;
   }
-  const size = sizeOf(step, replica);
+  const spec = specOf(step, replica);
+  const size = spec?.size ?? Infinity;
   const stage = head?.membership?.stage;
   const mayServe = !head || (stage !== 'joining' && stage !== 'ready');
   const isWhole = replica.members.size === size;
@@ -72,16 +73,19 @@
     members,
     bornAtMs,
     createdAtMs: nowMs,
-    dueAtMs: nowMs + FINISH_MS,
+    dueAtMs: nowMs + (spec?.loadMs ?? 0) + FINISH_MS,
     headAddress: (head ?? state.departed.get(headId)?.record)?.address,
     phase,
     phaseSinceMs: nowMs,
-    headSeenAtMs: nowMs,
+    headSeenAtMs: state.departed.get(headId)?.atMs ?? nowMs,
   };
 }
 
-function sizeOf(step: ServingStep, replica: ReplicaView): number {
+function specOf(
+  step: ServingStep,
+  replica: ReplicaView,
+): ModelSpec | undefined {
   const costs = step.state.config?.services.get(replica.service)?.engine;
   const models = [...replica.members.values()][0]?.models ?? [];
-  return costs?.models.find(({name}) => name === models[0])?.size ?? Infinity;
+  return costs?.models.find(({name}) => name === models[0]);
 }
--- a/src/core/steward/count_loads.ts
+++ b/src/core/steward/count_loads.ts
@@ -11,9 +11,7 @@
   // Loads before the first request are quick and don't count.
   if (!steward.hasTraffic) return Infinity;
   for (const [vmId, endMs] of steward.loadEndsMs) {
-    const stage = state.engines.get(vmId)?.membership?.stage;
-    const hasEnded = stage !== undefined && stage !== 'joining';
-    if (endMs < nowMs || (hasEnded && nowMs > endMs - costs.concurrentLoads)) {
+    if (endMs < nowMs || !state.engines.has(vmId)) {
       steward.loadEndsMs.delete(vmId);
     }
   }
--- a/src/core/steward/create_steward_state.ts
+++ b/src/core/steward/create_steward_state.ts
@@ -13,6 +13,7 @@
     slowEngines: new Map(),
     engineAnsweredAtMs: -Infinity,
     loadEndsMs: new Map(),
+    reserved: new Map(),
     loadStartsMs: [],
     coldSinceMs: new Map(),
     hasTraffic: false,
--- a/src/core/steward/form_replicas.ts
+++ b/src/core/steward/form_replicas.ts
@@ -19,6 +19,8 @@
  * the neediest model are given away only when their lost neighbours stay away.
  */
 const OTHER_WAIT_MS = 7000;
+/** Usual time in which a crashed engine is back. */
+const RETURN_WAIT_MS = 4000;
 /** Added to the load time of a replica before it counts as failed. */
 const JOIN_MARGIN_MS = 15_000;
 
@@ -60,6 +62,7 @@
       supplyOf(step, a) - supplyOf(step, b) || b.workShare - a.workShare,
   );
   for (const model of models) {
+    if (!isAllowed(step, domain, model)) continue;
     const key = `${domain}/${model.name}`;
     const members = [...free]
       .sort((a, b) => compareFitness(step, a, b, model))
@@ -69,11 +72,14 @@
       steward.coldSinceMs.delete(key);
       continue;
     }
+    const isNeediest = model === models[0];
+    if (cold.length === 0 && !isNeediest) {
+      if (!mayTakeFrom(step, domain, models[0]!, free)) return undefined;
+    }
     if (cold.length === 0) {
       steward.coldSinceMs.delete(key);
       return {model, members, cold};
     }
-    const isNeediest = model === models[0];
     const waitMs = isNeediest ? COLD_WAIT_MS : OTHER_WAIT_MS;
     const isDue = mayLoad(step, costs, {key, waitMs, members, cold});
     return isDue ? {model, members, cold} : undefined;
@@ -81,6 +87,38 @@
   return undefined;
 }
 
+function isAllowed(
+  step: ServingStep,
+  domain: string,
+  model: ModelSpec,
+): boolean {
+  const {reserved} = step.state.steward;
+  const reservation = reserved.get(domain);
+  if (!reservation) return true;
+  if (step.nowMs < reservation.untilMs) return reservation.model === model.name;
+  reserved.delete(domain);
+  return true;
+}
+
+/** Whether engines may go to another model: where the neediest lacks a single one, its lost member gets time to come back. */
+function mayTakeFrom(
+  step: ServingStep,
+  domain: string,
+  neediest: ModelSpec,
+  free: readonly EngineRecord[],
+): boolean {
+  const {state, nowMs} = step;
+  const {coldSinceMs} = state.steward;
+  const key = `${domain}/${neediest.name}/one-short`;
+  if (free.length !== neediest.size - 1) {
+    coldSinceMs.delete(key);
+    return true;
+  }
+  const since = coldSinceMs.get(key) ?? nowMs;
+  coldSinceMs.set(key, since);
+  return nowMs - since >= RETURN_WAIT_MS;
+}
+
 interface ColdCandidate {
   readonly key: string;
   readonly waitMs: number;
--- a/src/core/steward/give_order.ts
+++ b/src/core/steward/give_order.ts
@@ -13,7 +13,9 @@
   order: EngineOrder,
 ): void {
   const {steward} = step.state;
-  const id = `${target.vmId}/${order.kind}/${order.replicaId}#${order.epoch}`;
+  const subject =
+    order.kind === 'stage' ? order.model : `${order.replicaId}#${order.epoch}`;
+  const id = `${target.vmId}/${order.kind}/${subject}`;
   const sentAtMs = steward.sentAtMs.get(id) ?? -Infinity;
   if (step.nowMs - sentAtMs < RESEND_MS) return;
   steward.sentAtMs.set(id, step.nowMs);
@@ -21,8 +23,7 @@
   logDecision(step, 'info', 'steward', 'order sent', {
     vmId,
     kind: order.kind,
-    replica: order.replicaId,
-    epoch: order.epoch,
+    subject,
     again: Number.isFinite(sentAtMs),
     term: steward.term,
     leaseLeftMs: Math.round(steward.leaseUntilMs - step.nowMs),
--- a/src/core/steward/note_order.ts
+++ b/src/core/steward/note_order.ts
@@ -13,15 +13,16 @@
   const {vmId, order, outcome} = event;
   logDecision(step, 'info', 'steward', 'order answered', {
     vmId,
-    kind: order.kind,
-    replica: order.replicaId,
-    epoch: order.epoch,
     outcome,
+    ...order,
   });
   if (outcome !== 'unknown' && outcome !== 'refused') {
     steward.engineAnsweredAtMs = step.nowMs;
   }
-  const track = steward.tracks.get(replicaKey(order.replicaId, order.epoch));
+  const track =
+    order.kind === 'stage'
+      ? undefined
+      : steward.tracks.get(replicaKey(order.replicaId, order.epoch));
   if (outcome === 'refused') {
     markLost(step, vmId, 'connection refused');
     if (track?.phase === 'leaving' && track.members[0] === vmId) {
--- a/src/core/steward/plan_service.ts
+++ b/src/core/steward/plan_service.ts
@@ -9,6 +9,7 @@
 import {probeMembers} from './probe_members.js';
 import {probeSlow} from './probe_slow.js';
 import {rebalanceModels} from './rebalance_models.js';
+import {stageWeights} from './stage_weights.js';
 
 /** A first assembly waits until the list of engines has been still for this long. */
 const STILL_MS = 500;
@@ -40,5 +41,6 @@
       keepSpares(step, costs, free);
     }
   }
+  stageWeights(step, service, costs);
   if (steward.hasTraffic) rebalanceModels(step, service, costs);
 }
--- a/src/core/steward/rebalance_models.ts
+++ b/src/core/steward/rebalance_models.ts
@@ -7,9 +7,11 @@
 import {supplyOf} from './supply_of.js';
 
 /** A model is short when it has less than this part of the supply of another. */
-const SHORT_RATIO = 0.62;
-/** How long a shortage must last: a load of weights costs more than a short one. */
-const LASTING_MS = 4000;
+const SHORT_RATIO = 0.72;
+/** How long a shortage must last before replicas are closed for it. */
+const LASTING_MS = 3000;
+/** Engines that become free are kept for the model that lacks them for this long: closing takes up to three seconds. */
+const RESERVED_MS = 5000;
 
 /**
  * Closes replicas of a model that has too many, one domain at a time, where
@@ -45,6 +47,10 @@
     const needed = Math.ceil((short.size - freeCount) / rich.size);
     if (needed < 1 || needed > given.length) continue;
     steward.shortSinceMs = undefined;
+    steward.reserved.set(domain, {
+      model: short.name,
+      untilMs: nowMs + RESERVED_MS,
+    });
     for (const track of given.slice(0, needed)) {
       setPhase(step, track, 'closing', `${short.name} lacks engines`);
     }
--- /dev/null
+++ b/src/core/steward/stage_weights.ts
@@ -0,0 +1,52 @@
+import type {EngineCosts, EngineRecord, ModelSpec} from '../fleet/types.js';
+import type {ServiceName} from '../ids/index.js';
+import type {ServingStep} from '../serving/types.js';
+import {countFreeLoads} from './count_loads.js';
+import {giveOrder} from './give_order.js';
+import {noteLoad} from './note_load.js';
+import {replicaName} from './replica_name.js';
+
+/**
+ * Puts weights of a second model on the hosts of engines that have one in
+ * memory, so that either model can be joined within a second or two.
+ *
+ * Before the first request all engines are prepared, which costs next to
+ * nothing then; later only spares, one load at a time per free place.
+ */
+export function stageWeights(
+  step: ServingStep,
+  service: ServiceName,
+  costs: EngineCosts,
+): void {
+  const {state} = step;
+  const {steward} = state;
+  if (costs.models.length < 2) return;
+  for (const engine of state.engines.values()) {
+    if (engine.service !== service || engine.isLeaving) continue;
+    if (!isSettled(engine) || steward.loadEndsMs.has(engine.vmId)) continue;
+    if (steward.hasTraffic && !isSpare(engine)) continue;
+    const other = selectOther(engine, costs);
+    if (!other || engine.stagedModels.includes(other.name)) continue;
+    if (countFreeLoads(step, costs) < 1) return;
+    noteLoad(step, engine.vmId, other.loadMs);
+    giveOrder(step, engine, {kind: 'stage', model: other.name});
+  }
+}
+
+function isSettled({membership}: EngineRecord): boolean {
+  return membership?.stage === 'ready' || membership?.stage === 'open';
+}
+
+function isSpare({membership}: EngineRecord): boolean {
+  return membership !== undefined && replicaName.isSpare(membership.replicaId);
+}
+
+/** The model with the most work among those that the engine doesn't have in memory. */
+function selectOther(
+  engine: EngineRecord,
+  costs: EngineCosts,
+): ModelSpec | undefined {
+  return [...costs.models]
+    .filter(({name}) => name !== engine.models[0])
+    .sort((a, b) => b.workShare - a.workShare)[0];
+}
--- a/src/core/steward/types.ts
+++ b/src/core/steward/types.ts
@@ -21,6 +21,11 @@
       readonly replicaId: ReplicaId;
       readonly epoch: number;
     }
+  | {
+      /** Loads weights onto the VM's host, beside whatever the engine does. */
+      readonly kind: 'stage';
+      readonly model: ModelName;
+    }
   | {
       /** The head ends what it has and takes nothing new. */
       readonly kind: 'close';
@@ -85,6 +90,8 @@
   engineAnsweredAtMs: number;
   /** Ends of loads of weights that are running, as expected. */
   readonly loadEndsMs: Map<VmId, number>;
+  /** Domains whose free engines are kept for a model. */
+  readonly reserved: Map<string, {model: ModelName; untilMs: number}>;
   loadStartsMs: number[];
   /** Since when each domain lacks engines that have the model's weights. */
   readonly coldSinceMs: Map<string, number>;
--- a/src/replay/serving/serving_engine.ts
+++ b/src/replay/serving/serving_engine.ts
@@ -77,6 +77,7 @@
 
   order(order: EngineOrder): OrderAnswer {
     if (order.kind === 'join') return this.join(order);
+    if (order.kind === 'stage') return this.stage(order.model);
     const {membership} = this.record;
     const isMeant =
       membership?.replicaId === order.replicaId &&
@@ -153,6 +154,18 @@
     return 'begun';
   }
 
+  private stage(model: ModelSpec['name']): OrderAnswer {
+    if (this.record.stagedModels.includes(model)) return 'done';
+    const spec = this.world.costs.models.find(({name}) => name === model)!;
+    this.world.noteLoad(this.record.vmId);
+    const {bornAtMs} = this.record;
+    this.world.after(spec.loadMs * this.world.loadFactor(), () => {
+      if (!this.isUp || this.record.bornAtMs !== bornAtMs) return;
+      this.change({...this.record, stagedModels: [model]});
+    });
+    return 'begun';
+  }
+
   private open(membership: Membership): OrderAnswer {
     if (membership.stage === 'open') return 'done';
     if (membership.stage !== 'ready' || membership.rank !== 0) {
