Adopted heads, listing time, staging: what the property test of replicas found

- The silence of a head counted from the planning of its replica, so that a head which had served for long was given up the moment the store dropped it.
- Staging never ran: loads that had ended were not forgotten.
- A steward whose plans an engine refuses as outdated pauses; it replanned in a loop every two milliseconds.

--- a/src/core/serving/create_serving_state.ts
+++ b/src/core/serving/create_serving_state.ts
@@ -7,6 +7,8 @@
   readonly nodeId: NodeId;
   readonly zone: ZoneId;
   readonly callerAddress: string;
+  /** The whole system starts for the first time: no caller is there yet. */
+  readonly isFirstStart?: boolean;
 }
 
 /** Creates the state of a node that knows nothing yet. */
@@ -16,7 +18,9 @@
   seed: number,
 ): ServingState {
   return {
-    ...self,
+    nodeId: self.nodeId,
+    zone: self.zone,
+    callerAddress: self.callerAddress,
     bounds,
     random: createRandom(seed),
     idCounter: 0,
@@ -42,6 +46,6 @@
     crashChecks: new Map(),
     crashSuspects: new Map(),
     hasExited: false,
-    steward: createStewardState(),
+    steward: createStewardState(!(self.isFirstStart ?? false)),
   };
 }
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -207,6 +207,8 @@
   /** How long a replica with a lost member stands still before its head gives up. */
   readonly stallMs: number;
   readonly loadWindowMs: number;
+  /** How long the store lists an engine after its last sign of life. */
+  readonly listingMs: number;
 }
 
 /** All that a node knows. Owned by the reducer; others only read it. */
--- a/src/core/steward/adopt_replicas.ts
+++ b/src/core/steward/adopt_replicas.ts
@@ -17,7 +17,7 @@
   const {steward} = state;
   for (const [key, replica] of state.replicas) {
     if (replica.service !== service) continue;
-    if (steward.tracks.has(key) || steward.released.has(key)) continue;
+    if (steward.tracks.has(key) || isReleased(step, key, replica)) continue;
     if (replicaName.isSpare(replica.replicaId)) continue;
     const track = createTrack(step, key, replica);
     if (track) steward.tracks.set(key, track);
@@ -36,7 +36,7 @@
   const headRecord = state.engines.get(headId);
   if (!head && headRecord) {
     // The head is alive and names another replica or none: it has left.
-    steward.released.add(key);
+    steward.released.set(key, state.fleetRevision);
     return undefined;
   }
   const spec = specOf(step, replica);
@@ -53,7 +53,8 @@
   const bornAtMs = new Map<VmId, number>(
     others.map(engine => [engine.vmId, engine.bornAtMs]),
   );
-  if (head) bornAtMs.set(headId, head.bornAtMs);
+  const lastRecord = head ?? state.departed.get(headId)?.record;
+  if (lastRecord) bornAtMs.set(headId, lastRecord.bornAtMs);
   const phase = !mayServe ? 'joining' : head && isWhole ? 'open' : 'leaving';
   logDecision(step, 'info', 'steward', 'replica adopted', {
     replica: replica.replicaId,
@@ -74,13 +75,30 @@
     bornAtMs,
     createdAtMs: nowMs,
     dueAtMs: nowMs + (spec?.loadMs ?? 0) + FINISH_MS,
-    headAddress: (head ?? state.departed.get(headId)?.record)?.address,
+    headAddress: lastRecord?.address,
     phase,
     phaseSinceMs: nowMs,
-    headSeenAtMs: state.departed.get(headId)?.atMs ?? nowMs,
+    headSeenAtMs:
+      (state.departed.get(headId)?.atMs ?? nowMs) - state.bounds.listingMs,
   };
 }
 
+/** Whether a replica was released, and its head has not said since that it serves. */
+function isReleased(
+  step: ServingStep,
+  key: string,
+  {head}: ReplicaView,
+): boolean {
+  const {released} = step.state.steward;
+  const knownAt = released.get(key);
+  if (knownAt === undefined) return false;
+  if (!head || head.revision <= knownAt) return true;
+  const stage = head.membership?.stage;
+  if (stage !== 'open' && stage !== 'closing') return true;
+  released.delete(key);
+  return false;
+}
+
 function specOf(
   step: ServingStep,
   replica: ReplicaView,
--- a/src/core/steward/count_loads.ts
+++ b/src/core/steward/count_loads.ts
@@ -10,11 +10,6 @@
   const {steward} = state;
   // Loads before the first request are quick and don't count.
   if (!steward.hasTraffic) return Infinity;
-  for (const [vmId, endMs] of steward.loadEndsMs) {
-    if (endMs < nowMs || !state.engines.has(vmId)) {
-      steward.loadEndsMs.delete(vmId);
-    }
-  }
   const atOnce = Math.floor(costs.concurrentLoads * OVERLAP);
   const free = atOnce - steward.loadEndsMs.size;
   const {loadWindowMs} = state.bounds;
--- a/src/core/steward/create_steward_state.ts
+++ b/src/core/steward/create_steward_state.ts
@@ -1,13 +1,14 @@
 import type {StewardState} from './types.js';
 
-/** The state of a node that is not steward. */
-export function createStewardState(): StewardState {
+/** The state of a node that is not steward. `hasTraffic`: callers may be there already, since the whole system doesn't start for the first time. */
+export function createStewardState(hasTraffic: boolean): StewardState {
   return {
     leaseUntilMs: -Infinity,
     epochCount: 0,
     plannedAtMs: -Infinity,
+    pausedUntilMs: -Infinity,
     tracks: new Map(),
-    released: new Set(),
+    released: new Map(),
     sentAtMs: new Map(),
     probes: new Map(),
     slowEngines: new Map(),
@@ -16,6 +17,6 @@
     reserved: new Map(),
     loadStartsMs: [],
     coldSinceMs: new Map(),
-    hasTraffic: false,
+    hasTraffic,
   };
 }
--- a/src/core/steward/follow_track.ts
+++ b/src/core/steward/follow_track.ts
@@ -15,6 +15,7 @@
 
 /** Takes a replica one step on: joins, opens, or takes it apart when a member is missing. */
 export function followTrack(step: ServingStep, track: ReplicaTrack): void {
+  noteHeadSeen(step, track);
   switch (track.phase) {
     case 'joining':
       followJoining(step, track);
@@ -34,6 +35,14 @@
   }
 }
 
+/** The store lists an engine for some time after its last sign of life. */
+function noteHeadSeen({state, nowMs}: ServingStep, track: ReplicaTrack): void {
+  const head = state.engines.get(track.members[0]!);
+  if (!head) return;
+  track.headSeenAtMs = nowMs - state.bounds.listingMs;
+  track.headAddress = head.address;
+}
+
 function followJoining(step: ServingStep, track: ReplicaTrack): void {
   const {state, nowMs} = step;
   const conditions = judgeAll(step, track);
--- a/src/core/steward/leave_track.ts
+++ b/src/core/steward/leave_track.ts
@@ -21,12 +21,12 @@
   const {state, nowMs} = step;
   const vmId = track.members[0]!;
   const head = state.engines.get(vmId);
-  if (head && head.bornAtMs !== track.bornAtMs.get(vmId)) {
+  const bornAtMs = track.bornAtMs.get(vmId);
+  if (head && bornAtMs !== undefined && head.bornAtMs !== bornAtMs) {
     releaseTrack(step, track, 'the head lives anew');
     return;
   }
   if (head) {
-    track.headAddress = head.address;
     const {membership} = head;
     const isIn =
       membership !== undefined &&
--- a/src/core/steward/note_order.ts
+++ b/src/core/steward/note_order.ts
@@ -5,6 +5,9 @@
 import {releaseTrack} from './release_track.js';
 import {replicaKey} from '../fleet/index.js';
 
+/** Time in which the plans of another steward reach the store and this node. */
+const OUTDATED_PAUSE_MS = 500;
+
 type OrderAnswered = Extract<ServingEvent, {type: 'orderAnswered'}>;
 
 /** Follows the answer to an order. */
@@ -36,8 +39,10 @@
     releaseTrack(step, track, 'the head has left');
     return;
   }
-  const isOutdated = outcome === 'outdated';
-  if (order.kind === 'join' && isOutdated && track.phase === 'joining') {
+  if (order.kind !== 'join' || outcome !== 'outdated') return;
+  // Another steward has planned with this engine: its plan shows soon.
+  steward.pausedUntilMs = step.nowMs + OUTDATED_PAUSE_MS;
+  if (track.phase === 'joining') {
     releaseTrack(step, track, `never opened; outdated at ${vmId}`);
   }
 }
--- a/src/core/steward/plan_service.ts
+++ b/src/core/steward/plan_service.ts
@@ -2,6 +2,7 @@
 import type {ServiceName} from '../ids/index.js';
 import type {ServingStep} from '../serving/types.js';
 import {adoptReplicas} from './adopt_replicas.js';
+import {expireLoads} from './expire_loads.js';
 import {followTrack} from './follow_track.js';
 import {formReplicas} from './form_replicas.js';
 import {freeEngines} from './free_engines.js';
@@ -22,6 +23,7 @@
 ): void {
   const {state, nowMs} = step;
   const {steward} = state;
+  expireLoads(step);
   adoptReplicas(step, service);
   for (const track of [...steward.tracks.values()]) {
     if (track.service !== service) continue;
--- a/src/core/steward/reduce_steward.ts
+++ b/src/core/steward/reduce_steward.ts
@@ -42,6 +42,7 @@
       return;
   }
   if (!hasAuthority(steward, nowMs) || !state.isFleetKnown) return;
+  if (nowMs < steward.pausedUntilMs) return;
   steward.plannedAtMs = nowMs;
   for (const {name, engine} of state.config?.services.values() ?? []) {
     if (engine && engine.models.length > 0) planService(step, name, engine);
--- a/src/core/steward/release_track.ts
+++ b/src/core/steward/release_track.ts
@@ -10,7 +10,7 @@
 ): void {
   const {steward} = step.state;
   steward.tracks.delete(track.key);
-  steward.released.add(track.key);
+  steward.released.set(track.key, step.state.fleetRevision);
   logDecision(step, 'info', 'steward', 'replica released', {
     replica: track.replicaId,
     epoch: track.epoch,
--- a/src/core/steward/types.ts
+++ b/src/core/steward/types.ts
@@ -50,7 +50,7 @@
   readonly model: ModelName;
   /** The first is the head. */
   readonly members: readonly VmId[];
-  /** The life in which each member was when it was taken. */
+  /** The life in which each member was when it was taken; a head that wasn't listed then may be missing. */
   readonly bornAtMs: ReadonlyMap<VmId, number>;
   readonly createdAtMs: number;
   /** A joining replica that is not ready by then is given up. */
@@ -78,9 +78,14 @@
   leaseUntilMs: number;
   epochCount: number;
   plannedAtMs: number;
+  /** No plan is made before, since an engine follows a later steward. */
+  pausedUntilMs: number;
   readonly tracks: Map<string, ReplicaTrack>;
-  /** Replicas whose head has left: their members are free though they still name it. */
-  readonly released: Set<string>;
+  /**
+   * Replicas whose head has left: their members are free though they still name
+   * it. Holds the revision of the store up to which that is known.
+   */
+  readonly released: Map<string, number>;
   /** When each order was last sent, by engine and order. */
   readonly sentAtMs: Map<string, number>;
   readonly probes: Map<VmId, ProbeRecord>;
--- a/src/replay/serving/serving_bounds.ts
+++ b/src/replay/serving/serving_bounds.ts
@@ -9,4 +9,5 @@
   graceMs: 8000,
   stallMs: 6000,
   loadWindowMs: 5000,
+  listingMs: 3600,
 };
--- a/src/replay/serving/serving_world.ts
+++ b/src/replay/serving/serving_world.ts
@@ -117,6 +117,7 @@
   private readonly calls = new Map<RequestId, CallerCallState>();
   private readonly attempts = new Map<AttemptId, VmId>();
   private readonly listed = new Set<VmId>();
+  private readonly hidden = new Set<VmId>();
   private revision = 1;
   private requestCount = 0;
   private term = 0;
@@ -182,6 +183,19 @@
     });
   }
 
+  /** The store no longer hears an engine, which lives on; it is listed again when it is heard. */
+  hideEngine(vmId: VmId, forMs: number): void {
+    const engine = this.engines.get(vmId)!;
+    this.hidden.add(vmId);
+    this.after(EXPIRE_MS, () => {
+      if (this.hidden.has(vmId)) this.publish(vmId, undefined);
+    });
+    this.after(forMs, () => {
+      this.hidden.delete(vmId);
+      if (engine.isUp) this.publish(vmId, engine);
+    });
+  }
+
   restartEngine(vmId: VmId): void {
     this.engines.get(vmId)!.restart();
   }
@@ -200,11 +214,16 @@
     });
   }
 
-  /** Another node holds the lease now, while the earlier one still acts until its time is over. */
-  electSteward(): void {
-    const candidates = this.nodes.filter(
-      node => node.isUp && node !== this.steward,
-    );
+  /** The steward no longer reaches the store; another follows when the lease has run out. */
+  cutSteward(): void {
+    if (!this.steward) return;
+    this.steward = undefined;
+    this.after(LEASE_MS, () => this.electSteward());
+  }
+
+  private electSteward(): void {
+    if (this.steward) return;
+    const candidates = this.nodes.filter(({isUp}) => isUp);
     const next = candidates[this.random.below(candidates.length)];
     if (!next) return;
     this.steward = next;
@@ -264,7 +283,7 @@
 
   noteChange(vmId: VmId): void {
     const engine = this.engines.get(vmId)!;
-    if (!engine.isUp) return;
+    if (!engine.isUp || this.hidden.has(vmId)) return;
     this.listed.add(vmId);
     this.publish(vmId, engine);
   }
@@ -337,6 +356,7 @@
         nodeId: makeId<NodeId>(`n${at}`),
         zone: makeId<ZoneId>('zone'),
         callerAddress: `10.0.1.${at}:80`,
+        isFirstStart: !this.hasTraffic,
       },
       SERVING_BOUNDS,
       this.random.below(MAX_SEED),
@@ -586,10 +606,8 @@
   }
 
   private renewLease(node: WorldNode, term: number): void {
-    if (this.steward !== node) {
-      this.dispatch(node, {type: 'stewardLeaseLost'});
-      return;
-    }
+    // Without a renewal the node acts until the time of its lease is over.
+    if (this.steward !== node) return;
     const untilMs = this.nowMs + LEASE_MS;
     this.dispatch(node, {type: 'stewardLeaseHeld', term, untilMs});
     this.after(RENEW_MS, () => this.renewLease(node, term));
--- a/src/serving/create_serving_node.ts
+++ b/src/serving/create_serving_node.ts
@@ -62,6 +62,7 @@
       nodeId: settings.nodeId,
       zone: settings.zone,
       callerAddress: settings.listen.callers,
+      isFirstStart: settings.isFirstStart,
     },
     settings.bounds,
     options.seed ?? randomInt(MAX_SEED),
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -120,6 +120,8 @@
     readonly peers: string;
     readonly metrics?: string;
   };
+  /** The whole system starts for the first time. */
+  readonly isFirstStart: boolean;
   readonly storeAddress: string;
   readonly minLeaseMs: number;
   /** Longest time that callers keep the answer of a resolve. */
--- a/test/units/steward/replica_properties.test.ts
+++ b/test/units/steward/replica_properties.test.ts
@@ -16,9 +16,11 @@
   'leave',
   'slow',
   'steward-lost',
-  'steward-contested',
+  'steward-cut',
   'late-orders',
   'head-cut',
+  'hidden',
+  'head-hidden',
   'add',
 ] as const;
 
@@ -66,8 +68,8 @@
     case 'steward-lost':
       world.loseSteward();
       break;
-    case 'steward-contested':
-      world.electSteward();
+    case 'steward-cut':
+      world.cutSteward();
       break;
     case 'late-orders':
       world.lateOrderShare = 0.5;
@@ -81,6 +83,15 @@
       world.after(4000, () => (world.isReachable = () => true));
       break;
     }
+    case 'hidden':
+      if (engine.isUp) world.hideEngine(vmId, 5000 + at);
+      break;
+    case 'head-hidden': {
+      const heads = engines.filter(one => one.isServing);
+      const head = heads[at % Math.max(1, heads.length)];
+      if (head) world.hideEngine(head.record.vmId, 5000 + at);
+      break;
+    }
     case 'add':
       world.addEngine(`d${at % 3}`);
       break;
