Keep slots for requests that can still meet their goal; tell by its patience when a caller first asked

Requests that can meet their goal now join a target's queue up to a fifth over its slots, late ones take free slots below four fifths and any slot after a while.

--- a/src/core/serving/arrive_request.ts
+++ b/src/core/serving/arrive_request.ts
@@ -2,6 +2,7 @@
 import type {RefusalReason} from './effects.js';
 import type {RequestRecord, ServingRequest, ServingStep} from './types.js';
 import {count} from './count.js';
+import {firstAskedAtMs} from './first_asked_at_ms.js';
 import {isAccessProven} from './is_access_proven.js';
 import {isLeavingForGood} from './is_leaving_for_good.js';
 import {logDecision} from './log_decision.js';
@@ -16,10 +17,8 @@
 const LEAVING_RETRY_MS = 20;
 /** A request that lost this many targets is not sent to more. */
 const MAX_LOST_TARGETS = 2;
-/** Part of the time that is left in which a request may wait without a place. */
-const HOLD_SHARE = 0.15;
-/** Part of the goal in which a request may wait without a place. */
-const HOLD_GOAL_SHARE = 0.9;
+/** Part of the time that is left in which a request may wait without a place: a return after that still finds some. */
+const HOLD_SHARE = 0.5;
 
 /** Admits a request, or answers it at once when it can't be served. */
 export function arriveRequest(
@@ -59,7 +58,7 @@
   const giveUpAtMs =
     request.arrivedAtMs +
     Math.min(route.timeoutMs, request.patienceMs ?? Infinity);
-  const goalAtMs = request.arrivedAtMs + route.goalMs;
+  const goalAtMs = firstAskedAtMs(state, route, request) + route.goalMs;
   const record: RequestRecord = {
     request,
     route,
@@ -70,11 +69,7 @@
     goalAtMs,
     giveUpAtMs,
     holdUntilMs:
-      request.arrivedAtMs +
-      Math.max(
-        HOLD_GOAL_SHARE * route.goalMs,
-        HOLD_SHARE * (giveUpAtMs - request.arrivedAtMs),
-      ),
+      request.arrivedAtMs + HOLD_SHARE * (giveUpAtMs - request.arrivedAtMs),
     waitingSinceMs: nowMs,
     tried: new Set(),
     verdict: 'not-run',
--- a/src/core/serving/create_serving_state.ts
+++ b/src/core/serving/create_serving_state.ts
@@ -39,6 +39,7 @@
     loads: new Map(),
     peers: new Map(),
     peerLoads: new Map(),
+    patienceMs: new Map(),
     requests: new Map(),
     byAttempt: new Map(),
     waiting: new Map(),
--- a/src/core/serving/dispatch_waiting.ts
+++ b/src/core/serving/dispatch_waiting.ts
@@ -4,8 +4,20 @@
 import {selectTarget} from './select_target.js';
 import {sendAttempt} from './send_attempt.js';
 
-/** Part of the goal that a request waits for a free slot before it joins a target's own queue. */
-const OFFER_GOAL_SHARE = 0.25;
+/**
+ * Part of a target's slots that requests may take which can't meet their goal
+ * any more. The rest is kept for those that can: after a crest or an outage
+ * the late ones would otherwise take every slot, and make all later ones late.
+ */
+const LATE_SLOT_SHARE = 0.8;
+/**
+ * Requests, over a target's slots, up to which those that can meet their goal
+ * join its queue: the target sees a slot fall free at once, other nodes only
+ * with the next digest.
+ */
+const ON_TIME_SLOT_SHARE = 1.2;
+/** Part of the time that a request is held after which it may take any free slot, late as it is. */
+const QUEUE_SHARE = 0.6;
 
 /** Sends what can go of the requests that wait for a pool, the most urgent first, and ends those that waited too long. */
 export function dispatchWaiting(step: ServingStep, pool: string): void {
@@ -44,14 +56,17 @@
   placement: Placement,
   nowMs: number,
 ): boolean {
-  if (placement.hasRoom) return true;
-  const offerAtMs =
-    record.waitingSinceMs + OFFER_GOAL_SHARE * record.route.goalMs;
-  return (
-    placement.canQueue &&
-    nowMs >= offerAtMs &&
-    nowMs + placement.firstMs < record.giveUpAtMs
-  );
+  const {target, inFlight, firstMs, fits, hasRoom, canQueue} = placement;
+  // A stream of which the caller has a part must go on at once.
+  if (record.hasAnswer) return canQueue;
+  if (nowMs + firstMs >= record.giveUpAtMs) return false;
+  const isLate = nowMs + firstMs > record.goalAtMs;
+  if (!isLate) return inFlight < ON_TIME_SLOT_SHARE * target.slotCount && fits;
+  if (hasRoom && inFlight < LATE_SLOT_SHARE * target.slotCount) return true;
+  const {waitingSinceMs, holdUntilMs} = record;
+  const queueAtMs =
+    waitingSinceMs + QUEUE_SHARE * (holdUntilMs - waitingSinceMs);
+  return hasRoom && nowMs >= queueAtMs;
 }
 
 /** A request that was tried everywhere can't be placed by waiting. */
--- a/src/core/serving/select_target.ts
+++ b/src/core/serving/select_target.ts
@@ -42,6 +42,7 @@
       target,
       firstMs: estimate.firstMs,
       inFlight,
+      fits,
       hasRoom: inFlight < target.slotCount && fits,
       canQueue: inFlight < target.slotCount * (1 + OVERBOOKED_SHARE),
       isSuspect,
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -63,7 +63,8 @@
   readonly giveUpAtMs: number;
   /** A request that waits is turned away then. */
   readonly holdUntilMs: number;
-  readonly waitingSinceMs: number;
+  /** Since when it waits for a target, here. */
+  waitingSinceMs: number;
   readonly tried: Set<VmId>;
   verdict: Verdict;
   attempt?: AttemptRecord;
@@ -92,6 +93,8 @@
   readonly target: ServingTarget;
   readonly firstMs: number;
   readonly inFlight: number;
+  /** The prompt can be read without stretching the pauses of streams there. */
+  readonly fits: boolean;
   readonly hasRoom: boolean;
   /** No slot is free, but the target's own queue has room. */
   readonly canQueue: boolean;
@@ -239,6 +242,8 @@
   readonly loads: Map<VmId, TargetLoad>;
   readonly peers: Map<NodeId, PeerView>;
   readonly peerLoads: Map<VmId, PeerLoad>;
+  /** Longest patience seen of callers, by route: what one has less has passed before. */
+  readonly patienceMs: Map<string, number>;
   readonly requests: Map<RequestId, RequestRecord>;
   readonly byAttempt: Map<AttemptId, RequestRecord>;
   readonly waiting: Map<string, RequestRecord[]>;
--- a/src/core/steward/free_engines.ts
+++ b/src/core/steward/free_engines.ts
@@ -1,6 +1,7 @@
 import type {EngineRecord} from '../fleet/types.js';
 import type {ServiceName, VmId} from '../ids/index.js';
 import type {ServingState} from '../serving/types.js';
+import {replicaKey} from '../fleet/index.js';
 
 /** Engines of a service that belong to no replica, by domain. */
 export function freeEngines(
@@ -14,7 +15,7 @@
   const byDomain = new Map<string, EngineRecord[]>();
   for (const engine of state.engines.values()) {
     if (engine.service !== service || engine.isLeaving) continue;
-    if (held.has(engine.vmId)) continue;
+    if (held.has(engine.vmId) || namesTrack(state, engine)) continue;
     const lost = state.lostEngines.get(engine.vmId);
     if (lost?.bornAtMs === engine.bornAtMs) continue;
     const domain = engine.domain ?? '';
@@ -24,3 +25,10 @@
   }
   return byDomain;
 }
+
+/** Whether an engine says it belongs to a replica that is followed: one that was not listed for a while may be missing among the known members. */
+function namesTrack(state: ServingState, {membership}: EngineRecord): boolean {
+  if (!membership) return false;
+  const key = replicaKey(membership.replicaId, membership.epoch);
+  return state.steward.tracks.has(key);
+}
--- a/src/replay/serving/serving_world.ts
+++ b/src/replay/serving/serving_world.ts
@@ -48,6 +48,8 @@
 const RETURN_SHARE = 1 / 3;
 const EARLY_LOAD_FACTOR = 0.1;
 const RESTART_MS = 2500;
+/** Pause of a caller that finds no node. */
+const RECONNECT_MS = 300;
 const MAX_SEED = 2 ** 31;
 
 interface WorldOptions {
@@ -73,7 +75,6 @@
   readonly outcome: CallerOutcome;
   readonly request: Omit<ServingRequest, 'requestId' | 'arrivedAtMs'>;
   readonly events: number;
-  readonly node: WorldNode;
   eventsSeen: number;
   lastEventAtMs?: number;
   tries: number;
@@ -248,11 +249,8 @@
       refusals: 0,
     };
     this.outcomes.push(outcome);
-    const nodes = this.nodes.filter(({isUp}) => isUp);
-    const node = nodes[this.random.below(nodes.length)]!;
     const call: CallerCallState = {
       outcome,
-      node,
       events: request.events,
       eventsSeen: 0,
       tries: 0,
@@ -498,13 +496,27 @@
   }
 
   private arrive(call: CallerCallState): void {
+    const nodes = this.nodes.filter(({isUp}) => isUp);
+    const node = nodes[this.random.below(nodes.length)];
+    const leftMs =
+      call.outcome.arrivedAtMs + (call.request.patienceMs ?? 0) - this.nowMs;
+    if (!node) {
+      if (leftMs > 0) this.after(RECONNECT_MS, () => this.arrive(call));
+      else call.outcome.result = 'failed';
+      return;
+    }
     this.requestCount += 1;
     call.tries += 1;
     const requestId = makeId<RequestId>(`r${this.requestCount}`);
     this.calls.set(requestId, call);
-    this.dispatch(call.node, {
+    this.dispatch(node, {
       type: 'requestArrived',
-      request: {...call.request, requestId, arrivedAtMs: this.nowMs},
+      request: {
+        ...call.request,
+        patienceMs: leftMs,
+        requestId,
+        arrivedAtMs: this.nowMs,
+      },
     });
   }
 
