--- /dev/null
+++ b/test/support/adapter_node.ts
@@ -0,0 +1,146 @@
+import type {NodeId, ZoneId} from '../../src/core/ids/index.js';
+import {KvPlatformStore} from '../../platform/store/kv_platform_store.js';
+import {KvStandin} from './kv_standin.js';
+import {RawEngine} from './raw_engine.js';
+import type {RawAnswer} from './raw_engine.js';
+import {SERVING_BOUNDS} from '../../src/replay/serving/index.js';
+import {WIRE} from '../../platform/wire.js';
+import {callHttp} from './call_http.js';
+import {createServingNode} from '../../src/serving/create_serving_node.js';
+import {freePorts} from './free_ports.js';
+import {makeId} from '../../src/core/ids/index.js';
+import {waitFor} from './wait_for.js';
+
+const KEY = 'secret-key';
+
+/** A serving node on the platform's formats: a stand-in of the store, and engines that answer with given bytes. */
+export class AdapterNode {
+  readonly store = new KvStandin();
+  readonly engines: RawEngine[] = [];
+  readonly logs: string[] = [];
+  front = '';
+  ready = '';
+  directory = '';
+  node!: Awaited<ReturnType<typeof createServingNode>>;
+
+  static async start(answers: readonly RawAnswer[]): Promise<AdapterNode> {
+    const adapter = new AdapterNode();
+    await adapter.open(answers);
+    return adapter;
+  }
+
+  /** Puts a configuration in force. */
+  configure(version: number, more: object = {}): void {
+    const route = (type: string, attempts: number) => ({
+      name: type,
+      host: 'desk.example',
+      'path-prefix': `/${type}/`,
+      type,
+      'timeout-ms': 2000,
+      'latency-goal-ms': 300,
+      priority: 1,
+      service: 'desk',
+      'max-attempts': attempts,
+      anonymous: false,
+      resumable: type === 'streaming',
+    });
+    this.store.put('op/config', {
+      version,
+      routes: [route('safe', 2), route('unsafe', 1), route('streaming', 2)],
+      services: [{name: 'desk', 'health-path': '/healthz', 'max-conns': 90}],
+      limits: {
+        'max-header-bytes': 16384,
+        'max-body-bytes': 1000,
+        'header-timeout-ms': 3000,
+        'idle-timeout-ms': 15000,
+      },
+      tenants: [{name: 'stable', 'api-keys': [KEY]}],
+      ...more,
+    });
+  }
+
+  call(
+    type: string,
+    options: {
+      readonly headers?: Record<string, string>;
+      readonly body?: string;
+      readonly key?: string;
+      readonly signal?: AbortSignal;
+      readonly onData?: (text: string) => void;
+    } = {},
+  ): ReturnType<typeof callHttp> {
+    const {headers, body, key, ...more} = options;
+    return callHttp(`http://${this.front}/${type}/x?y=1`, {
+      method: type === 'safe' ? 'GET' : 'POST',
+      ...(type === 'safe' ? {} : {body: body ?? 'body'}),
+      headers: {
+        host: 'desk.example',
+        'x-attempt-id': 'attempt-1',
+        'x-deadline-ms': '1500',
+        authorization: `Bearer ${key ?? KEY}`,
+        ...headers,
+      },
+      ...more,
+    });
+  }
+
+  async close(): Promise<void> {
+    await this.node.destroy();
+    for (const engine of this.engines) engine.close();
+    this.store.close();
+  }
+
+  private async open(answers: readonly RawAnswer[]): Promise<void> {
+    const storeAddress = await this.store.listen();
+    this.configure(1);
+    for (const [at, answer] of answers.entries()) {
+      const engine = new RawEngine(answer);
+      this.engines.push(engine);
+      this.store.put(`servers/i-${at}`, {
+        service: 'desk',
+        address: await engine.listen(),
+        zone: 'zone-a',
+        version: 'v1',
+        slots: 6,
+        state: 'ready',
+        born: 1000,
+        sequence: 1,
+      });
+    }
+    this.store.put('servers/i-foreign', 'no JSON at all');
+    const ports = await freePorts(4);
+    const [front, ready, directory, peers] = ports.map(
+      port => `127.0.0.1:${port}`,
+    );
+    this.front = front!;
+    this.ready = ready!;
+    this.directory = directory!;
+    this.node = await createServingNode({
+      settings: {
+        nodeId: makeId<NodeId>('edge-1'),
+        zone: makeId<ZoneId>('zone-a'),
+        listen: {
+          callers: this.front,
+          ready: this.ready,
+          directory: this.directory,
+          peers: peers!,
+        },
+        isFirstStart: true,
+        storeAddress,
+        minLeaseMs: 1000,
+        maxKeepMs: 5000,
+        bounds: SERVING_BOUNDS,
+      },
+      wire: WIRE,
+      store: new KvPlatformStore(storeAddress),
+      logger: {
+        write: (_level, area, message, fields) =>
+          void this.logs.push(`${area} ${message} ${JSON.stringify(fields)}`),
+      },
+    });
+    await waitFor(
+      'targets',
+      () => this.node.state.targets.size === answers.length,
+    );
+  }
+}
--- /dev/null
+++ b/test/support/kv_standin.ts
@@ -0,0 +1,211 @@
+import {createServer} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
+interface Item {
+  readonly key: string;
+  readonly value: string;
+  readonly revision: number;
+  readonly lease: number;
+}
+
+interface Change {
+  readonly key: string;
+  readonly revision: number;
+  readonly item?: Item;
+}
+
+interface TxnBody {
+  readonly precondition?: readonly {key: string; revision: number}[];
+  readonly write?: readonly {key: string; value: string; lease?: number}[];
+  readonly remove?: readonly string[];
+}
+
+const PAGE_ITEMS = 3;
+
+/** The platform's key-value service in memory, in its published words. Faults are set by hand. */
+export class KvStandin {
+  /** Answers every call with this status. */
+  failWith?: number;
+  /** Writes take effect and are not answered. */
+  losesAnswers = false;
+  callCount = 0;
+  private readonly items = new Map<string, Item>();
+  private changes: Change[] = [];
+  private revision = 1;
+  private leaseCount = 0;
+  private readonly leases = new Map<number, NodeJS.Timeout>();
+  private readonly ttlsMs = new Map<number, number>();
+  private readonly waiting = new Set<() => void>();
+  private readonly server = createServer((message, response) => {
+    void this.take(message, response);
+  });
+
+  listen(): Promise<string> {
+    return new Promise(resolve => {
+      this.server.listen(0, '127.0.0.1', () => {
+        const address = this.server.address() as {port: number};
+        resolve(`127.0.0.1:${address.port}`);
+      });
+    });
+  }
+
+  close(): void {
+    for (const timer of this.leases.values()) clearTimeout(timer);
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  /** Writes as the operator or an engine would. */
+  put(key: string, value: unknown): void {
+    const text = typeof value === 'string' ? value : JSON.stringify(value);
+    this.write(key, Buffer.from(text).toString('base64'), 0);
+  }
+
+  remove(key: string): void {
+    if (!this.items.delete(key)) return;
+    this.revision += 1;
+    this.note({key, revision: this.revision});
+  }
+
+  forgetHistory(): void {
+    this.changes = [];
+    for (const wake of [...this.waiting]) wake();
+  }
+
+  private async take(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    this.callCount += 1;
+    let text = '';
+    for await (const chunk of message) text += String(chunk);
+    if (this.failWith !== undefined) {
+      response.writeHead(this.failWith).end('{}');
+      return;
+    }
+    const url = new URL(message.url!, 'http://store');
+    const answer = await this.answer(message.method!, url, text);
+    if (this.losesAnswers && message.method === 'POST') {
+      message.socket.destroy();
+      return;
+    }
+    response.writeHead(answer.status, {'content-type': 'application/json'});
+    response.end(JSON.stringify(answer.body));
+  }
+
+  private async answer(
+    method: string,
+    url: URL,
+    text: string,
+  ): Promise<{status: number; body: unknown}> {
+    const {searchParams, pathname} = url;
+    const prefix = searchParams.get('path-prefix') ?? '';
+    if (pathname === '/kv-key') {
+      const item = this.items.get(searchParams.get('key')!);
+      if (!item) return {status: 404, body: {}};
+      return {status: 200, body: {...item, at: this.revision}};
+    }
+    if (pathname === '/kv-range') {
+      const after = searchParams.get('after') ?? '';
+      const found = [...this.items.values()]
+        .filter(({key}) => key.startsWith(prefix) && key > after)
+        .sort((a, b) => (a.key < b.key ? -1 : 1));
+      const items = found.slice(0, PAGE_ITEMS);
+      const hasMore = found.length > items.length;
+      return {
+        status: 200,
+        body: {items, 'has-more': hasMore, at: this.revision},
+      };
+    }
+    if (pathname === '/kv-watch') return this.watch(prefix, searchParams);
+    if (pathname === '/kv-txn') return this.txn(JSON.parse(text) as TxnBody);
+    if (pathname === '/kv-lease') {
+      const ttlMs = (JSON.parse(text) as {'ttl-ms': number})['ttl-ms'];
+      this.leaseCount += 1;
+      this.arm(this.leaseCount, ttlMs);
+      return {status: 200, body: {lease: this.leaseCount, 'ttl-ms': ttlMs}};
+    }
+    const lease = Number(pathname.split('/').at(-1));
+    if (!this.leases.has(lease)) return {status: 404, body: {}};
+    if (method === 'DELETE') this.endLease(lease);
+    else this.arm(lease, this.ttlsMs.get(lease)!);
+    return {status: 200, body: {}};
+  }
+
+  private async watch(
+    prefix: string,
+    parameters: URLSearchParams,
+  ): Promise<{status: number; body: unknown}> {
+    const after = Number(parameters.get('after'));
+    const waitMs = Number(parameters.get('wait-ms'));
+    const find = () =>
+      this.changes.filter(
+        ({key, revision}) => key.startsWith(prefix) && revision > after,
+      );
+    if (find().length === 0) {
+      await new Promise<void>(resolve => {
+        const wake = () => {
+          this.waiting.delete(wake);
+          clearTimeout(timer);
+          resolve();
+        };
+        const timer = setTimeout(wake, waitMs);
+        this.waiting.add(wake);
+      });
+    }
+    const oldest = this.changes[0]?.revision ?? this.revision + 1;
+    if (after + 1 < oldest && after < this.revision) {
+      return {status: 410, body: {}};
+    }
+    const events = find().map(
+      ({key, revision, item}) => item ?? {key, revision, deleted: true},
+    );
+    return {status: 200, body: {events, at: this.revision}};
+  }
+
+  private txn(body: TxnBody): {status: number; body: unknown} {
+    const conditions = body.precondition ?? [];
+    const holds = conditions.every(
+      ({key, revision}) => (this.items.get(key)?.revision ?? 0) === revision,
+    );
+    if (!holds) {
+      const items = conditions.flatMap(({key}) => this.items.get(key) ?? []);
+      return {status: 412, body: {items}};
+    }
+    for (const {key, value, lease} of body.write ?? []) {
+      if (lease && !this.leases.has(lease)) return {status: 404, body: {}};
+      this.write(key, value, lease ?? 0);
+    }
+    for (const key of body.remove ?? []) this.remove(key);
+    return {status: 200, body: {revision: this.revision}};
+  }
+
+  private write(key: string, value: string, lease: number): void {
+    this.revision += 1;
+    const item = {key, value, revision: this.revision, lease};
+    this.items.set(key, item);
+    this.note({key, revision: this.revision, item});
+  }
+
+  private note(change: Change): void {
+    this.changes.push(change);
+    for (const wake of [...this.waiting]) wake();
+  }
+
+  private arm(lease: number, ttlMs: number): void {
+    this.ttlsMs.set(lease, ttlMs);
+    clearTimeout(this.leases.get(lease));
+    this.leases.set(
+      lease,
+      setTimeout(() => this.endLease(lease), ttlMs),
+    );
+  }
+
+  private endLease(lease: number): void {
+    clearTimeout(this.leases.get(lease));
+    this.leases.delete(lease);
+    for (const item of [...this.items.values()]) {
+      if (item.lease === lease) this.remove(item.key);
+    }
+  }
+}
--- /dev/null
+++ b/test/support/raw_engine.ts
@@ -0,0 +1,45 @@
+import {createServer} from 'node:net';
+import type {Socket} from 'node:net';
+
+/** Answers a request on a socket, given its text. */
+export type RawAnswer = (socket: Socket, request: string) => void;
+
+/** An engine that answers with the bytes that a test gives. */
+export class RawEngine {
+  readonly requests: string[] = [];
+  closedSockets = 0;
+  private readonly sockets = new Set<Socket>();
+  private readonly server = createServer(socket => {
+    this.sockets.add(socket);
+    let text = '';
+    socket.on('error', () => {}); // resets are part of the tests
+    socket.on('close', () => {
+      this.sockets.delete(socket);
+      this.closedSockets += 1;
+    });
+    socket.on('data', chunk => {
+      text += chunk.toString();
+      if (!text.includes('\r\n\r\n')) return;
+      const request = text;
+      text = '';
+      this.requests.push(request);
+      this.answer(socket, request);
+    });
+  });
+
+  constructor(public answer: RawAnswer) {}
+
+  listen(): Promise<string> {
+    return new Promise(resolve => {
+      this.server.listen(0, '127.0.0.1', () => {
+        const address = this.server.address() as {port: number};
+        resolve(`127.0.0.1:${address.port}`);
+      });
+    });
+  }
+
+  close(): void {
+    for (const socket of this.sockets) socket.destroy();
+    this.server.close();
+  }
+}
--- /dev/null
+++ b/test/units/platform_adapter/answers.test.ts
@@ -0,0 +1,231 @@
+import assert from 'node:assert/strict';
+import {afterEach, describe, it} from 'node:test';
+import type {RawAnswer} from '../../support/raw_engine.js';
+import {AdapterNode} from '../../support/adapter_node.js';
+import {callHttp} from '../../support/call_http.js';
+import {waitFor} from '../../support/wait_for.js';
+
+const HEAD = 'HTTP/1.1 200 OK\r\nX-Attempt-Id: attempt-1\r\n';
+const SIGNED = `${HEAD}X-Response-Signature: signature\r\n`;
+const STREAM = `${SIGNED}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`;
+
+const whole: RawAnswer = socket =>
+  void socket.write(`${SIGNED}Content-Length: 5\r\n\r\nhello`);
+
+function chunk(text: string): string {
+  return `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
+}
+
+function streamOf(from: number, to: number): string {
+  let text = '';
+  for (let id = from; id <= to; id++)
+    text += chunk(`id: ${id}\ndata: d${id}\n\n`);
+  return text;
+}
+
+describe('answers through the adapter', () => {
+  let adapter: AdapterNode | undefined;
+  afterEach(async () => {
+    await adapter?.close();
+    adapter = undefined;
+  });
+
+  it('passes a request on with the headers that the system sets, and the answer back unchanged', async () => {
+    adapter = await AdapterNode.start([whole]);
+    const answer = await adapter.call('unsafe', {
+      headers: {'x-tenant': 'forged', 'x-priority-class': '0', 'x-own': 'kept'},
+    });
+    assert.equal(answer.status, 200);
+    assert.equal(answer.body, 'hello');
+    assert.equal(answer.headers['x-response-signature'], 'signature');
+    const [request] = adapter.engines[0]!.requests;
+    assert.match(request!, /^POST \/unsafe\/x\?y=1 HTTP\/1.1/);
+    assert.match(request!, /x-tenant: stable\r\n/i);
+    assert.match(request!, /x-expect-instance: i-0\r\n/i);
+    assert.match(request!, /x-own: kept\r\n/i);
+    assert.match(request!, /x-deadline-ms: 1[0-4]\d\d\r\n/i);
+    assert.doesNotMatch(request!, /authorization|forged/i);
+    assert.match(request!, /\r\n\r\nbody$/);
+  });
+
+  it('resumes a stream that ends inside an event at another engine, after the last whole event', async () => {
+    const broken: RawAnswer = socket => {
+      socket.write(STREAM + streamOf(1, 2) + chunk('id: 3\ndata: tor'));
+      setTimeout(() => socket.destroy(), 20);
+    };
+    const resumes: RawAnswer = (socket, request) => {
+      const from = Number(/last-event-id: (\d+)/i.exec(request)?.[1] ?? 0) + 1;
+      socket.write(STREAM + streamOf(from, 4) + '0\r\n\r\n');
+    };
+    const answers: RawAnswer[] = [];
+    let calls = 0;
+    const either: RawAnswer = (socket, request) =>
+      (calls++ === 0 ? broken : resumes)(socket, request);
+    answers.push(either, either);
+    adapter = await AdapterNode.start(answers);
+    const answer = await adapter.call('streaming');
+    assert.equal(answer.whole, true);
+    const ids = [...answer.body.matchAll(/id: (\d+)/g)].map(([, id]) => id);
+    assert.deepEqual(ids, ['1', '2', '3', '4']);
+  });
+
+  it('never gives a cut answer the look of a whole one', async () => {
+    const cuts: RawAnswer[] = [
+      socket => {
+        socket.write(`${SIGNED}Content-Length: 50\r\n\r\nhalf`);
+        setTimeout(() => socket.destroy(), 20);
+      },
+      socket => {
+        socket.write(`${SIGNED}Connection: close\r\n\r\nhalf`);
+        setTimeout(() => socket.resetAndDestroy(), 20);
+      },
+    ];
+    for (const cut of cuts) {
+      adapter = await AdapterNode.start([cut]);
+      const answer = await adapter.call('unsafe');
+      assert.equal(answer.status, 502);
+      assert.equal(answer.headers['x-response-signature'], undefined);
+      await adapter.close();
+    }
+    adapter = undefined;
+  });
+
+  it('lets an answer without length end with its connection', async () => {
+    adapter = await AdapterNode.start([
+      socket => {
+        socket.end(`${SIGNED}Connection: close\r\n\r\nall of it`);
+      },
+    ]);
+    const answer = await adapter.call('unsafe');
+    assert.equal(answer.status, 200);
+    assert.equal(answer.body, 'all of it');
+    assert.equal(answer.headers['content-length'], undefined);
+    assert.equal(answer.headers['transfer-encoding'], undefined);
+  });
+
+  it('gives nobody the answer to another request', async () => {
+    const foreign: RawAnswer = socket =>
+      void socket.write(
+        'HTTP/1.1 200 OK\r\nX-Attempt-Id: another\r\nX-Response-Signature: s\r\nContent-Length: 5\r\n\r\nwrong',
+      );
+    adapter = await AdapterNode.start([foreign, foreign]);
+    const answer = await adapter.call('safe');
+    assert.equal(answer.status, 502);
+    assert.doesNotMatch(answer.body, /wrong/);
+  });
+
+  it('does not take extra bytes after an answer for the next one', async () => {
+    adapter = await AdapterNode.start([
+      socket => {
+        socket.write(
+          `${SIGNED}Content-Length: 5\r\n\r\nhello${SIGNED}Content-Length: 5\r\n\r\nextra`,
+        );
+      },
+    ]);
+    for (let at = 0; at < 3; at++) {
+      const answer = await adapter.call('safe', {
+        headers: {'x-attempt-id': 'attempt-1'},
+      });
+      assert.notEqual(answer.body, 'extra');
+    }
+  });
+
+  it('sends a request that an engine turns away to another', async () => {
+    const full: RawAnswer = socket =>
+      void socket.write(
+        'HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: attempt-1\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n',
+      );
+    let calls = 0;
+    const either: RawAnswer = (socket, request) =>
+      (calls++ === 0 ? full : whole)(socket, request);
+    adapter = await AdapterNode.start([either, either]);
+    const answer = await adapter.call('unsafe');
+    assert.equal(answer.status, 200);
+    assert.equal(calls, 2);
+  });
+
+  it("passes on an engine's own failure when no other engine answers", async () => {
+    const failing: RawAnswer = socket =>
+      void socket.write(
+        'HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: attempt-1\r\nX-Response-Signature: s\r\nContent-Length: 4\r\n\r\nfail',
+      );
+    adapter = await AdapterNode.start([failing, failing]);
+    const answer = await adapter.call('safe');
+    assert.equal(answer.status, 500);
+    assert.equal(answer.headers['x-response-signature'], 's');
+  });
+
+  it('ends the work of an engine when the caller leaves', async () => {
+    adapter = await AdapterNode.start([
+      socket => void socket.write(STREAM + streamOf(1, 1)),
+    ]);
+    const leaving = new AbortController();
+    const call = adapter.call('streaming', {
+      signal: leaving.signal,
+      onData: () => leaving.abort(),
+    });
+    await call.catch(() => {}); // the caller's own abort
+    const [engine] = adapter.engines;
+    await waitFor('closed socket', () => engine!.closedSockets > 0);
+  });
+
+  it('answers by itself what needs no engine', async () => {
+    adapter = await AdapterNode.start([whole]);
+    assert.equal((await adapter.call('nowhere')).status, 404);
+    assert.equal((await adapter.call('safe', {key: 'stolen'})).status, 401);
+    const large = await adapter.call('unsafe', {body: 'x'.repeat(2000)});
+    assert.equal(large.status, 413);
+    assert.equal(adapter.engines[0]!.requests.length, 0);
+  });
+
+  it('follows a key that is taken away, and an engine that leaves', async () => {
+    adapter = await AdapterNode.start([whole]);
+    const {store, node} = adapter;
+    adapter.configure(2, {tenants: [{name: 'stable', 'api-keys': ['other']}]});
+    await waitFor('version 2', () => node.state.config?.version === 2);
+    assert.equal((await adapter.call('safe')).status, 401);
+    store.remove('servers/i-0');
+    await waitFor('no target', () => node.state.targets.size === 0);
+    const answer = await adapter.call('safe', {key: 'other'});
+    assert.equal(answer.status, 503);
+    assert.ok(Number(answer.headers['retry-after']) > 0);
+  });
+
+  it('tells callers where to connect while it is ready', async () => {
+    adapter = await AdapterNode.start([whole]);
+    const ready = await callHttp(`http://${adapter.ready}/readyz`);
+    assert.equal(ready.status, 200);
+    const resolved = await callHttp(
+      `http://${adapter.directory}/resolve?name=desk.example&region=r&zone=z`,
+    );
+    assert.deepEqual(JSON.parse(resolved.body), {
+      addresses: [adapter.front],
+      'ttl-s': 2,
+    });
+    adapter.node.leave();
+    const leaving = await callHttp(`http://${adapter.ready}/readyz`);
+    assert.equal(leaving.status, 503);
+  });
+
+  it('lists anew when the store has forgotten its history, and lives through an outage of it', async () => {
+    adapter = await AdapterNode.start([whole]);
+    const {store, node} = adapter;
+    store.failWith = 503;
+    adapter.configure(3);
+    store.forgetHistory();
+    store.remove('servers/i-foreign');
+    assert.equal((await adapter.call('safe')).status, 200);
+    store.failWith = undefined;
+    await waitFor('version 3', () => node.state.config?.version === 3);
+  });
+
+  it('holds the lease of the steward when answers of the store are lost', async () => {
+    adapter = await AdapterNode.start([whole]);
+    const {store, node} = adapter;
+    await waitFor('lease', () => node.state.steward.term !== undefined);
+    store.losesAnswers = true;
+    await waitFor('no lease', () => node.state.steward.term === undefined);
+    store.losesAnswers = false;
+    await waitFor('lease again', () => node.state.steward.term !== undefined);
+  });
+});
--- /dev/null
+++ b/test/units/serving/load_replays.test.ts
@@ -0,0 +1,113 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import type {CallerOutcome} from '../../../src/replay/serving/index.js';
+import {
+  ServingWorld,
+  measureServing,
+  sendLoad,
+} from '../../../src/replay/serving/index.js';
+import {createRandom} from '../../../src/core/random/index.js';
+
+const SEEDS = [1, 2, 3];
+const ASSEMBLY_MS = 8000;
+const LOAD_MS = 14_000;
+const TAIL_MS = 12_000;
+
+interface Replay {
+  readonly perS: (atMs: number) => number;
+  readonly fault?: (world: ServingWorld) => void;
+}
+
+/** Outcomes of a load on three domains and six nodes, over several seeds. */
+function replay({perS, fault}: Replay): CallerOutcome[] {
+  const outcomes: CallerOutcome[] = [];
+  for (const seed of SEEDS) {
+    const world = new ServingWorld({
+      seed,
+      nodeCount: 6,
+      domainCount: 3,
+      domainSize: 11,
+    });
+    world.runFor(ASSEMBLY_MS);
+    sendLoad(world, createRandom(seed), {forMs: LOAD_MS, perS});
+    if (fault) world.after(4000, () => fault(world));
+    world.runFor(LOAD_MS + TAIL_MS);
+    assert.deepEqual(world.breaches, []);
+    outcomes.push(...world.outcomes);
+  }
+  return outcomes;
+}
+
+/** Credit as the callers' goals give it: late answers are worth a quarter. */
+function worthOf(outcomes: readonly CallerOutcome[]): number {
+  const {onTime, whole} = measureServing(outcomes);
+  return onTime + 0.25 * (whole - onTime);
+}
+
+describe('load at its worst', () => {
+  it('a calm load is answered on time', () => {
+    const {onTime, failed} = measureServing(replay({perS: () => 45}));
+    assert.ok(onTime >= 0.99, `on time ${onTime}`);
+    assert.equal(failed, 0);
+  });
+
+  it('a crest that one model cannot bear leaves those on time that its slots allow', () => {
+    const perS = (atMs: number) => (atMs > 2000 && atMs < 9000 ? 105 : 45);
+    const outcomes = replay({perS});
+    const worth = worthOf(outcomes);
+    // Slots bear 54 of 63 drafts a second at the crest, and all else: 0.93.
+    assert.ok(worth >= 0.75, `worth ${worth}`);
+  });
+
+  it('a crest of nearly twice the load is not answered late as a whole', () => {
+    const perS = (atMs: number) => (atMs > 2000 && atMs < 8000 ? 150 : 45);
+    const worth = worthOf(replay({perS}));
+    assert.ok(worth >= 0.55, `worth ${worth}`);
+  });
+
+  it('callers that come back after an outage do not make all later ones late', () => {
+    const outcomes = replay({
+      perS: () => 50,
+      fault: world => {
+        for (const node of world.nodes) node.isUp = false;
+        world.after(1800, () => {
+          for (const node of world.nodes) node.isUp = true;
+        });
+      },
+    });
+    const worth = worthOf(outcomes);
+    assert.ok(worth >= 0.8, `worth ${worth}`);
+  });
+
+  it('a domain lost at the crest is made up for by the others and by repair', () => {
+    const outcomes = replay({
+      perS: () => 60,
+      fault: world => {
+        for (const engine of [...world.engines.values()].slice(0, 11)) {
+          const {vmId} = engine.record;
+          world.loseEngine(vmId, {isSilent: true});
+          world.after(8000, () => !engine.isUp && world.restartEngine(vmId));
+        }
+      },
+    });
+    const worth = worthOf(outcomes);
+    const {failed} = measureServing(outcomes);
+    assert.ok(worth >= 0.75, `worth ${worth}`);
+    assert.ok(failed <= 0.01, `failed ${failed}`);
+  });
+
+  it('a member lost under load costs little: streams move, a spare takes its place', () => {
+    const outcomes = replay({
+      perS: () => 45,
+      fault: world => {
+        const member = [...world.engines.values()].find(
+          ({record}) => record.membership?.rank === 1,
+        )!;
+        world.loseEngine(member.record.vmId, {isSilent: true});
+      },
+    });
+    const {onTime, whole} = measureServing(outcomes);
+    assert.ok(whole >= 0.995, `whole ${whole}`);
+    assert.ok(onTime >= 0.95, `on time ${onTime}`);
+  });
+});
