Send a moved stream on in the same step; request ids of one life; explain and timeline

Request ids came again after a restart of the node and mixed two requests in 'explain'; they now hold the life of the node.

--- a/src/cli/create_cli.ts
+++ b/src/cli/create_cli.ts
@@ -6,12 +6,14 @@
 import {configCommand} from './commands/config_command.js';
 import {devCommand} from './commands/dev_command.js';
 import {drainCommand} from './commands/drain_command.js';
+import {explainCommand} from './commands/explain_command.js';
 import {nodeCommand} from './commands/node_command.js';
 import {publishCommand} from './commands/publish_command.js';
 import {replayCommand} from './replay/index.js';
 import {replicasCommand} from './commands/replicas_command.js';
 import {servicesCommand} from './commands/services_command.js';
 import {statusCommand} from './commands/status_command.js';
+import {timelineCommand} from './commands/timeline_command.js';
 import {validateCommand} from './commands/validate_command.js';
 
 /** Creates the command line with all commands. */
@@ -28,6 +30,8 @@
     .command(replicasCommand)
     .command(auditCommand)
     .command(drainCommand)
+    .command(explainCommand)
+    .command(timelineCommand)
     .command(devCommand)
     .command(replayCommand)
     .demandCommand(1, 'Name a command.')
--- a/src/core/serving/arrive_request.ts
+++ b/src/core/serving/arrive_request.ts
@@ -17,8 +17,6 @@
 const LEAVING_RETRY_MS = 20;
 /** A request that lost this many targets is not sent to more. */
 const MAX_LOST_TARGETS = 2;
-/** Part of the time that is left in which a request may wait without a place: a return after that still finds some. */
-const HOLD_SHARE = 0.5;
 
 /** Admits a request, or answers it at once when it can't be served. */
 export function arriveRequest(
@@ -68,8 +66,7 @@
     priority: organisation?.priority ?? route.priority,
     goalAtMs,
     giveUpAtMs,
-    holdUntilMs:
-      request.arrivedAtMs + HOLD_SHARE * (giveUpAtMs - request.arrivedAtMs),
+    holdUntilMs: nowMs,
     waitingSinceMs: nowMs,
     tried: new Set(),
     verdict: 'not-run',
--- a/src/core/serving/find_stalls.ts
+++ b/src/core/serving/find_stalls.ts
@@ -2,9 +2,9 @@
 import {endAttempt} from './end_attempt.js';
 import {estimateFirstEventMs} from './estimate_first_event_ms.js';
 import {logDecision} from './log_decision.js';
-import {moveRequest} from './move_request.js';
 import {repeatBudget} from './repeat_budget.js';
 import {selectTarget} from './select_target.js';
+import {sendAttempt} from './send_attempt.js';
 import {suspectTarget} from './suspect_target.js';
 import {targetLoad} from './target_load.js';
 
@@ -100,5 +100,5 @@
   });
   step.effects.push({type: 'cancelAttempt', attemptId: attempt.attemptId});
   endAttempt(state, record);
-  moveRequest(step, record);
+  sendAttempt(step, record, placement);
 }
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -62,7 +62,7 @@
   /** The final answer is due by then. */
   readonly giveUpAtMs: number;
   /** A request that waits is turned away then. */
-  readonly holdUntilMs: number;
+  holdUntilMs: number;
   /** Since when it waits for a target, here. */
   waitingSinceMs: number;
   readonly tried: Set<VmId>;
--- a/src/serving/front_server.ts
+++ b/src/serving/front_server.ts
@@ -1,4 +1,4 @@
-import {createHash} from 'node:crypto';
+import {createHash, randomBytes} from 'node:crypto';
 import {createServer} from 'node:http';
 import type {EffectHandler} from '../runtime/types.js';
 import type {Fingerprint, RequestId} from '../core/ids/index.js';
@@ -33,6 +33,8 @@
     (request, response) => void this.take(request, response),
   );
   private count = 0;
+  /** Keeps the ids of one life of the node apart from those of the next. */
+  private readonly incarnation = randomBytes(3).toString('hex');
 
   constructor(private readonly context: ServingContext) {}
 
@@ -119,7 +121,9 @@
     const {context} = this;
     this.count += 1;
     const {nodeId} = context.settings;
-    const requestId = makeId<RequestId>(`${nodeId}.${this.count.toString(36)}`);
+    const requestId = makeId<RequestId>(
+      `${nodeId}.${this.incarnation}.${this.count.toString(36)}`,
+    );
     const path = message.url ?? '/';
     const call = new CallerCall(
       message.method ?? 'GET',
