--- a/test/units/serving/stalls.test.ts
+++ b/test/units/serving/stalls.test.ts
@@ -8,25 +8,26 @@
     node.arrive('streaming', {patienceMs: 1900});
     const [first] = node.take('startAttempt');
     assert.ok(first);
-    // The others are nearly full: room that late requests must wait for.
-    for (let at = 0; at < 6; at++) {
-      const loads = [...node.state.engines.keys()].map(vmId => ({
-        vmId,
-        inFlight: 5,
-        unreadTokens: 0,
-        progressAgeMs: -1,
-        isSuspect: false,
-        isSlow: false,
-      }));
+    // The others are nearly full: late requests have to wait for room there.
+    const loads = [...node.state.engines.keys()].map(vmId => ({
+      vmId,
+      inFlight: 5,
+      unreadTokens: 0,
+      progressAgeMs: -1,
+      isSuspect: false,
+      isSlow: false,
+    }));
+    const cancelled: unknown[] = [];
+    for (let at = 0; at < 40 && cancelled.length === 0; at++) {
       const digest = node.peerDigest({loads});
       node.dispatch({type: 'digestReceived', digest});
-      node.pass(200);
+      node.pass(50);
+      cancelled.push(...node.take('cancelAttempt'));
     }
-    const cancelled = node.take('cancelAttempt');
-    const sent = node.take('startAttempt');
     assert.equal(cancelled.length, 1);
-    assert.equal(sent.length, 1);
-    assert.notEqual(sent[0]!.vmId, first.vmId);
+    const [sent] = node.take('startAttempt');
+    assert.ok(sent);
+    assert.notEqual(sent.vmId, first.vmId);
     assert.equal(node.take('refuse').length, 0);
   });
 
