Call the product's store code by its name; split the virtual world of serving

src/platform held the runner of store calls, beside the adapter's platform/: now src/store. The virtual world's callers and promise checks are files of their own. No behaviour changed.

--- /dev/null
+++ b/src/replay/serving/promise_checks.ts
@@ -0,0 +1,82 @@
+import type {EngineWorld, JoinOrder} from './types.js';
+import type {VmId} from '../../core/ids/index.js';
+import {SERVING_BOUNDS} from './serving_bounds.js';
+import {replicaKey} from '../../core/fleet/index.js';
+
+interface ReplicaRecord {
+  readonly members: readonly VmId[];
+  readonly wasReady: Set<VmId>;
+}
+
+/** Notes each breach of the promises on replicas and loads, from what engines do. */
+export class PromiseChecks {
+  readonly breaches: string[] = [];
+  private loadStartsMs: number[] = [];
+  private readonly replicas = new Map<string, ReplicaRecord>();
+
+  constructor(private readonly world: EngineWorld) {}
+
+  noteJoin(vmId: VmId, order: JoinOrder): void {
+    const engine = this.world.findEngine(vmId)!;
+    const {membership} = engine.record;
+    const headId = engine.members[0];
+    const head =
+      headId === undefined ? undefined : this.world.findEngine(headId);
+    const theirs = head?.record.membership;
+    const serves =
+      membership !== undefined &&
+      theirs?.replicaId === membership.replicaId &&
+      theirs.epoch === membership.epoch &&
+      head!.isServing;
+    if (serves) {
+      this.breaches.push(
+        `TWO at ${this.world.nowMs}: ${vmId} joins ${order.replicaId} while ${headId} serves ${membership.replicaId}`,
+      );
+    }
+    const key = replicaKey(order.replicaId, order.epoch);
+    if (!this.replicas.has(key)) {
+      this.replicas.set(key, {members: order.members, wasReady: new Set()});
+    }
+  }
+
+  noteReady(vmId: VmId): void {
+    const {membership} = this.world.findEngine(vmId)!.record;
+    if (!membership) return;
+    this.replicas
+      .get(replicaKey(membership.replicaId, membership.epoch))
+      ?.wasReady.add(vmId);
+  }
+
+  noteStart(vmId: VmId): void {
+    const {membership, models} = this.world.findEngine(vmId)!.record;
+    if (!membership) return;
+    const key = replicaKey(membership.replicaId, membership.epoch);
+    const replica = this.replicas.get(key);
+    const size = this.world.costs.models.find(
+      ({name}) => name === models[0],
+    )?.size;
+    const isWhole =
+      replica !== undefined &&
+      replica.members.length === size &&
+      replica.members.every(member => replica.wasReady.has(member));
+    if (!isWhole) {
+      this.breaches.push(
+        `PARTIAL at ${this.world.nowMs}: ${vmId} runs in ${key}`,
+      );
+    }
+  }
+
+  noteLoad(): void {
+    this.loadStartsMs.push(this.world.nowMs);
+    const windowMs = SERVING_BOUNDS.loadWindowMs;
+    const recent = this.loadStartsMs.filter(
+      atMs => this.world.nowMs - atMs < windowMs,
+    );
+    const limit = (this.world.costs.loadsPerS * windowMs * 1.1) / 1000 + 3;
+    if (recent.length > limit) {
+      this.breaches.push(
+        `CEILING at ${this.world.nowMs}: ${recent.length} loads`,
+      );
+    }
+  }
+}
--- a/src/replay/serving/serving_world.ts
+++ b/src/replay/serving/serving_world.ts
@@ -2,13 +2,16 @@
   AttemptId,
   DomainId,
   NodeId,
-  ReplicaId,
-  RequestId,
   ServiceName,
   VmId,
   ZoneId,
 } from '../../core/ids/index.js';
-import type {CallerOutcome, EngineWorld, JoinOrder} from './types.js';
+import type {
+  CallerOutcome,
+  EngineWorld,
+  JoinOrder,
+  WorldRequest,
+} from './types.js';
 import type {EngineCosts} from '../../core/fleet/types.js';
 import type {EngineOrder} from '../../core/steward/types.js';
 import type {Random} from '../../core/random/index.js';
@@ -21,6 +24,8 @@
 import {ServingEngine} from './serving_engine.js';
 import {SERVING_BOUNDS} from './serving_bounds.js';
 import {createServingConfig} from './create_serving_config.js';
+import {PromiseChecks} from './promise_checks.js';
+import {WorldCallers} from './world_callers.js';
 import {VirtualTime} from '../virtual_time.js';
 import {
   createDigest,
@@ -44,12 +49,8 @@
 const RENEW_MS = 300;
 /** Time from the loss of a VM to its removal from the store. */
 const EXPIRE_MS = 3600;
-/** Callers come back at most after this part of the time that they have left. */
-const RETURN_SHARE = 1 / 3;
 const EARLY_LOAD_FACTOR = 0.1;
 const RESTART_MS = 2500;
-/** Pause of a caller that finds no node. */
-const RECONNECT_MS = 300;
 const MAX_SEED = 2 ** 31;
 
 interface WorldOptions {
@@ -66,30 +67,6 @@
   isUp: boolean;
 }
 
-interface ReplicaRecord {
-  readonly members: readonly VmId[];
-  readonly wasReady: Set<VmId>;
-}
-
-interface CallerCallState {
-  readonly outcome: CallerOutcome;
-  readonly request: Omit<ServingRequest, 'requestId' | 'arrivedAtMs'>;
-  readonly events: number;
-  eventsSeen: number;
-  lastEventAtMs?: number;
-  tries: number;
-}
-
-/** A load on the system: one request of a caller. */
-interface WorldRequest {
-  readonly kind: string;
-  readonly path: string;
-  readonly model: ServingRequest['model'];
-  readonly promptTokens: number;
-  readonly events: number;
-  readonly apiKey?: string;
-}
-
 /**
  * Serving nodes, engines and callers in virtual time.
  *
@@ -104,23 +81,19 @@
   readonly stallMs = SERVING_BOUNDS.stallMs;
   readonly engines = new Map<VmId, ServingEngine>();
   readonly nodes: WorldNode[] = [];
-  readonly outcomes: CallerOutcome[] = [];
-  readonly breaches: string[] = [];
+  private readonly checks: PromiseChecks;
   readonly logs: string[] = [];
   lateOrderShare: number;
-  loadStartsMs: number[] = [];
   hasTraffic = false;
   /** Decides whether bytes get from a node to an engine. */
   isReachable: (node: NodeId, vmId: VmId) => boolean = () => true;
   private readonly random: Random;
   private readonly config = createServingConfig(SERVICE);
-  private readonly replicas = new Map<string, ReplicaRecord>();
-  private readonly calls = new Map<RequestId, CallerCallState>();
+  private readonly callers: WorldCallers;
   private readonly attempts = new Map<AttemptId, VmId>();
   private readonly listed = new Set<VmId>();
   private readonly hidden = new Set<VmId>();
   private revision = 1;
-  private requestCount = 0;
   private term = 0;
   private steward?: WorldNode;
 
@@ -128,6 +101,12 @@
     this.random = createRandom(options.seed);
     this.costs = this.config.services.get(SERVICE)!.engine!;
     this.lateOrderShare = options.lateOrderShare ?? 0;
+    this.checks = new PromiseChecks(this);
+    this.callers = new WorldCallers({
+      time: this.time,
+      config: this.config,
+      arriveAtSomeNode: request => this.arriveAtSomeNode(request),
+    });
     for (let at = 0; at < options.domainCount * options.domainSize; at++) {
       this.addEngine(`d${Math.floor(at / options.domainSize)}`);
     }
@@ -137,6 +116,11 @@
     this.startNodes();
   }
 
+  /** Breaches of the promises on replicas and loads, as engines saw them. */
+  get breaches(): readonly string[] {
+    return this.checks.breaches;
+  }
+
   get nowMs(): number {
     return this.time.nowMs;
   }
@@ -232,40 +216,15 @@
     this.renewLease(next, this.term + this.revision * 1000);
   }
 
+  /** What became of the requests of callers. */
+  get outcomes(): readonly CallerOutcome[] {
+    return this.callers.outcomes;
+  }
+
   /** Sends a caller's request to a node by chance. */
   send(request: WorldRequest): void {
     this.hasTraffic = true;
-    const route = this.config.routesByHost
-      .get('host')!
-      .find(({pathPrefix}) => request.path.startsWith(pathPrefix))!;
-    const outcome: CallerOutcome = {
-      kind: request.kind,
-      model: request.model,
-      promptTokens: request.promptTokens,
-      arrivedAtMs: this.nowMs,
-      goalMs: route.goalMs,
-      gapGoalMs: route.gapGoalMs ?? Infinity,
-      longestGapMs: 0,
-      refusals: 0,
-    };
-    this.outcomes.push(outcome);
-    const call: CallerCallState = {
-      outcome,
-      events: request.events,
-      eventsSeen: 0,
-      tries: 0,
-      request: {
-        callerId: `c${this.outcomes.length}`,
-        host: 'host',
-        path: request.path,
-        apiKey: request.apiKey ?? 'key-0',
-        patienceMs: route.timeoutMs,
-        model: request.model,
-        promptTokens: request.promptTokens,
-        fingerprint: makeId(`f${this.outcomes.length}`),
-      },
-    };
-    this.arrive(call);
+    this.callers.send(request);
   }
 
   runFor(ms: number): void {
@@ -287,61 +246,19 @@
   }
 
   noteJoin(vmId: VmId, order: JoinOrder): void {
-    const engine = this.engines.get(vmId)!;
-    const {membership} = engine.record;
-    const headId = engine.members[0];
-    const head = headId === undefined ? undefined : this.engines.get(headId);
-    const theirs = head?.record.membership;
-    const serves =
-      membership !== undefined &&
-      theirs?.replicaId === membership.replicaId &&
-      theirs.epoch === membership.epoch &&
-      head!.isServing;
-    if (serves) {
-      this.breaches.push(
-        `TWO at ${this.nowMs}: ${vmId} joins ${order.replicaId} while ${headId} serves ${membership.replicaId}`,
-      );
-    }
-    const key = replicaKeyOf(order.replicaId, order.epoch);
-    if (!this.replicas.has(key)) {
-      this.replicas.set(key, {members: order.members, wasReady: new Set()});
-    }
+    this.checks.noteJoin(vmId, order);
   }
 
   noteReady(vmId: VmId): void {
-    const {membership} = this.engines.get(vmId)!.record;
-    if (!membership) return;
-    this.replicas
-      .get(replicaKeyOf(membership.replicaId, membership.epoch))
-      ?.wasReady.add(vmId);
+    this.checks.noteReady(vmId);
   }
 
   noteStart(vmId: VmId): void {
-    const {membership, models} = this.engines.get(vmId)!.record;
-    if (!membership) return;
-    const key = replicaKeyOf(membership.replicaId, membership.epoch);
-    const replica = this.replicas.get(key);
-    const size = this.costs.models.find(({name}) => name === models[0])?.size;
-    const isWhole =
-      replica !== undefined &&
-      replica.members.length === size &&
-      replica.members.every(member => replica.wasReady.has(member));
-    if (!isWhole) {
-      this.breaches.push(`PARTIAL at ${this.nowMs}: ${vmId} runs in ${key}`);
-    }
+    this.checks.noteStart(vmId);
   }
 
   noteLoad(): void {
-    if (!this.hasTraffic) return;
-    this.loadStartsMs.push(this.nowMs);
-    const windowMs = SERVING_BOUNDS.loadWindowMs;
-    const recent = this.loadStartsMs.filter(
-      atMs => this.nowMs - atMs < windowMs,
-    );
-    const limit = (this.costs.loadsPerS * windowMs * 1.1) / 1000 + 3;
-    if (recent.length > limit) {
-      this.breaches.push(`CEILING at ${this.nowMs}: ${recent.length} loads`);
-    }
+    if (this.hasTraffic) this.checks.noteLoad();
   }
 
   loadFactor(): number {
@@ -420,10 +337,10 @@
         break;
       }
       case 'refuse':
-        this.endRefused(effect);
+        this.callers.endRefused(effect);
         break;
       case 'cutAnswer':
-        this.end(effect.requestId, 'cut');
+        this.callers.end(effect.requestId, 'cut');
         break;
       case 'sendOrder':
         this.sendOrder(node, effect.vmId, effect.order);
@@ -446,7 +363,7 @@
     effect: Extract<ServingEffect, {type: 'startAttempt'}>,
   ): void {
     const {attemptId, requestId, vmId} = effect;
-    const call = this.calls.get(requestId);
+    const call = this.callers.find(requestId);
     const engine = this.engines.get(vmId);
     if (!call || !engine) return;
     this.attempts.set(attemptId, vmId);
@@ -471,80 +388,24 @@
         hasStarted: false,
         onEvent: () => {
           report({type: 'attemptProgress', attemptId, eventCount: 1});
-          this.after(2 * HOP_MS, () => this.takeEvent(requestId));
+          this.after(2 * HOP_MS, () => this.callers.takeEvent(requestId));
         },
         onEnd: () => {
           report({type: 'attemptEnded', attemptId, status: 200});
-          this.after(2 * HOP_MS, () => this.end(requestId, 'whole'));
+          this.after(2 * HOP_MS, () => this.callers.end(requestId, 'whole'));
         },
         onFail: fault => report({type: 'attemptFailed', attemptId, fault}),
       }),
     );
   }
 
-  private takeEvent(requestId: RequestId): void {
-    const call = this.calls.get(requestId);
-    if (!call) return;
-    const {outcome} = call;
-    call.eventsSeen += 1;
-    outcome.firstMs ??= this.nowMs - outcome.arrivedAtMs;
-    if (call.lastEventAtMs !== undefined) {
-      const gapMs = this.nowMs - call.lastEventAtMs;
-      outcome.longestGapMs = Math.max(outcome.longestGapMs, gapMs);
-    }
-    call.lastEventAtMs = this.nowMs;
-  }
-
-  private arrive(call: CallerCallState): void {
+  /** False when no node runs. */
+  private arriveAtSomeNode(request: ServingRequest): boolean {
     const nodes = this.nodes.filter(({isUp}) => isUp);
     const node = nodes[this.random.below(nodes.length)];
-    const leftMs =
-      call.outcome.arrivedAtMs + (call.request.patienceMs ?? 0) - this.nowMs;
-    if (!node) {
-      if (leftMs > 0) this.after(RECONNECT_MS, () => this.arrive(call));
-      else call.outcome.result = 'failed';
-      return;
-    }
-    this.requestCount += 1;
-    call.tries += 1;
-    const requestId = makeId<RequestId>(`r${this.requestCount}`);
-    this.calls.set(requestId, call);
-    this.dispatch(node, {
-      type: 'requestArrived',
-      request: {
-        ...call.request,
-        patienceMs: leftMs,
-        requestId,
-        arrivedAtMs: this.nowMs,
-      },
-    });
-  }
-
-  private endRefused(effect: Extract<ServingEffect, {type: 'refuse'}>): void {
-    const call = this.calls.get(effect.requestId);
-    if (!call) return;
-    const {outcome} = call;
-    const leftMs =
-      outcome.arrivedAtMs + (call.request.patienceMs ?? 0) - this.nowMs;
-    outcome.refusals += 1;
-    if (effect.status !== 503 || call.tries > 1 || leftMs <= 0) {
-      this.end(effect.requestId, effect.status === 503 ? 'refused' : 'failed');
-      return;
-    }
-    this.calls.delete(effect.requestId);
-    const waitMs = Math.min(effect.retryAfterMs ?? 0, leftMs * RETURN_SHARE);
-    this.after(waitMs, () => this.arrive(call));
-  }
-
-  private end(
-    requestId: RequestId,
-    result: NonNullable<CallerOutcome['result']>,
-  ): void {
-    const call = this.calls.get(requestId);
-    if (!call) return;
-    this.calls.delete(requestId);
-    call.outcome.result = result;
-    call.outcome.endedAtMs = this.nowMs;
+    if (!node) return false;
+    this.dispatch(node, {type: 'requestArrived', request});
+    return true;
   }
 
   private sendOrder(node: WorldNode, vmId: VmId, order: EngineOrder): void {
@@ -625,7 +486,3 @@
     this.after(RENEW_MS, () => this.renewLease(node, term));
   }
 }
-
-function replicaKeyOf(replicaId: ReplicaId, epoch: number): string {
-  return `${replicaId}#${epoch}`;
-}
--- a/src/replay/serving/types.ts
+++ b/src/replay/serving/types.ts
@@ -2,6 +2,7 @@
 import type {EngineCosts, EngineRecord} from '../../core/fleet/types.js';
 import type {EngineOrder} from '../../core/steward/types.js';
 import type {ModelName, VmId} from '../../core/ids/index.js';
+import type {ServingRequest} from '../../core/serving/types.js';
 
 /** A request at a virtual engine. */
 export interface EngineJob {
@@ -59,3 +60,13 @@
   refusals: number;
   endedAtMs?: number;
 }
+
+/** A load on the system: one request of a caller. */
+export interface WorldRequest {
+  readonly kind: string;
+  readonly path: string;
+  readonly model: ServingRequest['model'];
+  readonly promptTokens: number;
+  readonly events: number;
+  readonly apiKey?: string;
+}
--- a/src/runtime/create_node.ts
+++ b/src/runtime/create_node.ts
@@ -12,7 +12,7 @@
 import {CallerServer} from '../callers/index.js';
 import {ControlServer} from '../control/index.js';
 import {EventLoop} from './event_loop.js';
-import {HttpPlatformStore, StoreRunner} from '../platform/index.js';
+import {HttpPlatformStore, StoreRunner} from '../store/index.js';
 import {LogRunner, createLogger} from '../logging/index.js';
 import {MetricRunner, createNodeMetrics, eventRole} from '../metrics/index.js';
 import {MonotonicClock} from './monotonic_clock.js';
--- a/test/support/request_node.ts
+++ b/test/support/request_node.ts
@@ -9,7 +9,7 @@
 import {CallerServer} from '../../src/callers/index.js';
 import {EventLoop, MonotonicClock} from '../../src/runtime/index.js';
 import {MemoryPlatform} from '../../src/standins/memory_platform.js';
-import {StoreRunner} from '../../src/platform/index.js';
+import {StoreRunner} from '../../src/store/index.js';
 import {TOKEN, seedConfig, seedTarget} from './seed_state.js';
 import {callHttp} from './call_http.js';
 import {LogRunner, createLogger} from '../../src/logging/index.js';
--- a/test/units/platform/store_runner.test.ts
+++ b/test/units/store/store_runner.test.ts
@@ -6,8 +6,8 @@
 import type {StoreOutcome} from '../../../src/core/store/types.js';
 import type {UndatedEvent} from '../../../src/core/events/types.js';
 import {STORE_PRIORITY} from '../../../src/core/store/index.js';
-import {StoreRunner} from '../../../src/platform/index.js';
-import {callShare} from '../../../src/platform/call_share.js';
+import {StoreRunner} from '../../../src/store/index.js';
+import {callShare} from '../../../src/store/call_share.js';
 import {makeId} from '../../../src/core/ids/index.js';
 
 const PLATFORM = {maxCallsPerSecond: 10, fleetCallsPerSecond: 1000};
