Hold the members of a leaving head that refuses connections until its work has ended

The refused leave order was taken for its end, and its members were joined elsewhere while it was open. Such a head now holds its members for 10.5 s after it was last listed, unless it said before that it had closed.

--- a/src/core/steward/adopt_replicas.ts
+++ b/src/core/steward/adopt_replicas.ts
@@ -76,6 +76,8 @@
     createdAtMs: nowMs,
     dueAtMs: nowMs + (spec?.loadMs ?? 0) + FINISH_MS,
     headAddress: lastRecord?.address,
+    isHeadLeaving: head?.isLeaving ?? false,
+    isClosed: false,
     phase,
     phaseSinceMs: nowMs,
     headSeenAtMs:
--- a/src/core/steward/follow_track.ts
+++ b/src/core/steward/follow_track.ts
@@ -41,6 +41,7 @@
   if (!head) return;
   track.headSeenAtMs = nowMs - state.bounds.listingMs;
   track.headAddress = head.address;
+  track.isHeadLeaving = head.isLeaving;
 }
 
 function followJoining(step: ServingStep, track: ReplicaTrack): void {
@@ -144,6 +145,7 @@
   );
   const stage = headStage(step, track);
   const isClosed = stage === 'ready' || stage === 'broken';
+  track.isClosed = isClosed;
   if (isMissing || isClosed || nowMs - track.phaseSinceMs > CLOSE_MS) {
     setPhase(step, track, 'leaving', track.cause ?? 'closed');
     leaveTrack(step, track);
--- a/src/core/steward/form_replicas.ts
+++ b/src/core/steward/form_replicas.ts
@@ -190,6 +190,8 @@
     createdAtMs: nowMs,
     dueAtMs: nowMs + model.loadMs + JOIN_MARGIN_MS,
     headAddress: head.address,
+    isHeadLeaving: false,
+    isClosed: false,
     phase: 'joining',
     phaseSinceMs: nowMs,
     headSeenAtMs: nowMs,
--- a/src/core/steward/leave_track.ts
+++ b/src/core/steward/leave_track.ts
@@ -6,6 +6,8 @@
 import {releaseTrack} from './release_track.js';
 import {replicaKey} from '../fleet/index.js';
 
+/** A head that leaves refuses connections, and ends its work within this time. */
+const END_WORK_MS = 10_500;
 /** Added to the time in which a head without its members gives up by itself. */
 const STALL_MARGIN_MS = 700;
 /** How long a head is waited for that can't be asked, since its address is not known: longer than VMs are usually cut off. */
@@ -37,7 +39,8 @@
       return;
     }
   }
-  if (!head && isTakenAsGone(step, track)) {
+  const mayEndWork = track.isHeadLeaving && !track.isClosed;
+  if (!head && !mayEndWork && isTakenAsGone(step, track)) {
     releaseTrack(step, track, 'neither the store nor any node hears the head');
     return;
   }
@@ -46,7 +49,9 @@
   const goneAfterMs =
     track.headAddress === undefined
       ? UNKNOWN_HEAD_MS
-      : state.bounds.stallMs + STALL_MARGIN_MS;
+      : mayEndWork
+        ? state.bounds.listingMs + END_WORK_MS
+        : state.bounds.stallMs + STALL_MARGIN_MS;
   if (nowMs - seenAtMs > goneAfterMs) {
     releaseTrack(step, track, 'the head has been silent for too long');
     return;
--- a/src/core/steward/note_order.ts
+++ b/src/core/steward/note_order.ts
@@ -28,7 +28,8 @@
       : steward.tracks.get(replicaKey(order.replicaId, order.epoch));
   if (outcome === 'refused') {
     markLost(step, vmId, 'connection refused');
-    if (track?.phase === 'leaving' && track.members[0] === vmId) {
+    const isEnded = track && (track.isClosed || !track.isHeadLeaving);
+    if (isEnded && track.phase === 'leaving' && track.members[0] === vmId) {
       releaseTrack(step, track, 'the head has ended');
     }
     return;
--- a/src/core/steward/types.ts
+++ b/src/core/steward/types.ts
@@ -58,6 +58,10 @@
   readonly dueAtMs: number;
   /** Undefined: this node has never known it. */
   headAddress?: string;
+  /** The head said that it leaves: it may refuse connections and still end its work. */
+  isHeadLeaving: boolean;
+  /** The head said that it has ended its work. */
+  isClosed: boolean;
   phase: TrackPhase;
   phaseSinceMs: number;
   cause?: string;
--- /dev/null
+++ b/test/units/steward/leaving_head.test.ts
@@ -0,0 +1,53 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import type {ReplicaTrack} from '../../../src/core/steward/types.js';
+import type {
+  ModelName,
+  ReplicaId,
+  ServiceName,
+  VmId,
+} from '../../../src/core/ids/index.js';
+import {ServingNodeHarness} from '../../support/serving_node.js';
+import {makeId} from '../../../src/core/ids/index.js';
+
+/** A node that is steward, and has asked the head e0 of a replica to leave. */
+function askToLeave(track: Partial<ReplicaTrack>) {
+  const node = new ServingNodeHarness().start();
+  const replicaId = makeId<ReplicaId>('e0~1');
+  const members = ['e0', 'e1'].map(one => makeId<VmId>(one));
+  node.state.steward.tracks.set('e0~1#1', {
+    key: 'e0~1#1',
+    replicaId,
+    epoch: 1,
+    service: makeId<ServiceName>('desk'),
+    model: makeId<ModelName>('model'),
+    members,
+    bornAtMs: new Map(members.map(one => [one, 1])),
+    createdAtMs: node.nowMs,
+    dueAtMs: node.nowMs,
+    isHeadLeaving: false,
+    isClosed: false,
+    phase: 'leaving',
+    phaseSinceMs: node.nowMs,
+    headSeenAtMs: node.nowMs,
+    ...track,
+  });
+  node.dispatch({
+    type: 'orderAnswered',
+    vmId: members[0]!,
+    order: {kind: 'leave', replicaId, epoch: 1},
+    outcome: 'refused',
+  });
+  return node.state.steward.tracks.has('e0~1#1');
+}
+
+describe('a head that refuses connections', () => {
+  it('keeps its members while it leaves and may end its work', () => {
+    assert.equal(askToLeave({isHeadLeaving: true}), true);
+  });
+
+  it('gives its members up when it has ended, or had closed before', () => {
+    assert.equal(askToLeave({}), false);
+    assert.equal(askToLeave({isHeadLeaving: true, isClosed: true}), false);
+  });
+});
