Judge whether an engine is known to be lost in one place

The same comparison stood in rebuild_targets, judge_member and free_engines. No behaviour changed; units of steward, admission and repeats pass.

--- a/src/core/serving/rebuild_targets.ts
+++ b/src/core/serving/rebuild_targets.ts
@@ -1,6 +1,7 @@
 import type {EngineRecord, ModelSpec, ReplicaView} from '../fleet/types.js';
 import type {ServingState, ServingTarget} from './types.js';
 import {buildReplicas} from '../fleet/index.js';
+import {isKnownLost} from './is_known_lost.js';
 import {poolKey} from './pool_key.js';
 
 /** Derives replicas and targets anew from the engines and the configuration. */
@@ -72,7 +73,3 @@
   }
   return replica;
 }
-
-function isKnownLost(state: ServingState, engine: EngineRecord): boolean {
-  return state.lostEngines.get(engine.vmId)?.bornAtMs === engine.bornAtMs;
-}
--- a/src/core/steward/free_engines.ts
+++ b/src/core/steward/free_engines.ts
@@ -1,6 +1,7 @@
 import type {EngineRecord} from '../fleet/types.js';
 import type {ServiceName, VmId} from '../ids/index.js';
 import type {ServingState} from '../serving/types.js';
+import {isKnownLost} from '../serving/is_known_lost.js';
 import {replicaKey} from '../fleet/index.js';
 
 /** Engines of a service that belong to no replica, by domain. */
@@ -16,8 +17,7 @@
   for (const engine of state.engines.values()) {
     if (engine.service !== service || engine.isLeaving) continue;
     if (held.has(engine.vmId) || namesTrack(state, engine)) continue;
-    const lost = state.lostEngines.get(engine.vmId);
-    if (lost?.bornAtMs === engine.bornAtMs) continue;
+    if (isKnownLost(state, engine)) continue;
     const domain = engine.domain ?? '';
     const ofDomain = byDomain.get(domain);
     if (ofDomain) ofDomain.push(engine);
--- a/src/core/steward/judge_member.ts
+++ b/src/core/steward/judge_member.ts
@@ -1,7 +1,7 @@
-import type {EngineRecord} from '../fleet/types.js';
 import type {MemberCondition, ReplicaTrack} from './types.js';
 import type {ServingState} from '../serving/types.js';
 import type {VmId} from '../ids/index.js';
+import {isKnownLost} from '../serving/is_known_lost.js';
 import {replicaKey} from '../fleet/index.js';
 
 /** Judges a member of a replica by what the store, probes and the engine itself said last. */
@@ -20,7 +20,3 @@
   if (!isIn) return 'not-joined';
   return engine.isLeaving ? 'leaving' : 'sound';
 }
-
-function isKnownLost(state: ServingState, engine: EngineRecord): boolean {
-  return state.lostEngines.get(engine.vmId)?.bornAtMs === engine.bornAtMs;
-}
