Have one node a zone watch the configuration, and the steward the engines; the others are told

Now digests carry the age of the sender's own proof of the configuration, and count and sum of revisions of its engines. A node takes a peer's proof when it has the same version, dated by the digest's delay over the fastest one, so that what waited in a socket while the node stood still proves nothing new. A node whose engines differ from the steward's for 250 ms, or whose steward is silent, cut off or unknown, reads the store itself, as before. A new steward plans only on engines that it has read.

Ruled out: longer holds of each node's own watch (the proof must be under 4 s old, and each answer proves only its own time), reads that may be stale (they prove nothing).

--- a/src/core/serving/apply_digest.ts
+++ b/src/core/serving/apply_digest.ts
@@ -1,7 +1,9 @@
-import type {LoadDigest, ServingState, ServingStep} from './types.js';
+import type {LoadDigest, PeerView, ServingState, ServingStep} from './types.js';
 import type {VmId} from '../ids/index.js';
 import {applyFleet} from './apply_fleet.js';
+import {followLink} from './follow_link.js';
 import {logDecision} from './log_decision.js';
+import {provenAtMs} from './proven_at_ms.js';
 import {rebuildTargets} from './rebuild_targets.js';
 
 const SUSPECT_FOR_MS = 60_000;
@@ -23,7 +25,10 @@
   }
   addLoads(state, digest, 1);
   noteProgress(state, digest, nowMs);
-  state.peers.set(digest.from, {digest, atMs: nowMs});
+  const link = followLink(peer?.link, digest, nowMs);
+  const view = {digest, atMs: nowMs, link};
+  state.peers.set(digest.from, view);
+  takeProof(state, view);
   for (const {fingerprint, losses} of digest.suspects) {
     const known = state.crashSuspects.get(fingerprint);
     if (known && known.losses >= losses) continue;
@@ -39,6 +44,28 @@
   if (digest.changes.length > 0) {
     applyFleet(step, {changes: digest.changes, isWhole: false});
   }
+  if (digest.isSteward) compareEngines(step, digest);
+}
+
+/** A peer that has this node's configuration proves it for this node too. */
+function takeProof(state: ServingState, view: PeerView): void {
+  const {configVersion, configProofAgeMs} = view.digest;
+  if (configVersion !== state.config?.version) return;
+  state.configProvenAtMs = Math.max(
+    state.configProvenAtMs,
+    provenAtMs(view, configProofAgeMs),
+  );
+}
+
+/** Notes since when this node's engines differ from the steward's, as lost digests leave them. */
+function compareEngines(
+  {state, nowMs}: ServingStep,
+  {engineCount, revisionSum}: LoadDigest,
+): void {
+  const isAlike =
+    engineCount === state.engineCount && revisionSum === state.revisionSum;
+  if (isAlike) state.fleetUnlikeSinceMs = undefined;
+  else state.fleetUnlikeSinceMs ??= nowMs;
 }
 
 function addLoads(
--- a/src/core/serving/apply_fleet.ts
+++ b/src/core/serving/apply_fleet.ts
@@ -36,6 +36,11 @@
   }
   if (!hasChanged && removed.length === 0) return;
   state.fleetChangedAtMs = nowMs;
+  state.engineCount = state.engines.size;
+  state.revisionSum = 0;
+  for (const {revision} of state.engines.values()) {
+    state.revisionSum += revision;
+  }
   rebuildTargets(state);
   if (!change.isWhole && removed.length === 0) return;
   logDecision(step, 'info', 'fleet', 'engines changed', {
--- a/src/core/serving/create_digest.ts
+++ b/src/core/serving/create_digest.ts
@@ -29,6 +29,11 @@
     .map(({change}) => change);
 }
 
+/** Age of what was at `atMs`; -1 when it never was. */
+function ageOf(atMs: number, nowMs: number): number {
+  return Number.isFinite(atMs) ? Math.max(0, Math.round(nowMs - atMs)) : -1;
+}
+
 /** Sums up what peers need to know of this node. */
 export function createDigest(state: ServingState, nowMs: number): LoadDigest {
   const loads: DigestLoad[] = [];
@@ -42,7 +47,7 @@
       vmId,
       inFlight: load.inFlight,
       unreadTokens: load.unreadTokens,
-      progressAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : -1,
+      progressAgeMs: ageOf(load.progressAtMs, nowMs),
       isSuspect,
       isSlow: isSlow(load) && ageMs < PROGRESS_NAMED_MS,
     });
@@ -71,6 +76,8 @@
     asks: isSteward(state) ? [...state.steward.asks.values()] : [],
     opinions,
     from: state.nodeId,
+    life: state.life,
+    sentAtMs: nowMs,
     zone: state.zone,
     callerAddress: state.callerAddress,
     isReady: isReady(state, nowMs),
@@ -78,7 +85,10 @@
     isSteward: isSteward(state),
     changes: isSteward(state) ? changesToPassOn(state, nowMs) : [],
     configVersion: state.config?.version ?? 0,
-    fleetRevision: state.fleetRevision,
+    configProofAgeMs: ageOf(state.configReadAtMs, nowMs),
+    engineCount: state.engineCount,
+    revisionSum: state.revisionSum,
+    fleetProofAgeMs: ageOf(state.fleetReadAtMs, nowMs),
     loads,
     suspects,
     lostEngines,
--- a/src/core/serving/create_serving_state.ts
+++ b/src/core/serving/create_serving_state.ts
@@ -3,6 +3,8 @@
 import {createRandom} from '../random/index.js';
 import {createStewardState} from '../steward/create_steward_state.js';
 
+const MAX_LIFE = 2 ** 31;
+
 interface ServingSelf {
   readonly nodeId: NodeId;
   readonly zone: ZoneId;
@@ -24,7 +26,12 @@
     bounds,
     random: createRandom(seed),
     idCounter: 0,
+    life: createRandom(seed).below(MAX_LIFE),
     configProvenAtMs: -Infinity,
+    configReadAtMs: -Infinity,
+    fleetReadAtMs: -Infinity,
+    engineCount: 0,
+    revisionSum: 0,
     engines: new Map(),
     departed: new Map(),
     newPeerAtMs: -Infinity,
--- a/src/core/serving/events.ts
+++ b/src/core/serving/events.ts
@@ -68,6 +68,12 @@
   readonly revision: number;
 }
 
+/** What is known of the engines is what the store held at `provenAtMs`. */
+interface FleetProven {
+  readonly type: 'fleetProven';
+  readonly provenAtMs: number;
+}
+
 interface DigestReceived {
   readonly type: 'digestReceived';
   readonly digest: LoadDigest;
@@ -119,6 +125,7 @@
   | ConfigRead
   | FleetListed
   | FleetChanged
+  | FleetProven
   | DigestReceived
   | StewardLeaseHeld
   | StewardLeaseLost
--- a/src/core/serving/reduce_serving.ts
+++ b/src/core/serving/reduce_serving.ts
@@ -61,6 +61,9 @@
       applyFleet(step, {...event, isWhole: false});
       dispatchAll(step);
       break;
+    case 'fleetProven':
+      state.fleetReadAtMs = Math.max(state.fleetReadAtMs, event.provenAtMs);
+      break;
     case 'digestReceived':
       applyDigest(step, event.digest);
       break;
@@ -92,6 +95,7 @@
 ): void {
   const {state} = step;
   const {config, provenAtMs} = event;
+  state.configReadAtMs = Math.max(state.configReadAtMs, provenAtMs);
   state.configProvenAtMs = Math.max(state.configProvenAtMs, provenAtMs);
   const version = state.config?.version ?? -1;
   if (!config || config.version <= version) return;
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -139,6 +139,10 @@
 /** What a node tells its peers several times a second. */
 export interface LoadDigest {
   readonly from: NodeId;
+  /** Tells one life of the sender from the next. */
+  readonly life: number;
+  /** By the sender's clock, which starts anywhere. */
+  readonly sentAtMs: number;
   readonly zone: ZoneId;
   readonly callerAddress: string;
   readonly isReady: boolean;
@@ -147,7 +151,13 @@
   readonly isSteward: boolean;
   readonly changes: readonly EngineChange[];
   readonly configVersion: number;
-  readonly fleetRevision: number;
+  /** Age of the store's last word to the sender that this version is the newest; -1 for none. */
+  readonly configProofAgeMs: number;
+  /** Count and sum of revisions of the engines that the sender knows: equal where the engines are. */
+  readonly engineCount: number;
+  readonly revisionSum: number;
+  /** Age of the store's last word to the sender on the engines; -1 for none. */
+  readonly fleetProofAgeMs: number;
   readonly loads: readonly DigestLoad[];
   /** Engines that the store dropped, for nodes that have just started. */
   readonly departed: readonly DepartedEngine[];
@@ -174,10 +184,22 @@
   }[];
 }
 
+/** What is known of the way that a peer's digests take. */
+export interface PeerLink {
+  readonly life: number;
+  /** When this life was first heard. */
+  readonly sinceMs: number;
+  /** Least difference seen of this node's clock to the sender's. */
+  readonly leastOffsetMs: number;
+  /** How much longer the last digest took than the fastest, time in which this node stood still included. */
+  readonly delayMs: number;
+}
+
 /** The last digest of a peer. */
 export interface PeerView {
-  digest: LoadDigest;
-  atMs: number;
+  readonly digest: LoadDigest;
+  readonly atMs: number;
+  readonly link: PeerLink;
 }
 
 /** Sum of what peers have in flight at a target. */
@@ -235,8 +257,18 @@
   readonly bounds: ServingBounds;
   readonly random: Random;
   idCounter: number;
+  readonly life: number;
   config?: AccessConfig;
+  /** The configuration was the newest then, by the store's word to this node or to a peer. */
   configProvenAtMs: number;
+  /** The same by the store's word to this node alone. */
+  configReadAtMs: number;
+  /** The engines were known as the store lists them then, by its word to this node. */
+  fleetReadAtMs: number;
+  engineCount: number;
+  revisionSum: number;
+  /** Since when the engines differ from those that the steward knows. */
+  fleetUnlikeSinceMs?: number;
   engines: Map<VmId, EngineRecord>;
   /** Last records of engines that the store no longer lists: they may live on. */
   readonly departed: Map<
--- a/src/core/steward/create_steward_state.ts
+++ b/src/core/steward/create_steward_state.ts
@@ -4,6 +4,7 @@
 export function createStewardState(hasTraffic: boolean): StewardState {
   return {
     leaseUntilMs: -Infinity,
+    hasReadEngines: false,
     epochCount: 0,
     plannedAtMs: -Infinity,
     pausedUntilMs: -Infinity,
--- a/src/core/steward/reduce_steward.ts
+++ b/src/core/steward/reduce_steward.ts
@@ -8,6 +8,8 @@
 
 /** Least time between two plans, where no engine has changed. */
 const PLAN_INTERVAL_MS = 100;
+/** A reading this old at the start of a term is recent: a watch's hold, and some. */
+const READ_MS = 1500;
 
 /** Applies an event to the steward's part of the state. */
 export function reduceSteward(step: ServingStep, event: ServingEvent): void {
@@ -41,7 +43,7 @@
     default:
       return;
   }
-  if (!hasAuthority(steward, nowMs) || !state.isFleetKnown) return;
+  if (!hasAuthority(steward, nowMs) || !hasReadEngines(step)) return;
   if (nowMs < steward.pausedUntilMs) return;
   steward.plannedAtMs = nowMs;
   for (const {name, engine} of state.config?.services.values() ?? []) {
@@ -49,11 +51,19 @@
   }
 }
 
+/** Engines that were only told of may lack what was lost on the way, and a plan must not build on them. */
+function hasReadEngines({state, nowMs}: ServingStep): boolean {
+  const {steward} = state;
+  if (nowMs - state.fleetReadAtMs < READ_MS) steward.hasReadEngines = true;
+  return state.isFleetKnown && steward.hasReadEngines;
+}
+
 function holdLease(step: ServingStep, term: number, untilMs: number): void {
   const {steward} = step.state;
   steward.leaseUntilMs = untilMs;
   if (steward.term === term) return;
   steward.term = term;
+  steward.hasReadEngines = false;
   steward.epochCount = 0;
   steward.tracks.clear();
   steward.released.clear();
--- a/src/core/steward/types.ts
+++ b/src/core/steward/types.ts
@@ -80,6 +80,8 @@
   /** Rises with each holder of the lease; undefined without the lease. */
   term?: number;
   leaseUntilMs: number;
+  /** This steward has read the engines itself; before, it only heard of them. */
+  hasReadEngines: boolean;
   epochCount: number;
   plannedAtMs: number;
   /** No plan is made before, since an engine follows a later steward. */
--- a/src/replay/serving/serving_world.ts
+++ b/src/replay/serving/serving_world.ts
@@ -285,6 +285,7 @@
       config: this.config,
       provenAtMs: Infinity,
     });
+    this.dispatch(node, {type: 'fleetProven', provenAtMs: Infinity});
     const listed = [...this.engines.values()].filter(({record}) =>
       this.listed.has(record.vmId),
     );
--- a/src/serving/config_catch_up.ts
+++ b/src/serving/config_catch_up.ts
@@ -1,16 +1,16 @@
 import type {ServingContext, ServingPart} from './types.js';
 import type {StoreWatch} from './store_watch.js';
 
-const LOOK_MS = 150;
-/** A node may be this much later than its peers before it asks beside its watch, which may hang on a silent connection. */
-const BEHIND_MS = 250;
+/** Half the pause between digests: a new version is read about as soon as it is heard of. */
+const LOOK_MS = 50;
+/** Longer than an answer of the store takes in trouble that is worth waiting for. */
 const AGAIN_MS = 1000;
 
 /** Reads the configuration anew when peers have a later one than this node. */
 export class ConfigCatchUp implements ServingPart {
   private timer?: NodeJS.Timeout;
-  private behindSinceMs?: number;
   private askedAtMs = -Infinity;
+  private askedFor = 0;
 
   constructor(
     private readonly context: ServingContext,
@@ -34,15 +34,15 @@
     for (const {digest} of state.peers.values()) {
       latest = Math.max(latest, digest.configVersion);
     }
-    if (latest === version) {
-      this.behindSinceMs = undefined;
-      return;
-    }
-    this.behindSinceMs ??= nowMs;
-    const isDue = nowMs - this.askedAtMs >= AGAIN_MS;
-    if (nowMs - this.behindSinceMs < BEHIND_MS || !isDue) return;
+    if (latest === version || latest === this.asked(nowMs)) return;
+    this.askedFor = latest;
     this.askedAtMs = nowMs;
     logger.write('info', 'config', 'behind peers', {version, latest});
     void this.watch.refresh();
   }
+
+  /** The version that was asked for a moment ago. */
+  private asked(nowMs: number): number | undefined {
+    return nowMs - this.askedAtMs < AGAIN_MS ? this.askedFor : undefined;
+  }
 }
--- /dev/null
+++ b/src/serving/counted_store.ts
@@ -0,0 +1,56 @@
+import type {
+  PlatformStore,
+  StoreOperation,
+  StoreOutcome,
+} from '../core/store/types.js';
+import type {Logger} from '../logging/types.js';
+import type {NodeMetrics} from '../metrics/types.js';
+
+/** Pause between two lines of the log that say what was asked of the store. */
+const REPORT_MS = 10_000;
+
+/** The platform's store, with its calls counted: the platform charges for each. */
+export class CountedStore implements PlatformStore {
+  private readonly counts = new Map<string, number>();
+  private readonly timer = setInterval(() => this.report(), REPORT_MS);
+
+  constructor(
+    private readonly store: PlatformStore,
+    private readonly metrics: NodeMetrics,
+    private readonly logger: Logger,
+  ) {}
+
+  async call(
+    operation: StoreOperation,
+    timeoutMs: number,
+  ): Promise<StoreOutcome> {
+    const outcome = await this.store.call(operation, timeoutMs);
+    const {kind} = operation;
+    this.metrics.count('storeCalls', 1, {kind, outcome: outcome.kind});
+    const subject = subjectOf(operation);
+    this.counts.set(subject, (this.counts.get(subject) ?? 0) + 1);
+    return outcome;
+  }
+
+  close(): Promise<void> {
+    clearInterval(this.timer);
+    this.report();
+    return this.store.close();
+  }
+
+  private report(): void {
+    if (this.counts.size === 0) return;
+    const calls = Object.fromEntries(this.counts);
+    this.counts.clear();
+    this.logger.write('info', 'store', 'store calls', {calls});
+  }
+}
+
+/** The call and what it is about, without the part of the key that names a node or an engine. */
+function subjectOf(operation: StoreOperation): string {
+  const {kind} = operation;
+  if ('prefix' in operation) return `${kind} ${operation.prefix}`;
+  if (!('key' in operation)) return kind;
+  const end = operation.key.lastIndexOf('/') + 1;
+  return `${kind} ${operation.key.slice(0, end)}`;
+}
--- a/src/serving/create_serving_node.ts
+++ b/src/serving/create_serving_node.ts
@@ -10,6 +10,7 @@
 import {AttemptClient} from './attempt_client.js';
 import {BootClock} from '../runtime/boot_clock.js';
 import {ConfigCatchUp} from './config_catch_up.js';
+import {CountedStore} from './counted_store.js';
 import {DirectoryServer} from './directory_server.js';
 import {EventLoop} from '../runtime/event_loop.js';
 import {FrontServer} from './front_server.js';
@@ -55,7 +56,7 @@
 export async function createServingNode(
   options: ServingNodeOptions,
 ): Promise<ServingNode> {
-  const {settings, wire, store, logger} = options;
+  const {settings, wire, logger} = options;
   const clock = new BootClock();
   const state = createServingState(
     {
@@ -73,6 +74,7 @@
     reduce: reduceServing,
   });
   const metrics = createNodeMetrics();
+  const store = new CountedStore(options.store, metrics, logger);
   const context: ServingContext = {
     settings,
     wire,
--- a/src/serving/digest_codec.ts
+++ b/src/serving/digest_codec.ts
@@ -3,13 +3,14 @@
 import type {LoadDigest} from '../core/serving/types.js';
 
 /** Version of the datagram; a node drops those of another. */
-const FORMAT = 3;
+const FORMAT = 4;
 
 /** Engine, requests, unread tokens, age of progress, and the bits of its condition. */
 type LoadRow = readonly [string, number, number, number, number];
 
 const SUSPECT_BIT = 1;
 const SLOW_BIT = 2;
+const PROOF_FIELDS = 4;
 
 interface Datagram {
   readonly v: number;
@@ -21,7 +22,10 @@
   readonly g: 0 | 1;
   readonly e: readonly EngineChange[];
   readonly c: number;
-  readonly f: number;
+  readonly b: number;
+  readonly m: number;
+  /** Age of the configuration's proof; engines, their revisions, age of their proof. */
+  readonly p: readonly number[];
   readonly t: readonly LoadRow[];
   readonly s: readonly (readonly [string, number])[];
   readonly d: readonly (readonly [string, string, number, number])[];
@@ -43,7 +47,14 @@
       g: digest.isSteward ? 1 : 0,
       e: digest.changes,
       c: digest.configVersion,
-      f: digest.fleetRevision,
+      b: digest.life,
+      m: digest.sentAtMs,
+      p: [
+        digest.configProofAgeMs,
+        digest.engineCount,
+        digest.revisionSum,
+        digest.fleetProofAgeMs,
+      ],
       t: digest.loads.map(load => [
         load.vmId,
         load.inFlight,
@@ -78,8 +89,19 @@
     }
     const tables = [datagram.t, datagram.s, datagram.x, datagram.d];
     if (![...tables, datagram.q, datagram.o].every(isRows)) return undefined;
+    const {p: proofs, m: sentAtMs} = datagram;
+    if (!Array.isArray(proofs) || !proofs.every(Number.isFinite)) {
+      return undefined;
+    }
+    if (proofs.length !== PROOF_FIELDS || !Number.isFinite(sentAtMs)) {
+      return undefined;
+    }
+    const [configProofAgeMs, engineCount, revisionSum, fleetProofAgeMs] =
+      proofs as [number, number, number, number];
     return {
       from: datagram.n as NodeId,
+      life: toCount(datagram.b),
+      sentAtMs,
       zone: datagram.z as ZoneId,
       callerAddress: String(datagram.a),
       isReady: datagram.r === 1,
@@ -87,7 +109,10 @@
       isSteward: datagram.g === 1,
       changes: (Array.isArray(datagram.e) ? datagram.e : []).filter(isChange),
       configVersion: toCount(datagram.c),
-      fleetRevision: toCount(datagram.f),
+      configProofAgeMs,
+      engineCount,
+      revisionSum,
+      fleetProofAgeMs,
       loads: datagram.t.map(row => ({
         vmId: row[0] as VmId,
         inFlight: toCount(row[1]),
--- a/src/serving/steward_lease.ts
+++ b/src/serving/steward_lease.ts
@@ -1,6 +1,7 @@
 import {randomBytes} from 'node:crypto';
 import type {LeaseId} from '../core/ids/index.js';
 import type {ServingContext, ServingPart} from './types.js';
+import {findSteward} from '../core/serving/index.js';
 import {sleep} from './sleep.js';
 
 const KEY = 'rhubarbstile/steward';
@@ -11,6 +12,8 @@
 /** How long the store may hold the watch of a contender. */
 const WATCH_MS = 10_000;
 const RETRY_MS = 300;
+/** How often a contender looks whether the steward is still heard; the pause between digests. */
+const HEARD_MS = 100;
 /** Pause between contenders, in the order of their names. */
 const RANK_PAUSE_MS = 120;
 
@@ -37,8 +40,13 @@
   }
 
   private async run(): Promise<void> {
+    const {state, clock} = this.context;
     await sleep(this.rankPauseMs());
     while (!this.isClosed) {
+      if (findSteward(state, clock.nowMs())) {
+        await this.awaitSilence();
+        continue;
+      }
       const holder = await this.readHolder();
       if (holder === 'unavailable') {
         await sleep(RETRY_MS * (1 + Math.random()));
@@ -50,6 +58,15 @@
     }
   }
 
+  /** Leaves the store alone while a steward is heard. */
+  private async awaitSilence(): Promise<void> {
+    const {state, clock} = this.context;
+    while (!this.isClosed && findSteward(state, clock.nowMs())) {
+      await sleep(HEARD_MS);
+    }
+    await sleep(this.rankPauseMs());
+  }
+
   /** Revision of the holder's entry; undefined without holder. */
   private async readHolder(): Promise<number | 'unavailable' | undefined> {
     const outcome = await this.context.store.call(
--- a/src/serving/store_watch.ts
+++ b/src/serving/store_watch.ts
@@ -14,6 +14,8 @@
   readonly prefix: string;
   /** How long the store may hold a call that has nothing to tell. */
   readonly waitMs: number;
+  /** False while peers tell what the store would; by default the store is always asked. */
+  readonly isNeeded?: () => boolean;
   /** Pause after changes, which gathers several into one call. */
   readonly pauseMs: () => number;
   /** All entries, at a revision of the store. */
@@ -27,6 +29,9 @@
   readonly onProof?: (provenAtMs: number) => void;
 }
 
+/** How often a watch that isn't needed looks whether it is. */
+const IDLE_MS = 50;
+
 /** Follows the entries under a prefix of the store: a list first, then changes. */
 export class StoreWatch {
   private isClosed = false;
@@ -57,6 +62,11 @@
 
   private async run(): Promise<void> {
     while (!this.isClosed) {
+      if (this.options.isNeeded?.() === false) {
+        this.revision = undefined;
+        await sleep(IDLE_MS);
+        continue;
+      }
       const isOk =
         this.revision === undefined ? await this.list() : await this.watch();
       this.noteReachable(isOk);
--- a/src/serving/watch_config.ts
+++ b/src/serving/watch_config.ts
@@ -1,17 +1,18 @@
 import type {ServingContext} from './types.js';
 import type {StoreEntry} from '../core/store/types.js';
 import {StoreWatch} from './store_watch.js';
+import {needsConfigWatch} from '../core/serving/index.js';
 
 /**
  * How long the store may hold the call: each answer proves that the
  * configuration is current, and the proof must be younger than the time in
  * which a key that was taken away has to be refused.
  */
-const WAIT_MS = 2200;
+const WAIT_MS = 1500;
 
 /** Follows the operator's configuration. */
 export function watchConfig(context: ServingContext): StoreWatch {
-  const {store, clock, logger, wire, events} = context;
+  const {store, clock, logger, wire, events, state} = context;
   const {configKey, readConfig} = wire.sources;
   const apply = (entries: readonly StoreEntry[]) => {
     for (const {key, value} of entries) {
@@ -30,6 +31,7 @@
     label: 'configuration',
     prefix: configKey,
     waitMs: WAIT_MS,
+    isNeeded: () => needsConfigWatch(state, clock.nowMs()),
     pauseMs: () => 0,
     onList: apply,
     onChanges: apply,
--- a/src/serving/watch_fleet.ts
+++ b/src/serving/watch_fleet.ts
@@ -2,22 +2,18 @@
 import type {ServingContext} from './types.js';
 import type {StoreEntry} from '../core/store/types.js';
 import {StoreWatch} from './store_watch.js';
+import {needsFleetWatch} from '../core/serving/index.js';
 
-const WAIT_MS = 4000;
-/**
- * Pause of a node that a steward tells of changes: below the two seconds in
- * which a target that leaves must get nothing more, should datagrams be lost.
- */
-const TOLD_PAUSE_MS = 1200;
-/** Pause of a node that no steward tells. */
+/** How long the store may hold the call; each answer proves to peers that the steward is up to date. */
+const WAIT_MS = 800;
+/** Pause of a node that no steward tells of changes. */
 const PAUSE_MS = 250;
 /** The steward acts on each change, and waits for the next. */
 const STEWARD_PAUSE_MS = 25;
-const STEWARD_FRESH_MS = 600;
 
 /** Follows the engines that are registered in the store. */
 export function watchFleet(context: ServingContext): StoreWatch {
-  const {store, clock, logger, wire, events} = context;
+  const {store, clock, logger, wire, events, state} = context;
   const {enginesPrefix, readEngine, engineOf} = wire.sources;
   const read = (entry: StoreEntry): EngineChange => {
     const {key, value, version: revision} = entry;
@@ -36,7 +32,10 @@
     label: 'engines',
     prefix: enginesPrefix,
     waitMs: WAIT_MS,
-    pauseMs: () => resolvePauseMs(context),
+    isNeeded: () => needsFleetWatch(state, clock.nowMs()),
+    pauseMs: () =>
+      state.steward.term === undefined ? PAUSE_MS : STEWARD_PAUSE_MS,
+    onProof: provenAtMs => events.dispatch({type: 'fleetProven', provenAtMs}),
     onList: (entries, revision) =>
       events.dispatch({
         type: 'fleetListed',
@@ -51,14 +50,3 @@
       }),
   });
 }
-
-function resolvePauseMs({state, clock}: ServingContext): number {
-  if (state.steward.term !== undefined) return STEWARD_PAUSE_MS;
-  const nowMs = clock.nowMs();
-  for (const {digest, atMs} of state.peers.values()) {
-    if (digest.isSteward && nowMs - atMs < STEWARD_FRESH_MS) {
-      return TOLD_PAUSE_MS;
-    }
-  }
-  return PAUSE_MS;
-}
--- a/test/support/serving_node.ts
+++ b/test/support/serving_node.ts
@@ -61,6 +61,7 @@
       config: createDeskConfig(1),
       provenAtMs: this.nowMs,
     });
+    this.dispatch({type: 'fleetProven', provenAtMs: this.nowMs});
     this.dispatch({
       type: 'fleetListed',
       changes: [0, 1, 2].map(at => {
@@ -123,6 +124,8 @@
   peerDigest(more: Partial<LoadDigest> = {}): LoadDigest {
     return {
       from: makeId<NodeId>('n1'),
+      life: 1,
+      sentAtMs: this.nowMs,
       zone: makeId<ZoneId>('zone'),
       callerAddress: '10.0.0.2:80',
       isReady: true,
@@ -130,7 +133,10 @@
       isSteward: false,
       changes: [],
       configVersion: 1,
-      fleetRevision: 10,
+      configProofAgeMs: -1,
+      engineCount: 3,
+      revisionSum: 6,
+      fleetProofAgeMs: -1,
       loads: [],
       departed: [],
       asks: [],
