--- a/src/core/serving/create_serving_state.ts
+++ b/src/core/serving/create_serving_state.ts
@@ -49,6 +49,7 @@
     loads: new Map(),
     peers: new Map(),
     peerLoads: new Map(),
+    registeredPeers: 0,
     patienceMs: new Map(),
     requests: new Map(),
     byAttempt: new Map(),
--- a/src/core/serving/estimate_first_event_ms.ts
+++ b/src/core/serving/estimate_first_event_ms.ts
@@ -1,4 +1,5 @@
 import type {ServingState, ServingTarget} from './types.js';
+import {countUnheardPeers} from './count_unheard_peers.js';
 import {expectedPassMs} from './expected_pass_ms.js';
 import {isSlow} from './is_slow.js';
 import {targetLoad} from './target_load.js';
@@ -26,11 +27,15 @@
   state: ServingState,
   target: ServingTarget,
   promptTokens: number,
+  nowMs: number,
 ): FirstEventEstimate {
   const own = targetLoad(state, target.vmId);
   const peers = state.peerLoads.get(target.vmId);
-  const inFlight = own.inFlight + (peers?.inFlight ?? 0);
-  const unreadTokens = own.unreadTokens + (peers?.unreadTokens ?? 0);
+  // Nodes that start together get the same callers: what one has sent to a
+  // target, each of the others is taken to have sent too until it is heard.
+  const shares = 1 + countUnheardPeers(state, nowMs);
+  const inFlight = shares * own.inFlight + (peers?.inFlight ?? 0);
+  const unreadTokens = shares * own.unreadTokens + (peers?.unreadTokens ?? 0);
   const excess = Math.max(0, inFlight + 1 - target.slotCount);
   const {costs} = target;
   if (!costs) {
--- a/src/core/serving/events.ts
+++ b/src/core/serving/events.ts
@@ -74,6 +74,12 @@
   readonly provenAtMs: number;
 }
 
+/** How many other nodes the store lists. */
+interface PeersRegistered {
+  readonly type: 'peersRegistered';
+  readonly count: number;
+}
+
 interface DigestReceived {
   readonly type: 'digestReceived';
   readonly digest: LoadDigest;
@@ -126,6 +132,7 @@
   | FleetListed
   | FleetChanged
   | FleetProven
+  | PeersRegistered
   | DigestReceived
   | StewardLeaseHeld
   | StewardLeaseLost
--- a/src/core/serving/find_stalls.ts
+++ b/src/core/serving/find_stalls.ts
@@ -1,6 +1,5 @@
 import type {RequestRecord, ServingStep, TargetLoad} from './types.js';
 import {endAttempt} from './end_attempt.js';
-import {estimateFirstEventMs} from './estimate_first_event_ms.js';
 import {logDecision} from './log_decision.js';
 import {repeatBudget} from './repeat_budget.js';
 import {selectTarget} from './select_target.js';
@@ -84,12 +83,7 @@
   if (!repeatBudget.hasRoom(state, record.service, nowMs)) return;
   const placement = selectTarget(step, record);
   if (!placement || placement.isSuspect || !placement.canQueue) return;
-  const {firstMs} = estimateFirstEventMs(
-    state,
-    placement.target,
-    record.request.promptTokens,
-  );
-  if (nowMs + firstMs > record.giveUpAtMs) return;
+  if (nowMs + placement.firstMs > record.giveUpAtMs) return;
   logDecision(step, 'warn', 'requests', 'stream moved from a silent target', {
     requestId: record.request.requestId,
     callerId: record.request.callerId,
--- a/src/core/serving/reduce_serving.ts
+++ b/src/core/serving/reduce_serving.ts
@@ -23,6 +23,7 @@
   event: ServingEvent & {readonly nowMs: number},
 ): ServingEffect[] {
   const step: ServingStep = {state, nowMs: event.nowMs, effects: []};
+  state.startedAtMs ??= event.nowMs;
   applyEvent(step, event);
   reduceSteward(step, event);
   return step.effects;
@@ -64,6 +65,9 @@
     case 'fleetProven':
       state.fleetReadAtMs = Math.max(state.fleetReadAtMs, event.provenAtMs);
       break;
+    case 'peersRegistered':
+      state.registeredPeers = event.count;
+      break;
     case 'digestReceived':
       applyDigest(step, event.digest);
       break;
--- a/src/core/serving/select_target.ts
+++ b/src/core/serving/select_target.ts
@@ -26,7 +26,7 @@
   let bestMs = Infinity;
   for (const target of state.targetsByPool.get(record.pool) ?? []) {
     if (record.tried.has(target.vmId)) continue;
-    const estimate = estimateFirstEventMs(state, target, promptTokens);
+    const estimate = estimateFirstEventMs(state, target, promptTokens, nowMs);
     const isSuspect = isUnderSuspicion(state, target.vmId, nowMs);
     const costMs =
       estimate.firstMs * (1 + CHOICE_JITTER * state.random.next()) +
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -296,6 +296,10 @@
   readonly loads: Map<VmId, TargetLoad>;
   readonly peers: Map<NodeId, PeerView>;
   readonly peerLoads: Map<VmId, PeerLoad>;
+  /** When the first event came. */
+  startedAtMs?: number;
+  /** Peers that the store lists. */
+  registeredPeers: number;
   /** Longest patience seen of callers, by route: what one has less has passed before. */
   readonly patienceMs: Map<string, number>;
   readonly requests: Map<RequestId, RequestRecord>;
--- a/src/replay/serving/serving_world.ts
+++ b/src/replay/serving/serving_world.ts
@@ -51,6 +51,8 @@
 const EXPIRE_MS = 3600;
 const EARLY_LOAD_FACTOR = 0.1;
 const RESTART_MS = 2500;
+/** Processes that start together are ready within this time of each other. */
+const START_SPREAD_MS = 400;
 const MAX_SEED = 2 ** 31;
 
 interface WorldOptions {
@@ -199,6 +201,21 @@
     });
   }
 
+  /** All nodes lose power at once, with all that they know, and start anew. */
+  loseNodes(downMs: number): void {
+    this.steward = undefined;
+    this.callers.breakAll();
+    for (const [at, node] of this.nodes.entries()) {
+      node.isUp = false;
+      this.after(downMs + this.random.below(START_SPREAD_MS), () => {
+        node.state = this.createState(at);
+        node.isUp = true;
+        this.startNode(node);
+      });
+    }
+    this.after(downMs + START_SPREAD_MS, () => this.electSteward());
+  }
+
   /** The steward no longer reaches the store; another follows when the lease has run out. */
   cutSteward(): void {
     if (!this.steward) return;
@@ -285,6 +302,8 @@
       config: this.config,
       provenAtMs: Infinity,
     });
+    const count = this.nodes.length - 1;
+    this.dispatch(node, {type: 'peersRegistered', count});
     this.dispatch(node, {type: 'fleetProven', provenAtMs: Infinity});
     const listed = [...this.engines.values()].filter(({record}) =>
       this.listed.has(record.vmId),
--- a/src/replay/serving/world_callers.ts
+++ b/src/replay/serving/world_callers.ts
@@ -134,6 +134,18 @@
     this.world.time.after(waitMs, () => this.arrive(call));
   }
 
+  /** Connections of all callers break; those that may come back do. */
+  breakAll(): void {
+    for (const [requestId, call] of [...this.calls]) {
+      if (call.tries > 1) {
+        this.end(requestId, 'failed');
+        continue;
+      }
+      this.calls.delete(requestId);
+      this.world.time.after(RECONNECT_MS, () => this.arrive(call));
+    }
+  }
+
   /** A request has its final answer. */
   end(
     requestId: RequestId,
--- a/src/serving/store_watch.ts
+++ b/src/serving/store_watch.ts
@@ -56,8 +56,8 @@
   }
 
   /** Lists the entries beside the watch that is running, which may hang on a silent connection. */
-  async refresh(): Promise<void> {
-    if (!this.isClosed) await this.list();
+  async refresh(): Promise<boolean> {
+    return this.isClosed ? false : this.list();
   }
 
   private async run(): Promise<void> {
--- a/test/units/serving/load_replays.test.ts
+++ b/test/units/serving/load_replays.test.ts
@@ -79,6 +79,38 @@
     assert.ok(worth >= 0.8, `worth ${worth}`);
   });
 
+  it('nodes that all start anew take the work of those that are not heard yet into account', () => {
+    const worthAfter = (isTold: boolean) => {
+      const outcomes: CallerOutcome[] = [];
+      for (const seed of [1, 2, 3, 4, 5, 6]) {
+        const world = new ServingWorld({
+          seed,
+          nodeCount: 12,
+          domainCount: 4,
+          domainSize: 11,
+        });
+        world.runFor(ASSEMBLY_MS);
+        sendLoad(world, createRandom(seed), {forMs: 9000, perS: () => 80});
+        const downMs = 1700;
+        const backAtMs = world.nowMs + 4000 + downMs;
+        world.after(4000, () => world.loseNodes(downMs));
+        const forget = () => {
+          for (const {state} of world.nodes) state.registeredPeers = 0;
+          world.after(1, forget);
+        };
+        if (!isTold) forget();
+        world.runFor(9000 + TAIL_MS);
+        assert.deepEqual(world.breaches, []);
+        const isAfter = ({arrivedAtMs}: CallerOutcome) =>
+          arrivedAtMs > backAtMs + 500 && arrivedAtMs < backAtMs + 2500;
+        outcomes.push(...world.outcomes.filter(isAfter));
+      }
+      return worthOf(outcomes);
+    };
+    const [told, untold] = [worthAfter(true), worthAfter(false)];
+    assert.ok(told > untold + 0.02, `worth ${told} against ${untold}`);
+  });
+
   it('a domain lost at the crest is made up for by the others and by repair', () => {
     const outcomes = replay({
       perS: () => 60,
