Say when the store is lost and regained, and when keys are let in no more for want of a proof

Now the counted store writes 'store lost' at the second call without answer in a row and 'store regained' with the time, and the core 'configuration unproven' and 'configuration proven'.

--- a/src/core/serving/create_serving_state.ts
+++ b/src/core/serving/create_serving_state.ts
@@ -28,6 +28,7 @@
     idCounter: 0,
     life: createRandom(seed).below(MAX_LIFE),
     configProvenAtMs: -Infinity,
+    wasAccessProven: false,
     configReadAtMs: -Infinity,
     fleetReadAtMs: -Infinity,
     engineCount: 0,
--- a/src/core/serving/expire.ts
+++ b/src/core/serving/expire.ts
@@ -1,5 +1,6 @@
 import type {ServingStep} from './types.js';
 import {dispatchWaiting} from './dispatch_waiting.js';
+import {isAccessProven} from './is_access_proven.js';
 import {isLeavingForGood} from './is_leaving_for_good.js';
 import {logDecision} from './log_decision.js';
 import {noteLostWhileRunning} from './note_lost_while_running.js';
@@ -46,9 +47,25 @@
     hasFreed = true;
   }
   if (hasFreed) rebuildTargets(state);
+  noteAccessProof(step);
   endWhenDone(step);
 }
 
+/** Says when keys stop being let in for want of a proof, and when they are let in again. */
+function noteAccessProof(step: ServingStep): void {
+  const {state, nowMs} = step;
+  const isProven = isAccessProven(state, nowMs);
+  if (isProven === state.wasAccessProven) return;
+  state.wasAccessProven = isProven;
+  const message = isProven ? 'configuration proven' : 'configuration unproven';
+  logDecision(step, isProven ? 'info' : 'warn', 'config', message, {
+    version: state.config?.version,
+    proofAgeMs: Math.round(nowMs - state.configProvenAtMs),
+    ownProofAgeMs: Math.round(nowMs - state.configReadAtMs),
+    peers: state.peers.size,
+  });
+}
+
 function expirePeers(step: ServingStep): void {
   const {state, nowMs} = step;
   for (const [nodeId, {digest, atMs}] of state.peers) {
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -261,6 +261,8 @@
   config?: AccessConfig;
   /** The configuration was the newest then, by the store's word to this node or to a peer. */
   configProvenAtMs: number;
+  /** Whether the proof was young enough when it was last looked at. */
+  wasAccessProven: boolean;
   /** The same by the store's word to this node alone. */
   configReadAtMs: number;
   /** The engines were known as the store lists them then, by its word to this node. */
--- a/src/serving/counted_store.ts
+++ b/src/serving/counted_store.ts
@@ -3,19 +3,26 @@
   StoreOperation,
   StoreOutcome,
 } from '../core/store/types.js';
+import type {Clock} from '../runtime/types.js';
 import type {Logger} from '../logging/types.js';
 import type {NodeMetrics} from '../metrics/types.js';
 
 /** Pause between two lines of the log that say what was asked of the store. */
 const REPORT_MS = 10_000;
 
-/** The platform's store, with its calls counted: the platform charges for each. */
+/** Calls without answer, one after the other, that tell of more than a lost packet. */
+const FAILURES_TO_LOSE = 2;
+
+/** The platform's store, with its calls counted, since the platform charges for each, and with a line when it is lost or regained. */
 export class CountedStore implements PlatformStore {
   private readonly counts = new Map<string, number>();
+  private failuresInRow = 0;
+  private lostAtMs?: number;
   private readonly timer = setInterval(() => this.report(), REPORT_MS);
 
   constructor(
     private readonly store: PlatformStore,
+    private readonly clock: Clock,
     private readonly metrics: NodeMetrics,
     private readonly logger: Logger,
   ) {}
@@ -29,6 +36,7 @@
     this.metrics.count('storeCalls', 1, {kind, outcome: outcome.kind});
     const subject = subjectOf(operation);
     this.counts.set(subject, (this.counts.get(subject) ?? 0) + 1);
+    this.noteOutcome(subject, outcome);
     return outcome;
   }
 
@@ -38,6 +46,27 @@
     return this.store.close();
   }
 
+  private noteOutcome(subject: string, {kind}: StoreOutcome): void {
+    const nowMs = this.clock.nowMs();
+    if (kind === 'unavailable' || kind === 'unknown') {
+      this.failuresInRow += 1;
+      if (this.failuresInRow < FAILURES_TO_LOSE) return;
+      if (this.lostAtMs !== undefined) return;
+      this.lostAtMs = nowMs;
+      this.logger.write('warn', 'store', 'store lost', {call: subject, kind});
+      return;
+    }
+    if (this.lostAtMs !== undefined) {
+      this.logger.write('info', 'store', 'store regained', {
+        call: subject,
+        lostMs: Math.round(nowMs - this.lostAtMs),
+        failures: this.failuresInRow,
+      });
+    }
+    this.failuresInRow = 0;
+    this.lostAtMs = undefined;
+  }
+
   private report(): void {
     if (this.counts.size === 0) return;
     const calls = Object.fromEntries(this.counts);
--- a/src/serving/create_serving_node.ts
+++ b/src/serving/create_serving_node.ts
@@ -74,7 +74,7 @@
     reduce: reduceServing,
   });
   const metrics = createNodeMetrics();
-  const store = new CountedStore(options.store, metrics, logger);
+  const store = new CountedStore(options.store, clock, metrics, logger);
   const context: ServingContext = {
     settings,
     wire,
--- a/test/units/serving/told_by_peers.test.ts
+++ b/test/units/serving/told_by_peers.test.ts
@@ -69,6 +69,16 @@
     node.pass(2500, {isProven: false});
     node.arrive('safe');
     assert.equal(node.take('refuse')[0]?.status, 503);
+    node.dispatch({type: 'configRead', provenAtMs: node.nowMs});
+    node.pass(100);
+    const lines = node
+      .take('log')
+      .filter(({area}) => area === 'config')
+      .map(({message}) => message);
+    assert.deepEqual(lines.slice(-2), [
+      'configuration unproven',
+      'configuration proven',
+    ]);
   });
 
   it('dates a proof that was read late by when it was sent', () => {
