Keep engines for two seconds after the store was away, though their entries lapsed

The store is down for 4 s and entries lapse; at its return at 13.08 s nodes list 4 to 29 of 69 engines, drop the rest, and answer 503; the new steward takes ten working replicas for broken and orders their heads to leave; all weights are joined anew.

Now an absence longer than 0.6 of the time that an engine stays listed without a sign of life, by the store's word to this node or the steward's, holds removals for 2.2 s. An engine that is listed again loses the mark, one that is not is removed then. What the steward passes on is applied at once: it holds itself. A node that starts while the store is away plans nothing for 2.2 s.

Ruled out: holding on every list that lacks many engines (a lost domain lacks eleven at once, and a list after lost digests must count at once, for engines that leave get nothing after 2 s).

Tests: store_return (3).

--- a/src/core/serving/apply_digest.ts
+++ b/src/core/serving/apply_digest.ts
@@ -3,6 +3,7 @@
 import {applyFleet} from './apply_fleet.js';
 import {followLink} from './follow_link.js';
 import {logDecision} from './log_decision.js';
+import {noteStoreContact} from './note_store_contact.js';
 import {provenAtMs} from './proven_at_ms.js';
 import {rebuildTargets} from './rebuild_targets.js';
 
@@ -44,7 +45,10 @@
   if (digest.changes.length > 0) {
     applyFleet(step, {changes: digest.changes, isWhole: false});
   }
-  if (digest.isSteward) compareEngines(step, digest);
+  if (digest.isSteward) {
+    noteStoreContact(step, provenAtMs(view, digest.fleetProofAgeMs));
+    compareEngines(step, digest);
+  }
 }
 
 /** A peer that has this node's configuration proves it for this node too. */
--- a/src/core/serving/apply_fleet.ts
+++ b/src/core/serving/apply_fleet.ts
@@ -24,12 +24,18 @@
   const before = state.engines.size;
   const removed: VmId[] = [];
   let hasChanged = false;
+  const isOwnReading = change.revision !== undefined;
+  const holds = isOwnReading && nowMs < state.holdRemovalsUntilMs;
   for (const one of change.changes) {
+    if (holds && !one.engine && state.engines.has(one.vmId)) {
+      state.heldRemovals.set(one.vmId, one.revision);
+      continue;
+    }
     if (!applyChange(step, one)) continue;
     hasChanged = true;
     if (!one.engine) removed.push(one.vmId);
   }
-  if (change.isWhole) removed.push(...removeOthers(step, change));
+  if (change.isWhole) removed.push(...removeOthers(step, change, holds));
   if (change.revision !== undefined) {
     state.isFleetKnown = true;
     state.fleetRevision = Math.max(state.fleetRevision, change.revision);
@@ -69,6 +75,7 @@
     return true;
   }
   state.departed.delete(vmId);
+  state.heldRemovals.delete(vmId);
   state.engines.set(vmId, engine);
   const lost = state.lostEngines.get(vmId);
   if (lost && lost.bornAtMs !== engine.bornAtMs) {
@@ -78,13 +85,22 @@
 }
 
 /** Removes engines that a whole list, read after their last change, doesn't name. */
-function removeOthers(step: ServingStep, change: FleetChange): VmId[] {
+function removeOthers(
+  step: ServingStep,
+  change: FleetChange,
+  holds: boolean,
+): VmId[] {
   const {state} = step;
   const named = new Set<VmId>(change.changes.map(({vmId}) => vmId));
   const removed: VmId[] = [];
   for (const vmId of state.engines.keys()) {
     const knownAt = state.engineRevisions.get(vmId) ?? 0;
-    if (named.has(vmId) || knownAt > (change.revision ?? 0)) continue;
+    const revision = change.revision ?? 0;
+    if (named.has(vmId) || knownAt > revision) continue;
+    if (holds) {
+      state.heldRemovals.set(vmId, revision);
+      continue;
+    }
     removeEngine(step, vmId);
     removed.push(vmId);
   }
@@ -98,5 +114,6 @@
     state.departed.set(vmId, {address, bornAtMs, atMs: nowMs});
   }
   state.engines.delete(vmId);
+  state.heldRemovals.delete(vmId);
   state.lostEngines.delete(vmId);
 }
--- a/src/core/serving/events.ts
+++ b/src/core/serving/events.ts
@@ -74,6 +74,12 @@
   readonly provenAtMs: number;
 }
 
+/** The store answers again after it didn't for a time. */
+interface StoreRegained {
+  readonly type: 'storeRegained';
+  readonly lostMs: number;
+}
+
 /** How many other nodes the store lists. */
 interface PeersRegistered {
   readonly type: 'peersRegistered';
@@ -133,6 +139,7 @@
   | FleetChanged
   | FleetProven
   | PeersRegistered
+  | StoreRegained
   | DigestReceived
   | StewardLeaseHeld
   | StewardLeaseLost
--- a/src/core/serving/expire.ts
+++ b/src/core/serving/expire.ts
@@ -1,4 +1,5 @@
 import type {ServingStep} from './types.js';
+import {applyFleet} from './apply_fleet.js';
 import {dispatchWaiting} from './dispatch_waiting.js';
 import {isAccessProven} from './is_access_proven.js';
 import {isLeavingForGood} from './is_leaving_for_good.js';
@@ -48,9 +49,23 @@
   }
   if (hasFreed) rebuildTargets(state);
   noteAccessProof(step);
+  removeHeld(step);
   endWhenDone(step);
 }
 
+/** Engines that are still not listed some time after the store's return are gone. */
+function removeHeld(step: ServingStep): void {
+  const {state, nowMs} = step;
+  if (state.heldRemovals.size === 0) return;
+  if (nowMs < state.holdRemovalsUntilMs) return;
+  const changes = [...state.heldRemovals].map(([vmId, revision]) => ({
+    vmId,
+    revision,
+  }));
+  state.heldRemovals.clear();
+  applyFleet(step, {changes, isWhole: false});
+}
+
 /** Says when keys stop being let in for want of a proof, and when they are let in again. */
 function noteAccessProof(step: ServingStep): void {
   const {state, nowMs} = step;
--- a/src/core/serving/reduce_serving.ts
+++ b/src/core/serving/reduce_serving.ts
@@ -11,6 +11,7 @@
 import {logDecision} from './log_decision.js';
 import {noteAttempt} from './note_attempt.js';
 import {noteLostWhileRunning} from './note_lost_while_running.js';
+import {noteStoreContact} from './note_store_contact.js';
 import {rebuildTargets} from './rebuild_targets.js';
 import {reduceSteward} from '../steward/reduce_steward.js';
 
@@ -51,6 +52,7 @@
       applyConfig(step, event);
       break;
     case 'fleetListed':
+      noteStoreContact(step, nowMs);
       applyFleet(step, {
         changes: event.changes,
         revision: event.revision,
@@ -59,11 +61,13 @@
       dispatchAll(step);
       break;
     case 'fleetChanged':
+      noteStoreContact(step, nowMs);
       applyFleet(step, {...event, isWhole: false});
       dispatchAll(step);
       break;
     case 'fleetProven':
       state.fleetReadAtMs = Math.max(state.fleetReadAtMs, event.provenAtMs);
+      noteStoreContact(step, event.provenAtMs);
       break;
     case 'peersRegistered':
       state.registeredPeers = event.count;
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -267,6 +267,12 @@
   configReadAtMs: number;
   /** The engines were known as the store lists them then, by its word to this node. */
   fleetReadAtMs: number;
+  /** The same by the store's word to this node or to the steward. */
+  fleetKnownAtMs: number;
+  /** Until then engines that the store lists no more are kept. */
+  holdRemovalsUntilMs: number;
+  /** Removals that are held, by the revision at which the store lacked the engine. */
+  readonly heldRemovals: Map<VmId, number>;
   engineCount: number;
   revisionSum: number;
   /** Since when the engines differ from those that the steward knows. */
--- a/src/core/steward/reduce_steward.ts
+++ b/src/core/steward/reduce_steward.ts
@@ -1,6 +1,7 @@
 import type {ServingEvent} from '../serving/events.js';
 import type {ServingStep} from '../serving/types.js';
 import {hasAuthority} from './has_authority.js';
+import {RELIST_MS} from '../serving/relist_ms.js';
 import {logDecision} from '../serving/log_decision.js';
 import {noteOrder} from './note_order.js';
 import {noteProbe} from './note_probe.js';
@@ -28,6 +29,10 @@
     case 'stewardLeaseLost':
       dropLease(step);
       return;
+    case 'storeRegained':
+      // A node that knows no engines yet can't tell which entries have lapsed.
+      if (!state.isFleetKnown) steward.pausedUntilMs = nowMs + RELIST_MS;
+      return;
     case 'orderAnswered':
       noteOrder(step, event);
       break;
--- a/src/serving/counted_store.ts
+++ b/src/serving/counted_store.ts
@@ -25,6 +25,7 @@
     private readonly clock: Clock,
     private readonly metrics: NodeMetrics,
     private readonly logger: Logger,
+    private readonly onRegained: (lostMs: number) => void,
   ) {}
 
   async call(
@@ -57,11 +58,13 @@
       return;
     }
     if (this.lostAtMs !== undefined) {
+      const lostMs = Math.round(nowMs - this.lostAtMs);
       this.logger.write('info', 'store', 'store regained', {
         call: subject,
-        lostMs: Math.round(nowMs - this.lostAtMs),
+        lostMs,
         failures: this.failuresInRow,
       });
+      this.onRegained(lostMs);
     }
     this.failuresInRow = 0;
     this.lostAtMs = undefined;
--- a/src/serving/create_serving_node.ts
+++ b/src/serving/create_serving_node.ts
@@ -74,7 +74,13 @@
     reduce: reduceServing,
   });
   const metrics = createNodeMetrics();
-  const store = new CountedStore(options.store, clock, metrics, logger);
+  const store = new CountedStore(
+    options.store,
+    clock,
+    metrics,
+    logger,
+    lostMs => events.dispatch({type: 'storeRegained', lostMs}),
+  );
   const context: ServingContext = {
     settings,
     wire,
--- a/test/units/serving/counted_store.test.ts
+++ b/test/units/serving/counted_store.test.ts
@@ -33,6 +33,7 @@
         write: (_level, _area, message, fields) =>
           void lines.push(`${message} ${JSON.stringify(fields)}`),
       },
+      lostMs => void lines.push(`regained after ${lostMs}`),
     );
     for (let at = 0; at < 7; at++) {
       await store.call({kind: 'get', key: 'area/name'}, 100);
@@ -41,6 +42,7 @@
     assert.deepEqual(lines, [
       'store lost {"call":"get area/","kind":"unknown"}',
       'store regained {"call":"get area/","lostMs":200,"failures":3}',
+      'regained after 200',
       'store calls {"calls":{"get area/":7}}',
     ]);
     const text = await metrics.render();
--- /dev/null
+++ b/test/units/serving/store_return.test.ts
@@ -0,0 +1,92 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import type {EngineChange} from '../../../src/core/fleet/types.js';
+import {
+  ServingNodeHarness,
+  createDeskEngine,
+} from '../../support/serving_node.js';
+
+const ABSENT_MS = 4000;
+
+function listedAgain(at: number, revision: number): EngineChange {
+  const engine = {...createDeskEngine(at), revision};
+  return {vmId: engine.vmId, revision, engine};
+}
+
+function gone(at: number, revision: number): EngineChange {
+  return {vmId: createDeskEngine(at).vmId, revision};
+}
+
+class Node extends ServingNodeHarness {
+  /** Time in which the node reads the engines, or not. */
+  read(ms: number): void {
+    for (const untilMs = this.nowMs + ms; this.nowMs < untilMs;) {
+      this.pass(200);
+      this.dispatch({type: 'fleetProven', provenAtMs: this.nowMs});
+    }
+  }
+
+  get targets(): string[] {
+    return [...this.state.targets.keys()].sort();
+  }
+}
+
+const startNode = () => new Node().start() as Node;
+
+describe('engines after the store was away', () => {
+  it('are kept though their entries lapsed, and removed when they are not listed again', () => {
+    const node = startNode();
+    node.read(3000);
+    node.pass(ABSENT_MS);
+    node.dispatch({
+      type: 'fleetListed',
+      changes: [listedAgain(0, 30)],
+      revision: 30,
+    });
+    assert.deepEqual(node.targets, ['e0', 'e1', 'e2']);
+    node.read(1000);
+    node.dispatch({
+      type: 'fleetChanged',
+      changes: [listedAgain(1, 31)],
+      revision: 31,
+    });
+    node.read(1000);
+    assert.deepEqual(node.targets, ['e0', 'e1', 'e2']);
+    node.read(400);
+    assert.deepEqual(node.targets, ['e0', 'e1']);
+    assert.ok(node.state.departed.has(createDeskEngine(2).vmId));
+  });
+
+  it('are kept when a watch tells of the removals after an answer without changes', () => {
+    const node = startNode();
+    node.read(3000);
+    node.pass(ABSENT_MS);
+    node.dispatch({type: 'fleetProven', provenAtMs: node.nowMs});
+    node.dispatch({
+      type: 'fleetChanged',
+      changes: [gone(0, 30), gone(1, 31), gone(2, 32)],
+      revision: 32,
+    });
+    assert.equal(node.targets.length, 3);
+    node.dispatch({
+      type: 'fleetChanged',
+      changes: [listedAgain(0, 33), listedAgain(1, 34)],
+      revision: 34,
+    });
+    node.read(2400);
+    assert.deepEqual(node.targets, ['e0', 'e1']);
+  });
+
+  it('are removed at once where the store was there, or the steward tells so', () => {
+    const node = startNode();
+    node.read(3000);
+    node.dispatch({type: 'fleetChanged', changes: [gone(0, 30)], revision: 30});
+    assert.deepEqual(node.targets, ['e1', 'e2']);
+    node.pass(ABSENT_MS);
+    node.dispatch({
+      type: 'digestReceived',
+      digest: node.peerDigest({isSteward: true, changes: [gone(1, 31)]}),
+    });
+    assert.deepEqual(node.targets, ['e2']);
+  });
+});
