Form a replica that needs no load while the neediest model waits for its engines; split the virtual world

Now such engines serve another model at once.

The virtual world is split by job: network, listing of engines, nodes; types of peers have a file of their own.

--- a/src/core/steward/form_replicas.ts
+++ b/src/core/steward/form_replicas.ts
@@ -82,7 +82,35 @@
     }
     const waitMs = isNeediest ? COLD_WAIT_MS : OTHER_WAIT_MS;
     const isDue = mayLoad(step, costs, {key, waitMs, members, cold});
-    return isDue ? {model, members, cold} : undefined;
+    return isDue
+      ? {model, members, cold}
+      : selectWarm(step, models, domain, free);
+  }
+  return undefined;
+}
+
+/**
+ * A replica that needs no load, of engines that hold nothing that the neediest
+ * model could use: they serve while that model waits for its own.
+ */
+function selectWarm(
+  step: ServingStep,
+  models: readonly ModelSpec[],
+  domain: string,
+  free: readonly EngineRecord[],
+): Candidate | undefined {
+  const [neediest, ...others] = models;
+  for (const model of others) {
+    if (!isAllowed(step, domain, model)) continue;
+    const members = free
+      .filter(
+        one =>
+          engineWarmth(one, model.name) < 2 &&
+          engineWarmth(one, neediest!.name) >= 2,
+      )
+      .sort((a, b) => compareFitness(step, a, b, model))
+      .slice(0, model.size);
+    if (members.length === model.size) return {model, members, cold: []};
   }
   return undefined;
 }
--- a/src/replay/serving/serving_world.ts
+++ b/src/replay/serving/serving_world.ts
@@ -1,5 +1,4 @@
 import type {
-  AttemptId,
   DomainId,
   NodeId,
   ServiceName,
@@ -10,10 +9,10 @@
   CallerOutcome,
   EngineWorld,
   JoinOrder,
+  WorldNode,
   WorldRequest,
 } from './types.js';
-import type {EngineCosts} from '../../core/fleet/types.js';
-import type {EngineOrder} from '../../core/steward/types.js';
+import type {EngineChange, EngineCosts} from '../../core/fleet/types.js';
 import type {Random} from '../../core/random/index.js';
 import type {
   ServingEffect,
@@ -26,6 +25,8 @@
 import {createServingConfig} from './create_serving_config.js';
 import {PromiseChecks} from './promise_checks.js';
 import {WorldCallers} from './world_callers.js';
+import {WorldListing} from './world_listing.js';
+import {WorldNetwork} from './world_network.js';
 import {VirtualTime} from '../virtual_time.js';
 import {
   createDigest,
@@ -39,16 +40,11 @@
 const TICK_MS = 50;
 const DIGEST_MS = 100;
 const HOP_MS = 1;
-const CONNECT_MS = 300;
-const PROBE_MS = 250;
-const ORDER_MS = 600;
 const STORE_MS = 8;
 /** A node that only routes hears of a change from the store by then. */
 const FOLLOWER_MS = 1200;
 const LEASE_MS = 1000;
 const RENEW_MS = 300;
-/** Time from the loss of a VM to its removal from the store. */
-const EXPIRE_MS = 3600;
 const EARLY_LOAD_FACTOR = 0.1;
 const RESTART_MS = 2500;
 /** Processes that start together are ready within this time of each other. */
@@ -64,11 +60,6 @@
   readonly lateOrderShare?: number;
 }
 
-interface WorldNode {
-  state: ServingState;
-  isUp: boolean;
-}
-
 /**
  * Serving nodes, engines and callers in virtual time.
  *
@@ -85,30 +76,36 @@
   readonly nodes: WorldNode[] = [];
   private readonly checks: PromiseChecks;
   readonly logs: string[] = [];
-  lateOrderShare: number;
+  readonly network: WorldNetwork;
   hasTraffic = false;
-  /** Decides whether bytes get from a node to an engine. */
-  isReachable: (node: NodeId, vmId: VmId) => boolean = () => true;
   private readonly random: Random;
   private readonly config = createServingConfig(SERVICE);
   private readonly callers: WorldCallers;
-  private readonly attempts = new Map<AttemptId, VmId>();
-  private readonly listed = new Set<VmId>();
-  private readonly hidden = new Set<VmId>();
-  private revision = 1;
+  private readonly listing = new WorldListing({
+    engines: this.engines,
+    after: (delayMs, run) => this.after(delayMs, run),
+    tell: change => this.tellNodes(change),
+  });
   private term = 0;
   private steward?: WorldNode;
 
   constructor(options: WorldOptions) {
     this.random = createRandom(options.seed);
     this.costs = this.config.services.get(SERVICE)!.engine!;
-    this.lateOrderShare = options.lateOrderShare ?? 0;
     this.checks = new PromiseChecks(this);
     this.callers = new WorldCallers({
       time: this.time,
       config: this.config,
       arriveAtSomeNode: request => this.arriveAtSomeNode(request),
     });
+    this.network = new WorldNetwork({
+      engines: this.engines,
+      callers: this.callers,
+      random: this.random,
+      after: (delayMs, run) => this.after(delayMs, run),
+      dispatch: (node, event) => this.dispatch(node, event),
+    });
+    this.network.lateOrderShare = options.lateOrderShare ?? 0;
     for (let at = 0; at < options.domainCount * options.domainSize; at++) {
       this.addEngine(`d${Math.floor(at / options.domainSize)}`);
     }
@@ -160,27 +157,13 @@
 
   /** A VM is lost without a word; the store finds out seconds later. */
   loseEngine(vmId: VmId, options: {readonly isSilent: boolean}): void {
-    const engine = this.engines.get(vmId)!;
-    engine.crash(options.isSilent);
-    const {bornAtMs} = engine.record;
-    this.after(EXPIRE_MS, () => {
-      if (engine.isUp && engine.record.bornAtMs !== bornAtMs) return;
-      this.listed.delete(vmId);
-      this.publish(vmId, undefined);
-    });
+    this.engines.get(vmId)!.crash(options.isSilent);
+    this.listing.expire(vmId);
   }
 
   /** The store no longer hears an engine, which lives on; it is listed again when it is heard. */
   hideEngine(vmId: VmId, forMs: number): void {
-    const engine = this.engines.get(vmId)!;
-    this.hidden.add(vmId);
-    this.after(EXPIRE_MS, () => {
-      if (this.hidden.has(vmId)) this.publish(vmId, undefined);
-    });
-    this.after(forMs, () => {
-      this.hidden.delete(vmId);
-      if (engine.isUp) this.publish(vmId, engine);
-    });
+    this.listing.hide(vmId, forMs);
   }
 
   restartEngine(vmId: VmId): void {
@@ -230,7 +213,7 @@
     if (!next) return;
     this.steward = next;
     this.term += 1;
-    this.renewLease(next, this.term + this.revision * 1000);
+    this.renewLease(next, this.term + this.listing.revision * 1000);
   }
 
   /** What became of the requests of callers. */
@@ -256,10 +239,7 @@
   }
 
   noteChange(vmId: VmId): void {
-    const engine = this.engines.get(vmId)!;
-    if (!engine.isUp || this.hidden.has(vmId)) return;
-    this.listed.add(vmId);
-    this.publish(vmId, engine);
+    this.listing.noteChange(vmId);
   }
 
   noteJoin(vmId: VmId, order: JoinOrder): void {
@@ -305,17 +285,10 @@
     const count = this.nodes.length - 1;
     this.dispatch(node, {type: 'peersRegistered', count});
     this.dispatch(node, {type: 'fleetProven', provenAtMs: Infinity});
-    const listed = [...this.engines.values()].filter(({record}) =>
-      this.listed.has(record.vmId),
-    );
     this.dispatch(node, {
       type: 'fleetListed',
-      changes: listed.map(({record}) => ({
-        vmId: record.vmId,
-        revision: record.revision,
-        engine: record,
-      })),
-      revision: this.revision,
+      changes: this.listing.changes(),
+      revision: this.listing.revision,
     });
   }
 
@@ -347,15 +320,11 @@
   private perform(node: WorldNode, effect: ServingEffect): void {
     switch (effect.type) {
       case 'startAttempt':
-        this.startAttempt(node, effect);
+        this.network.startAttempt(node, effect);
         break;
-      case 'cancelAttempt': {
-        const vmId = this.attempts.get(effect.attemptId);
-        if (vmId === undefined) break;
-        const {attemptId} = effect;
-        this.after(HOP_MS, () => this.engines.get(vmId)?.cancel(attemptId));
+      case 'cancelAttempt':
+        this.network.cancelAttempt(effect.attemptId);
         break;
-      }
       case 'refuse':
         this.callers.endRefused(effect);
         break;
@@ -363,10 +332,10 @@
         this.callers.end(effect.requestId, 'cut');
         break;
       case 'sendOrder':
-        this.sendOrder(node, effect.vmId, effect.order);
+        this.network.sendOrder(node, effect.vmId, effect.order);
         break;
       case 'probeEngine':
-        this.probe(node, effect.vmId);
+        this.network.probe(node, effect.vmId);
         break;
       case 'log':
         this.logs.push(
@@ -378,47 +347,6 @@
     }
   }
 
-  private startAttempt(
-    node: WorldNode,
-    effect: Extract<ServingEffect, {type: 'startAttempt'}>,
-  ): void {
-    const {attemptId, requestId, vmId} = effect;
-    const call = this.callers.find(requestId);
-    const engine = this.engines.get(vmId);
-    if (!call || !engine) return;
-    this.attempts.set(attemptId, vmId);
-    if (!engine.isUp || !this.isReachable(node.state.nodeId, vmId)) {
-      this.after(CONNECT_MS, () =>
-        this.dispatch(node, {
-          type: 'attemptFailed',
-          attemptId,
-          fault: 'not-sent',
-        }),
-      );
-      return;
-    }
-    const report = (event: ServingEvent) =>
-      this.after(HOP_MS, () => this.dispatch(node, event));
-    this.after(HOP_MS, () =>
-      engine.submit({
-        attemptId,
-        urgency: effect.urgency,
-        unreadTokens: call.request.promptTokens,
-        eventsLeft: call.events - call.eventsSeen,
-        hasStarted: false,
-        onEvent: () => {
-          report({type: 'attemptProgress', attemptId, eventCount: 1});
-          this.after(2 * HOP_MS, () => this.callers.takeEvent(requestId));
-        },
-        onEnd: () => {
-          report({type: 'attemptEnded', attemptId, status: 200});
-          this.after(2 * HOP_MS, () => this.callers.end(requestId, 'whole'));
-        },
-        onFail: fault => report({type: 'attemptFailed', attemptId, fault}),
-      }),
-    );
-  }
-
   /** False when no node runs. */
   private arriveAtSomeNode(request: ServingRequest): boolean {
     const nodes = this.nodes.filter(({isUp}) => isUp);
@@ -428,45 +356,6 @@
     return true;
   }
 
-  private sendOrder(node: WorldNode, vmId: VmId, order: EngineOrder): void {
-    const answer = (
-      outcome: Extract<ServingEvent, {type: 'orderAnswered'}>['outcome'],
-    ) => this.dispatch(node, {type: 'orderAnswered', vmId, order, outcome});
-    const engine = this.engines.get(vmId);
-    if (!engine?.isUp || !this.isReachable(node.state.nodeId, vmId)) {
-      this.after(ORDER_MS, () => answer('unknown'));
-      return;
-    }
-    if (this.random.next() < this.lateOrderShare) {
-      const lateMs = 2000 + this.random.below(10_000);
-      const {bornAtMs} = engine.record;
-      this.after(lateMs, () => {
-        const isSameLife = engine.record.bornAtMs === bornAtMs;
-        if (engine.isUp && isSameLife) engine.order(order);
-      });
-      this.after(ORDER_MS, () => answer('unknown'));
-      return;
-    }
-    this.after(HOP_MS, () => {
-      const outcome = engine.isUp ? engine.order(order) : undefined;
-      this.after(HOP_MS, () => answer(outcome ?? 'unknown'));
-    });
-  }
-
-  private probe(node: WorldNode, vmId: VmId): void {
-    const engine = this.engines.get(vmId);
-    const isThere =
-      engine?.isUp === true && this.isReachable(node.state.nodeId, vmId);
-    this.after(isThere ? 2 * HOP_MS : PROBE_MS, () =>
-      this.dispatch(node, {
-        type: 'probeAnswered',
-        vmId,
-        outcome: isThere ? 'answered' : 'silent',
-        pace: isThere ? engine.slowness : undefined,
-      }),
-    );
-  }
-
   private sendDigest(node: WorldNode): void {
     if (!node.isUp) return;
     const digest = createDigest(node.state, this.nowMs);
@@ -478,11 +367,8 @@
     }
   }
 
-  private publish(vmId: VmId, engine: ServingEngine | undefined): void {
-    this.revision += 1;
-    const {revision} = this;
-    if (engine) engine.record = {...engine.record, revision};
-    const change = {vmId, revision, ...(engine && {engine: engine.record})};
+  private tellNodes(change: EngineChange): void {
+    const {revision} = change;
     for (const node of this.nodes) {
       const delayMs =
         node === this.steward
--- a/src/replay/serving/types.ts
+++ b/src/replay/serving/types.ts
@@ -2,7 +2,7 @@
 import type {EngineCosts, EngineRecord} from '../../core/fleet/types.js';
 import type {EngineOrder} from '../../core/steward/types.js';
 import type {ModelName, VmId} from '../../core/ids/index.js';
-import type {ServingRequest} from '../../core/serving/types.js';
+import type {ServingRequest, ServingState} from '../../core/serving/types.js';
 
 /** A request at a virtual engine. */
 export interface EngineJob {
@@ -70,3 +70,9 @@
   readonly events: number;
   readonly apiKey?: string;
 }
+
+/** A serving node of a world. */
+export interface WorldNode {
+  state: ServingState;
+  isUp: boolean;
+}
--- /dev/null
+++ b/src/replay/serving/world_network.ts
@@ -0,0 +1,124 @@
+import type {AttemptId, NodeId, VmId} from '../../core/ids/index.js';
+import type {EngineOrder} from '../../core/steward/types.js';
+import type {Random} from '../../core/random/index.js';
+import type {ServingEffect, ServingEvent} from '../../core/serving/types.js';
+import type {ServingEngine} from './serving_engine.js';
+import type {WorldCallers} from './world_callers.js';
+import type {WorldNode} from './types.js';
+
+const HOP_MS = 1;
+const CONNECT_MS = 300;
+const PROBE_MS = 250;
+const ORDER_MS = 600;
+/** Delay of an order that is carried out late, and what chance adds. */
+const LATE_ORDER_MS = 2000;
+const LATE_ORDER_SPREAD_MS = 10_000;
+
+interface NetworkOptions {
+  readonly engines: ReadonlyMap<VmId, ServingEngine>;
+  readonly callers: WorldCallers;
+  readonly random: Random;
+  after(delayMs: number, run: () => void): void;
+  dispatch(node: WorldNode, event: ServingEvent): void;
+}
+
+/** The way from nodes to engines: attempts, orders and probes, each with the delays and losses of a network. */
+export class WorldNetwork {
+  /** Share of orders that get no answer and are carried out seconds later. */
+  lateOrderShare = 0;
+  /** Decides whether bytes get from a node to an engine. */
+  isReachable: (node: NodeId, vmId: VmId) => boolean = () => true;
+  private readonly attempts = new Map<AttemptId, VmId>();
+
+  constructor(private readonly options: NetworkOptions) {}
+
+  startAttempt(
+    node: WorldNode,
+    effect: Extract<ServingEffect, {type: 'startAttempt'}>,
+  ): void {
+    const {callers, engines, after, dispatch} = this.options;
+    const {attemptId, requestId, vmId} = effect;
+    const call = callers.find(requestId);
+    const engine = engines.get(vmId);
+    if (!call || !engine) return;
+    this.attempts.set(attemptId, vmId);
+    if (!engine.isUp || !this.isReachable(node.state.nodeId, vmId)) {
+      after(CONNECT_MS, () =>
+        dispatch(node, {
+          type: 'attemptFailed',
+          attemptId,
+          fault: 'not-sent',
+        }),
+      );
+      return;
+    }
+    const report = (event: ServingEvent) =>
+      after(HOP_MS, () => dispatch(node, event));
+    after(HOP_MS, () =>
+      engine.submit({
+        attemptId,
+        urgency: effect.urgency,
+        unreadTokens: call.request.promptTokens,
+        eventsLeft: call.events - call.eventsSeen,
+        hasStarted: false,
+        onEvent: () => {
+          report({type: 'attemptProgress', attemptId, eventCount: 1});
+          after(2 * HOP_MS, () => callers.takeEvent(requestId));
+        },
+        onEnd: () => {
+          report({type: 'attemptEnded', attemptId, status: 200});
+          after(2 * HOP_MS, () => callers.end(requestId, 'whole'));
+        },
+        onFail: fault => report({type: 'attemptFailed', attemptId, fault}),
+      }),
+    );
+  }
+
+  cancelAttempt(attemptId: AttemptId): void {
+    const {engines, after} = this.options;
+    const vmId = this.attempts.get(attemptId);
+    if (vmId === undefined) return;
+    after(HOP_MS, () => engines.get(vmId)?.cancel(attemptId));
+  }
+
+  sendOrder(node: WorldNode, vmId: VmId, order: EngineOrder): void {
+    const {engines, random, after, dispatch} = this.options;
+    const answer = (
+      outcome: Extract<ServingEvent, {type: 'orderAnswered'}>['outcome'],
+    ) => dispatch(node, {type: 'orderAnswered', vmId, order, outcome});
+    const engine = engines.get(vmId);
+    if (!engine?.isUp || !this.isReachable(node.state.nodeId, vmId)) {
+      after(ORDER_MS, () => answer('unknown'));
+      return;
+    }
+    if (random.next() < this.lateOrderShare) {
+      const lateMs = LATE_ORDER_MS + random.below(LATE_ORDER_SPREAD_MS);
+      const {bornAtMs} = engine.record;
+      after(lateMs, () => {
+        const isSameLife = engine.record.bornAtMs === bornAtMs;
+        if (engine.isUp && isSameLife) engine.order(order);
+      });
+      after(ORDER_MS, () => answer('unknown'));
+      return;
+    }
+    after(HOP_MS, () => {
+      const outcome = engine.isUp ? engine.order(order) : undefined;
+      after(HOP_MS, () => answer(outcome ?? 'unknown'));
+    });
+  }
+
+  probe(node: WorldNode, vmId: VmId): void {
+    const {engines, after, dispatch} = this.options;
+    const engine = engines.get(vmId);
+    const isThere =
+      engine?.isUp === true && this.isReachable(node.state.nodeId, vmId);
+    after(isThere ? 2 * HOP_MS : PROBE_MS, () =>
+      dispatch(node, {
+        type: 'probeAnswered',
+        vmId,
+        outcome: isThere ? 'answered' : 'silent',
+        pace: isThere ? engine.slowness : undefined,
+      }),
+    );
+  }
+}
--- a/test/units/steward/assembly.test.ts
+++ b/test/units/steward/assembly.test.ts
@@ -60,10 +60,10 @@
     )!;
     const {vmId} = head.record;
     // The head lives on, and serves, but nobody reaches it.
-    world.isReachable = (_node, to) => to !== vmId;
+    world.network.isReachable = (_node, to) => to !== vmId;
     world.runFor(5000);
     assert.deepEqual(world.breaches, []);
-    world.isReachable = () => true;
+    world.network.isReachable = () => true;
     world.runFor(4000);
     assert.equal(world.countServing(large), 3);
     assert.deepEqual(world.breaches, []);
--- a/test/units/steward/replica_properties.test.ts
+++ b/test/units/steward/replica_properties.test.ts
@@ -72,8 +72,8 @@
       world.cutSteward();
       break;
     case 'late-orders':
-      world.lateOrderShare = 0.5;
-      world.after(4000, () => (world.lateOrderShare = 0));
+      world.network.lateOrderShare = 0.5;
+      world.after(4000, () => (world.network.lateOrderShare = 0));
       break;
     case 'head-cut': {
       const head = engines.find(one => one.isServing);
@@ -81,9 +81,9 @@
       const cut = head.record.vmId;
       // Cut off from half of the nodes; the store or others hear it.
       const parity = at % 2;
-      world.isReachable = (node, to) =>
+      world.network.isReachable = (node, to) =>
         to !== cut || Number(node.slice(1)) % 2 === parity;
-      world.after(4000, () => (world.isReachable = () => true));
+      world.after(4000, () => (world.network.isReachable = () => true));
       break;
     }
     case 'hidden':
