Measure waits, event gaps, replicas by stage, the age of beliefs and the budget of repeats

Waits and gaps between events are histograms; replicas, waiting requests, ages of beliefs and repeats against their budget are gauges that are brought up to date when they are scraped. Test: answers, the scrape of a node that has served a stream.

--- a/src/core/serving/index.ts
+++ b/src/core/serving/index.ts
@@ -7,3 +7,4 @@
 export {resolveEntries} from './resolve_entries.js';
 export {reduceServing} from './reduce_serving.js';
 export type * from './types.js';
+export {repeatBudget} from './repeat_budget.js';
--- a/src/core/serving/note_attempt.ts
+++ b/src/core/serving/note_attempt.ts
@@ -35,6 +35,9 @@
     if (attempt.hasStarted) {
       const pauseMs = (step.nowMs - attempt.progressAtMs) / eventCount;
       notePause(step, attempt.vmId, pauseMs);
+      count(step, 'eventGapMs', step.nowMs - attempt.progressAtMs, {
+        service: record.service,
+      });
     }
     attempt.progressAtMs = step.nowMs;
     load.progressAtMs = step.nowMs;
--- a/src/core/serving/repeat_budget.ts
+++ b/src/core/serving/repeat_budget.ts
@@ -26,6 +26,16 @@
   },
 
   hasRoom(state: ServingState, service: ServiceName, nowMs: number): boolean {
+    const {used, allowed} = repeatBudget.usage(state, service, nowMs);
+    return used + 1 <= SAFE_SHARE * allowed;
+  },
+
+  /** Repeats in the window, and how many of them this node may have. */
+  usage(
+    state: ServingState,
+    service: ServiceName,
+    nowMs: number,
+  ): {readonly used: number; readonly allowed: number} {
     const window = currentWindow(state, service, nowMs);
     const {repeatRatio, repeatSlack} = state.bounds;
     let nodeCount = 1;
@@ -34,7 +44,7 @@
     }
     const allowed =
       repeatRatio * sum(window.requests) + repeatSlack / nodeCount;
-    return sum(window.repeats) + 1 <= SAFE_SHARE * allowed;
+    return {used: sum(window.repeats), allowed};
   },
 };
 
--- a/src/core/serving/send_attempt.ts
+++ b/src/core/serving/send_attempt.ts
@@ -41,6 +41,10 @@
   record.tried.add(target.vmId);
   state.byAttempt.set(attemptId, record);
   count(step, 'attempts', 1, {service: record.service});
+  if (record.sendCount === 1) {
+    const waitedMs = nowMs - request.arrivedAtMs;
+    count(step, 'queueMs', waitedMs, {service: record.service});
+  }
   logDecision(step, 'info', 'requests', 'request sent', {
     requestId: request.requestId,
     callerId: request.callerId,
--- a/src/metrics/metric_definitions.ts
+++ b/src/metrics/metric_definitions.ts
@@ -4,6 +4,11 @@
   5, 10, 25, 50, 100, 250, 500, 850, 1500, 3000, 6000, 15_000, 30_000,
 ];
 
+/** Around the pauses at which streams count as late, 100 to 300 ms. */
+const GAP_BUCKETS_MS = [
+  10, 25, 50, 75, 100, 150, 200, 250, 300, 500, 1000, 2000, 6000,
+];
+
 /** Every measurement of a node, by the name that the core and the runtime use. */
 export const METRIC_DEFINITIONS: Readonly<Record<string, MetricDefinition>> = {
   requests: {
@@ -93,6 +98,37 @@
     help: 'Requests that were answered on arrival without a dispatch, by reason.',
     labels: ['reason'],
   },
+  eventGapMs: {
+    kind: 'histogram',
+    help: 'Time between parts of a stream that reached this node, by service.',
+    labels: ['service'],
+    buckets: GAP_BUCKETS_MS,
+  },
+  replicas: {
+    kind: 'gauge',
+    help: 'Replicas as the engines report them, by model and stage of the head.',
+    labels: ['model', 'stage'],
+  },
+  waitingRequests: {
+    kind: 'gauge',
+    help: 'Requests that wait at this node for a target, by pool.',
+    labels: ['pool'],
+  },
+  beliefAgeMs: {
+    kind: 'gauge',
+    help: 'Age of what this node believes: proof of the configuration, reading of the engines, own lease as steward (time that is left).',
+    labels: ['belief'],
+  },
+  beliefVersion: {
+    kind: 'gauge',
+    help: 'Version of the configuration in force at this node, and revision up to which it has read the engines.',
+    labels: ['belief'],
+  },
+  repeats: {
+    kind: 'gauge',
+    help: 'Repeats of the last seconds at this node against what the shared budget allows, by service.',
+    labels: ['service', 'of'],
+  },
   unlisted: {
     kind: 'counter',
     help: 'Measurements that have no definition, by name.',
--- /dev/null
+++ b/src/serving/measure_state.ts
@@ -0,0 +1,40 @@
+import type {NodeMetrics} from '../metrics/types.js';
+import type {ServingState} from '../core/serving/types.js';
+import {repeatBudget} from '../core/serving/index.js';
+
+/** Brings the gauges of a node up to date, for a scrape. */
+export function measureState(
+  state: ServingState,
+  metrics: NodeMetrics,
+  nowMs: number,
+): void {
+  metrics.resetGauges();
+  for (const {head} of state.replicas.values()) {
+    metrics.count('replicas', 1, {
+      model: head?.models[0] ?? 'none',
+      stage: head?.membership?.stage ?? 'no-head',
+    });
+  }
+  for (const [pool, waiting] of state.waiting) {
+    metrics.count('waitingRequests', waiting.length, {pool});
+  }
+  const ages = {
+    'configuration-proof': nowMs - state.configProvenAtMs,
+    'configuration-read': nowMs - state.configReadAtMs,
+    engines: nowMs - state.fleetKnownAtMs,
+    'steward-lease-left': state.steward.leaseUntilMs - nowMs,
+  };
+  for (const [belief, ageMs] of Object.entries(ages)) {
+    if (Number.isFinite(ageMs)) metrics.count('beliefAgeMs', ageMs, {belief});
+  }
+  const {config, fleetRevision} = state;
+  metrics.count('beliefVersion', config?.version ?? 0, {
+    belief: 'configuration',
+  });
+  metrics.count('beliefVersion', fleetRevision, {belief: 'engines'});
+  for (const service of state.repeatWindows.keys()) {
+    const {used, allowed} = repeatBudget.usage(state, service, nowMs);
+    metrics.count('repeats', used, {service, of: 'used'});
+    metrics.count('repeats', allowed, {service, of: 'allowed'});
+  }
+}
--- a/src/serving/metrics_server.ts
+++ b/src/serving/metrics_server.ts
@@ -1,11 +1,14 @@
 import {createServer} from 'node:http';
 import type {ServingContext, ServingPart} from './types.js';
 import {listenOn} from './listen_on.js';
+import {measureState} from './measure_state.js';
 
 /** Serves the node's measurements as Prometheus text. */
 export class MetricsServer implements ServingPart {
   private readonly server = createServer((_request, response) => {
-    void this.context.metrics.render().then(text => {
+    const {state, metrics, clock} = this.context;
+    measureState(state, metrics, clock.nowMs());
+    void metrics.render().then(text => {
       response.setHeader('content-type', 'text/plain; version=0.0.4');
       response.end(text);
     });
--- a/test/support/adapter_node.ts
+++ b/test/support/adapter_node.ts
@@ -21,6 +21,7 @@
   front = '';
   ready = '';
   directory = '';
+  metrics = '';
   node!: Awaited<ReturnType<typeof createServingNode>>;
 
   static async start(answers: readonly RawAnswer[]): Promise<AdapterNode> {
@@ -108,13 +109,14 @@
       });
     }
     this.store.put('servers/i-foreign', 'no JSON at all');
-    const ports = await freePorts(4);
-    const [front, ready, directory, peers] = ports.map(
+    const ports = await freePorts(5);
+    const [front, ready, directory, peers, metrics] = ports.map(
       port => `127.0.0.1:${port}`,
     );
     this.front = front!;
     this.ready = ready!;
     this.directory = directory!;
+    this.metrics = metrics!;
     this.node = await createServingNode({
       settings: {
         nodeId: makeId<NodeId>('edge-1'),
@@ -124,6 +126,7 @@
           ready: this.ready,
           directory: this.directory,
           peers: peers!,
+          metrics: this.metrics,
         },
         isFirstStart: true,
         storeAddress,
--- a/test/units/platform_adapter/answers.test.ts
+++ b/test/units/platform_adapter/answers.test.ts
@@ -85,6 +85,29 @@
     assert.ok(once.status === 502 || once.headers['x-response-signature']);
   });
 
+  it('serves waits, event gaps, store calls and the age of its beliefs as metrics', async () => {
+    const stream: RawAnswer = socket => {
+      socket.write(STREAM + streamOf(1, 1));
+      setTimeout(() => socket.write(streamOf(2, 2) + '0\r\n\r\n'), 60);
+    };
+    adapter = await AdapterNode.start([stream]);
+    assert.equal((await adapter.call('streaming')).whole, true);
+    const {body} = await callHttp(`http://${adapter.metrics}/metrics`);
+    for (const line of [
+      /rhubarbstile_queue_ms_count\{service="desk"\} 1\n/,
+      /rhubarbstile_first_token_ms_count\{service="desk"\} 1\n/,
+      /rhubarbstile_event_gap_ms_bucket\{le="50",service="desk"\} 0\n/,
+      /rhubarbstile_event_gap_ms_count\{service="desk"\} 1\n/,
+      /rhubarbstile_requests_total\{service="desk",verdict="ran"\} 1\n/,
+      /rhubarbstile_store_calls_total\{kind="list",outcome="ok"\} [1-9]/,
+      /rhubarbstile_belief_age_ms\{belief="configuration-proof"\} \d/,
+      /rhubarbstile_belief_version\{belief="configuration"\} 1\n/,
+      /rhubarbstile_repeats\{service="desk",of="used"\} 0\n/,
+    ]) {
+      assert.match(body, line);
+    }
+  });
+
   it('refuses headers over the limit of the configuration', async () => {
     adapter = await AdapterNode.start([whole]);
     const answer = await adapter.call('safe', {
