--- a/src/core/serving/peers/types.ts
+++ b/src/core/serving/peers/types.ts
@@ -36,12 +36,12 @@
   readonly isSteward: boolean;
   readonly changes: readonly EngineChange[];
   readonly configVersion: number;
-  /** Age of the store's last word to the sender that this version is the newest; -1 for none. */
+  /** Age of the sender's own proof, from the store, that this version is the newest; -1 for none. */
   readonly configProofAgeMs: number;
   /** Count and sum of revisions of the engines that the sender knows: equal where the engines are. */
   readonly engineCount: number;
   readonly revisionSum: number;
-  /** Age of the store's last word to the sender on the engines; -1 for none. */
+  /** Age of the sender's own reading of the engines from the store; -1 for none. */
   readonly fleetProofAgeMs: number;
   readonly loads: readonly DigestLoad[];
   /** Engines that the store dropped, for nodes that have just started. */
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -165,15 +165,15 @@
   idCounter: number;
   readonly life: number;
   config?: AccessConfig;
-  /** The configuration was the newest then, by the store's word to this node or to a peer. */
+  /** The configuration was the newest then, as the store told this node or a peer. */
   configProvenAtMs: number;
   /** Whether the proof was young enough when it was last looked at. */
   wasAccessProven: boolean;
-  /** The same by the store's word to this node alone. */
+  /** The same, as the store told this node itself. */
   configReadAtMs: number;
-  /** The engines were known as the store lists them then, by its word to this node. */
+  /** The engines were known as the store listed them then, as it told this node. */
   fleetReadAtMs: number;
-  /** The same by the store's word to this node or to the steward. */
+  /** The same, as the store told this node or the steward. */
   fleetKnownAtMs: number;
   /** Until then engines that the store lists no more are kept. */
   holdRemovalsUntilMs: number;
--- a/test/units/serving/told_by_peers.test.ts
+++ b/test/units/serving/told_by_peers.test.ts
@@ -132,7 +132,7 @@
     assert.equal(node.needsConfig, true);
   });
 
-  it('leaves the engines to the steward while its word is young and alike', () => {
+  it('leaves the engines to the steward while its reading is recent and alike', () => {
     const node = startNode();
     assert.equal(node.needsFleet, true);
     node.hear(5000, steward);
