Open only replicas that this steward has joined; rebalance without callers

Cause: a steward adopted a replica that an earlier one had joined and that was ready, and opened it.

Rebalancing waits for all replicas to be open, as before, but no longer for callers.

Ruled out: not adopting such replicas at all; a late open of the earlier steward could then meet members that are in another replica.

--- a/src/core/steward/follow_track.ts
+++ b/src/core/steward/follow_track.ts
@@ -3,6 +3,7 @@
 import type {VmId} from '../ids/index.js';
 import {findReplaceable} from './find_replaceable.js';
 import {giveOrder} from './give_order.js';
+import {isOfTerm} from './is_of_term.js';
 import {judgeMember} from './judge_member.js';
 import {leaveTrack} from './leave_track.js';
 import {releaseTrack} from './release_track.js';
@@ -74,8 +75,25 @@
       isReady = false;
     }
   }
-  if (!isReady) return;
-  setPhase(step, track, 'opening', 'all members are ready');
+  if (isReady) startOpening(step, track, 'all members are ready');
+}
+
+/**
+ * Opens a replica that this steward has joined. One of an earlier steward is
+ * joined anew: a steward in between may have sent its members orders that are
+ * carried out late, and these engines follow the later epoch.
+ */
+function startOpening(
+  step: ServingStep,
+  track: ReplicaTrack,
+  cause: string,
+): void {
+  if (!isOfTerm(step.state.steward, track.epoch)) {
+    setPhase(step, track, 'leaving', 'an earlier steward joined it');
+    leaveTrack(step, track);
+    return;
+  }
+  setPhase(step, track, 'opening', cause);
   openHead(step, track);
 }
 
@@ -108,7 +126,7 @@
     return;
   }
   if (headStage(step, track) === 'ready') {
-    setPhase(step, track, 'opening', 'the head was closed');
+    startOpening(step, track, 'the head was closed');
   }
 }
 
--- a/src/core/steward/next_epoch.ts
+++ b/src/core/steward/next_epoch.ts
@@ -1,7 +1,5 @@
 import type {StewardState} from './types.js';
-
-/** Epochs of one term; far more replicas than a term can plan. */
-const EPOCHS_PER_TERM = 2 ** 20;
+import {EPOCHS_PER_TERM} from './epochs_per_term.js';
 
 /** An epoch above all of earlier terms, so that engines refuse orders of an earlier steward that come late. */
 export function nextEpoch(steward: StewardState): number {
--- a/src/core/steward/plan_service.ts
+++ b/src/core/steward/plan_service.ts
@@ -44,5 +44,5 @@
     }
   }
   stageWeights(step, service, costs);
-  if (steward.hasTraffic) rebalanceModels(step, service, costs);
+  rebalanceModels(step, service, costs);
 }
--- /dev/null
+++ b/test/units/steward/earlier_terms.test.ts
@@ -0,0 +1,66 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import type {EngineRecord} from '../../../src/core/fleet/types.js';
+import type {EngineOrder} from '../../../src/core/steward/types.js';
+import type {ReplicaId, ServiceName} from '../../../src/core/ids/index.js';
+import {EPOCHS_PER_TERM} from '../../../src/core/steward/epochs_per_term.js';
+import {SERVING_MODELS} from '../../../src/replay/serving/index.js';
+import {
+  ServingNodeHarness,
+  createDeskEngine,
+} from '../../support/serving_node.js';
+import {createServingConfig} from '../../../src/replay/serving/create_serving_config.js';
+import {makeId} from '../../../src/core/ids/index.js';
+import {planService} from '../../../src/core/steward/plan_service.js';
+
+const {small} = SERVING_MODELS;
+const SERVICE = makeId<ServiceName>('pool');
+const TERM = 5;
+
+/** Orders to the engines of a replica that is ready, and was joined under an epoch of `term`. */
+function ordersFor(term: number): EngineOrder['kind'][] {
+  const node = new ServingNodeHarness().start();
+  const {state} = node;
+  state.steward.term = TERM;
+  const config = {...createServingConfig(SERVICE), version: 2};
+  node.dispatch({type: 'configRead', config, provenAtMs: node.nowMs});
+  const costs = config.services.get(SERVICE)!.engine!;
+  const {size} = costs.models.find(({name}) => name === small)!;
+  const epoch = term * EPOCHS_PER_TERM + 1;
+  const engines = Array.from({length: size}, (_, rank): EngineRecord => ({
+    ...createDeskEngine(rank + 10),
+    service: SERVICE,
+    models: [small],
+    stagedModels: [small],
+    membership: {
+      replicaId: makeId<ReplicaId>('e10~1'),
+      epoch,
+      rank,
+      stage: 'ready',
+    },
+  }));
+  node.dispatch({
+    type: 'fleetListed',
+    changes: engines.map(engine => {
+      const {vmId, revision} = engine;
+      return {vmId, revision, engine};
+    }),
+    revision: 100,
+  });
+  node.take('sendOrder');
+  const effects: ServingNodeHarness['effects'] = [];
+  planService({state, nowMs: node.nowMs, effects}, SERVICE, costs);
+  return effects.flatMap(effect =>
+    effect.type === 'sendOrder' ? [effect.order.kind] : [],
+  );
+}
+
+describe('a replica that is ready and was never opened', () => {
+  it('is opened by the steward that joined it', () => {
+    assert.deepEqual(ordersFor(TERM), ['open']);
+  });
+
+  it('is taken apart by a later steward, since orders of one in between may still come to its members', () => {
+    assert.deepEqual(ordersFor(TERM - 2), ['leave']);
+  });
+});
