Keep the members of another steward's replica until its head has left

Cause: a later steward adopted a replica whose head it had last heard as ready.

Change: only the steward that joined a replica takes it as never opened. Others ask its head to leave first.

--- a/src/core/steward/follow_track.ts
+++ b/src/core/steward/follow_track.ts
@@ -52,11 +52,11 @@
     (vmId, at) => conditions[at] === 'lost' || conditions[at] === 'leaving',
   );
   if (missing !== undefined) {
-    releaseTrack(step, track, `never opened; ${missing} is missing`);
+    giveUpJoining(step, track, `${missing} is missing`);
     return;
   }
   if (nowMs >= track.dueAtMs) {
-    releaseTrack(step, track, 'never opened; not ready in time');
+    giveUpJoining(step, track, 'not ready in time');
     return;
   }
   let isReady = true;
@@ -78,6 +78,20 @@
   if (isReady) startOpening(step, track, 'all members are ready');
 }
 
+/** Only the steward that joined a replica can tell that it was never opened; the head of another may serve, though it was last heard as ready. */
+function giveUpJoining(
+  step: ServingStep,
+  track: ReplicaTrack,
+  cause: string,
+): void {
+  if (isOfTerm(step.state.steward, track.epoch)) {
+    releaseTrack(step, track, `never opened; ${cause}`);
+    return;
+  }
+  setPhase(step, track, 'leaving', cause);
+  leaveTrack(step, track);
+}
+
 /**
  * Opens a replica that this steward has joined. One of an earlier steward is
  * joined anew: a steward in between may have sent its members orders that are
--- a/src/core/steward/is_taken_as_gone.ts
+++ b/src/core/steward/is_taken_as_gone.ts
@@ -1,6 +1,7 @@
 import type {NodeId, VmId} from '../ids/index.js';
 import type {ReplicaTrack} from './types.js';
 import type {ServingState, ServingStep} from '../serving/types.js';
+import {listNodes} from '../serving/relays/list_nodes.js';
 
 /** Peers that look for a head, and how many of them must have found it silent. */
 const PEERS_ASKED = 4;
@@ -30,19 +31,19 @@
 }
 
 function countOpinions(state: ServingState, vmId: VmId) {
-  let silent = 0;
-  let heard = 0;
+  const isSilent = new Map<NodeId, boolean>();
   for (const {digest} of state.peers.values()) {
-    const opinion = digest.opinions.find(one => one.vmId === vmId);
-    if (!opinion) continue;
-    if (opinion.isSilent) silent += 1;
-    else heard += 1;
+    for (const opinion of digest.opinions) {
+      if (opinion.vmId !== vmId || opinion.nodeId === state.nodeId) continue;
+      isSilent.set(opinion.nodeId, opinion.isSilent);
+    }
   }
-  return {silent, heard};
+  const silent = [...isSilent.values()].filter(Boolean).length;
+  return {silent, heard: isSilent.size - silent};
 }
 
-function selectPeers({state}: ServingStep, count: number): NodeId[] {
-  const peers = [...state.peers.keys()];
+function selectPeers({state, nowMs}: ServingStep, count: number): NodeId[] {
+  const peers = [...listNodes(state, nowMs).keys()];
   const selected: NodeId[] = [];
   while (selected.length < count && peers.length > 0) {
     const at = state.random.below(peers.length);
--- a/test/units/steward/earlier_terms.test.ts
+++ b/test/units/steward/earlier_terms.test.ts
@@ -17,8 +17,8 @@
 const SERVICE = makeId<ServiceName>('pool');
 const TERM = 5;
 
-/** Orders to the engines of a replica that is ready, and was joined under an epoch of `term`. */
-function ordersFor(term: number): EngineOrder['kind'][] {
+/** Orders to the engines of a replica that is ready, and was joined under an epoch of `term`; its last member may be leaving. */
+function ordersFor(term: number, isLeaving = false): EngineOrder['kind'][] {
   const node = new ServingNodeHarness().start();
   const {state} = node;
   state.steward.term = TERM;
@@ -32,6 +32,7 @@
     service: SERVICE,
     models: [small],
     stagedModels: [small],
+    isLeaving: isLeaving && rank === size - 1,
     membership: {
       replicaId: makeId<ReplicaId>('e10~1'),
       epoch,
@@ -63,4 +64,8 @@
   it('is taken apart by a later steward, since orders of one in between may still come to its members', () => {
     assert.deepEqual(ordersFor(TERM - 2), ['leave']);
   });
+
+  it('keeps its members, when one is missing, until its head has left: the head may have been opened', () => {
+    assert.deepEqual(ordersFor(TERM - 2, true), ['leave']);
+  });
 });
