--- a/src/core/serving/apply_digest.ts
+++ b/src/core/serving/apply_digest.ts
@@ -1,41 +1,56 @@
 import type {LoadDigest, PeerView, ServingState, ServingStep} from './types.js';
-import type {VmId} from '../ids/index.js';
+import {LOST_FOR_MS} from './lost_for_ms.js';
+import {acceptsDigest} from './relays/accepts_digest.js';
+import {addPeerLoads} from './add_peer_loads.js';
 import {applyFleet} from './apply_fleet.js';
-import {followLink} from './follow_link.js';
 import {logDecision} from './log_decision.js';
+import {noteHeard} from './relays/note_heard.js';
 import {noteStoreContact} from './note_store_contact.js';
+import {peerKey} from './peer_key.js';
+import {peerLoad} from './peer_load.js';
 import {provenAtMs} from './proven_at_ms.js';
 import {rebuildTargets} from './rebuild_targets.js';
+import {withoutOwn} from './relays/without_own.js';
 
-const SUSPECT_FOR_MS = 60_000;
 const PEER_SUSPECT_MS = 400;
 const LOOK_AGAIN_MS = 800;
 
 /** Takes over what a peer tells of its load and its findings. */
-export function applyDigest(step: ServingStep, digest: LoadDigest): void {
+export function applyDigest(step: ServingStep, told: LoadDigest): void {
   const {state, nowMs} = step;
-  if (digest.from === state.nodeId) return;
-  const peer = state.peers.get(digest.from);
-  if (peer) addLoads(state, peer.digest, -1);
+  if (told.from === state.nodeId) return;
+  const link = noteHeard(step, told);
+  if (!acceptsDigest(state, told)) return;
+  const digest = withoutOwn(state, told);
+  const key = peerKey(digest);
+  const peer = state.peers.get(key);
+  if (peer) addPeerLoads(state, peer.digest.loads, -1);
   else {
     state.newPeerAtMs = nowMs;
     logDecision(step, 'info', 'peers', 'peer heard', {
-      peer: digest.from,
+      peer: key,
+      from: digest.from,
       address: digest.callerAddress,
     });
   }
-  addLoads(state, digest, 1);
+  addPeerLoads(state, digest.loads, 1);
   noteProgress(state, digest, nowMs);
-  const link = followLink(peer?.link, digest, nowMs);
-  const view = {digest, atMs: nowMs, link};
-  state.peers.set(digest.from, view);
+  const hasRoster = digest.roster.length > 0;
+  const view: PeerView = {
+    digest,
+    atMs: nowMs,
+    link,
+    roster: hasRoster ? digest.roster : (peer?.roster ?? []),
+    rosterAtMs: hasRoster ? nowMs : (peer?.rosterAtMs ?? -Infinity),
+  };
+  state.peers.set(key, view);
   takeProof(state, view);
-  for (const {fingerprint, losses} of digest.suspects) {
+  for (const {fingerprint, losses, leftMs} of digest.suspects) {
     const known = state.crashSuspects.get(fingerprint);
     if (known && known.losses >= losses) continue;
     state.crashSuspects.set(fingerprint, {
       losses,
-      untilMs: nowMs + SUSPECT_FOR_MS,
+      untilMs: nowMs + leftMs,
       lostAt: known?.lostAt ?? new Set(),
     });
   }
@@ -45,7 +60,7 @@
   if (digest.changes.length > 0) {
     applyFleet(step, {changes: digest.changes, isWhole: false});
   }
-  if (digest.isSteward) {
+  if (digest.isSteward || digest.scope === 'fleet') {
     noteStoreContact(step, provenAtMs(view, digest.fleetProofAgeMs));
     compareEngines(step, digest);
   }
@@ -72,18 +87,6 @@
   else state.fleetUnlikeSinceMs ??= nowMs;
 }
 
-function addLoads(
-  state: ServingState,
-  digest: LoadDigest,
-  factor: 1 | -1,
-): void {
-  for (const {vmId, inFlight, unreadTokens} of digest.loads) {
-    const load = peerLoad(state, vmId);
-    load.inFlight += factor * inFlight;
-    load.unreadTokens += factor * unreadTokens;
-  }
-}
-
 function noteProgress(
   state: ServingState,
   digest: LoadDigest,
@@ -99,21 +102,6 @@
   }
 }
 
-function peerLoad(state: ServingState, vmId: VmId) {
-  let load = state.peerLoads.get(vmId);
-  if (!load) {
-    load = {
-      inFlight: 0,
-      unreadTokens: 0,
-      progressAtMs: -Infinity,
-      suspectUntilMs: -Infinity,
-      slowUntilMs: -Infinity,
-    };
-    state.peerLoads.set(vmId, load);
-  }
-  return load;
-}
-
 function applyDeparted({state, nowMs}: ServingStep, digest: LoadDigest): void {
   for (const {vmId, address, bornAtMs, ageMs} of digest.departed) {
     if (state.engines.has(vmId) || state.departed.has(vmId)) continue;
@@ -136,16 +124,19 @@
 function applyLost(step: ServingStep, digest: LoadDigest): void {
   const {state, nowMs} = step;
   let hasNew = false;
-  for (const {vmId, bornAtMs} of digest.lostEngines) {
+  for (const {vmId, bornAtMs, ageMs} of digest.lostEngines) {
     if (state.engines.get(vmId)?.bornAtMs !== bornAtMs) continue;
-    if (state.lostEngines.get(vmId)?.bornAtMs !== bornAtMs) {
-      hasNew = true;
-      logDecision(step, 'info', 'fleet', 'engine lost, by a peer', {
-        vmId,
-        peer: digest.from,
-      });
-    }
-    state.lostEngines.set(vmId, {bornAtMs, atMs: nowMs});
+    if (ageMs >= LOST_FOR_MS) continue;
+    const known = state.lostEngines.get(vmId);
+    // Peers repeat what they heard: only the first finding counts, or it never ends.
+    if (known?.bornAtMs === bornAtMs) continue;
+    hasNew = true;
+    logDecision(step, 'info', 'fleet', 'engine lost, by a peer', {
+      vmId,
+      peer: digest.from,
+      ageMs,
+    });
+    state.lostEngines.set(vmId, {bornAtMs, atMs: nowMs - ageMs});
   }
   if (hasNew) rebuildTargets(state);
 }
--- a/src/core/serving/create_digest.ts
+++ b/src/core/serving/create_digest.ts
@@ -1,7 +1,8 @@
-import type {EngineChange} from '../fleet/types.js';
 import type {DigestLoad, LoadDigest, ServingState} from './types.js';
 import {isSlow} from './is_slow.js';
+import {ageOf} from './age_of.js';
 import {isReady} from './is_ready.js';
+import {listRecentChanges} from './list_recent_changes.js';
 
 /** A target without requests is named for this long after its last event, so that peers see its progress. */
 const PROGRESS_NAMED_MS = 1000;
@@ -9,10 +10,8 @@
 const MAX_DEPARTED = 20;
 /** How long nodes that have just started are told of engines that left before. */
 const NEW_PEER_MS = 2000;
-/** Changes in one datagram, which has at most 64 KB. */
-const MAX_CHANGES = 40;
-/** Each change is told in several digests, since datagrams may be lost. */
-const PASS_ON_MS = 450;
+/** Engines found lost, and opinions, in one datagram: the newest. */
+const MAX_LOST = 60;
 
 function isNewPeerThere(state: ServingState, nowMs: number): boolean {
   return nowMs - state.newPeerAtMs < NEW_PEER_MS;
@@ -22,18 +21,6 @@
   return state.steward.term !== undefined;
 }
 
-function changesToPassOn(state: ServingState, nowMs: number): EngineChange[] {
-  return state.recentChanges
-    .filter(({atMs}) => nowMs - atMs < PASS_ON_MS)
-    .slice(-MAX_CHANGES)
-    .map(({change}) => change);
-}
-
-/** Age of what was at `atMs`; -1 when it never was. */
-function ageOf(atMs: number, nowMs: number): number {
-  return Number.isFinite(atMs) ? Math.max(0, Math.round(nowMs - atMs)) : -1;
-}
-
 /** Sums up what peers need to know of this node. */
 export function createDigest(state: ServingState, nowMs: number): LoadDigest {
   const loads: DigestLoad[] = [];
@@ -54,11 +41,18 @@
   }
   const suspects = [...state.crashSuspects]
     .slice(-MAX_SUSPECTS)
-    .map(([fingerprint, {losses}]) => ({fingerprint, losses}));
-  const lostEngines = [...state.lostEngines].map(([vmId, {bornAtMs}]) => ({
-    vmId,
-    bornAtMs,
-  }));
+    .map(([fingerprint, {losses, untilMs}]) => ({
+      fingerprint,
+      losses,
+      leftMs: Math.max(0, Math.round(untilMs - nowMs)),
+    }));
+  const lostEngines = [...state.lostEngines]
+    .slice(-MAX_LOST)
+    .map(([vmId, {bornAtMs, atMs}]) => ({
+      vmId,
+      bornAtMs,
+      ageMs: Math.max(0, Math.round(nowMs - atMs)),
+    }));
   const departed = isNewPeerThere(state, nowMs)
     ? [...state.departed].slice(-MAX_DEPARTED).map(([vmId, one]) => ({
         vmId,
@@ -67,15 +61,20 @@
         ageMs: Math.round(nowMs - one.atMs),
       }))
     : [];
-  const opinions = [...state.opinions].map(([vmId, {isSilent}]) => ({
-    vmId,
-    isSilent,
-  }));
+  const opinions = [...state.opinions]
+    .slice(-MAX_LOST)
+    .map(([vmId, {isSilent}]) => ({vmId, nodeId: state.nodeId, isSilent}));
   return {
+    scope: 'node',
+    nodeCount: 1,
+    roster: [],
     departed,
     asks: isSteward(state) ? [...state.steward.asks.values()] : [],
     opinions,
     from: state.nodeId,
+    peerAddress: state.peerAddress,
+    coreCount: state.coreCount,
+    stewardAddress: isSteward(state) ? state.peerAddress : undefined,
     life: state.life,
     sentAtMs: nowMs,
     zone: state.zone,
@@ -83,7 +82,7 @@
     isReady: isReady(state, nowMs),
     isLeaving: state.leavingSinceMs !== undefined,
     isSteward: isSteward(state),
-    changes: isSteward(state) ? changesToPassOn(state, nowMs) : [],
+    changes: isSteward(state) ? listRecentChanges(state, nowMs) : [],
     configVersion: state.config?.version ?? 0,
     configProofAgeMs: ageOf(state.configReadAtMs, nowMs),
     engineCount: state.engineCount,
--- a/src/core/serving/create_serving_state.ts
+++ b/src/core/serving/create_serving_state.ts
@@ -1,5 +1,6 @@
 import type {NodeId, ZoneId} from '../ids/index.js';
 import type {ServingBounds, ServingState} from './types.js';
+import {createExchangeState} from './relays/create_exchange_state.js';
 import {createRandom} from '../random/index.js';
 import {createStewardState} from '../steward/create_steward_state.js';
 
@@ -9,6 +10,8 @@
   readonly nodeId: NodeId;
   readonly zone: ZoneId;
   readonly callerAddress: string;
+  readonly peerAddress?: string;
+  readonly coreCount?: number;
   /** The whole system starts for the first time: no caller is there yet. */
   readonly isFirstStart?: boolean;
 }
@@ -23,6 +26,9 @@
     nodeId: self.nodeId,
     zone: self.zone,
     callerAddress: self.callerAddress,
+    peerAddress: self.peerAddress ?? '',
+    coreCount: self.coreCount ?? 1,
+    exchange: createExchangeState(),
     bounds,
     random: createRandom(seed),
     idCounter: 0,
--- /dev/null
+++ b/src/core/serving/drop_peer.ts
@@ -0,0 +1,10 @@
+import type {PeerKey, ServingState} from './types.js';
+import {addPeerLoads} from './add_peer_loads.js';
+
+/** Forgets what a digest counted. */
+export function dropPeer(state: ServingState, key: PeerKey): void {
+  const view = state.peers.get(key);
+  if (!view) return;
+  addPeerLoads(state, view.digest.loads, -1);
+  state.peers.delete(key);
+}
--- a/src/core/serving/effects.ts
+++ b/src/core/serving/effects.ts
@@ -1,5 +1,6 @@
 import type {AttemptId, RequestId, VmId} from '../ids/index.js';
 import type {EngineOrder} from '../steward/types.js';
+import type {LoadDigest} from './peers/types.js';
 
 /** Why a request got no answer of a target. */
 export type RefusalReason =
@@ -65,6 +66,19 @@
   readonly address: string;
 }
 
+/** Tells nodes a digest, each with the one of its own that is counted. */
+interface SendDigest {
+  readonly type: 'sendDigest';
+  readonly digest: LoadDigest;
+  readonly to: readonly DigestReceiver[];
+}
+
+/** Where a digest goes. */
+export interface DigestReceiver {
+  readonly address: string;
+  readonly countedSentAtMs?: number;
+}
+
 interface Log {
   readonly type: 'log';
   readonly level: 'debug' | 'info' | 'warn' | 'error';
@@ -93,6 +107,7 @@
   | CutAnswer
   | SendOrder
   | ProbeEngine
+  | SendDigest
   | Log
   | Metric
   | Exit;
--- a/src/core/serving/events.ts
+++ b/src/core/serving/events.ts
@@ -2,7 +2,7 @@
 import type {AttemptId, RequestId, VmId} from '../ids/index.js';
 import type {EngineOrder} from '../steward/types.js';
 import type {EngineChange} from '../fleet/types.js';
-import type {LoadDigest, ServingRequest} from './types.js';
+import type {ListedNode, LoadDigest, ServingRequest} from './types.js';
 
 /**
  * How an attempt ended without a whole answer. `not-sent`: no byte reached the
@@ -59,6 +59,8 @@
   readonly type: 'fleetListed';
   readonly changes: readonly EngineChange[];
   readonly revision: number;
+  /** When the store held this, where a peer tells it; undefined: now. */
+  readonly provenAtMs?: number;
 }
 
 /** Changes of registered engines. */
@@ -80,10 +82,16 @@
   readonly lostMs: number;
 }
 
-/** How many other nodes the store lists. */
+/** The nodes that the store lists. */
 interface PeersRegistered {
   readonly type: 'peersRegistered';
-  readonly count: number;
+  readonly nodes: readonly ListedNode[];
+}
+
+/** It is time to tell peers; `isUrgent`: all of them, now. */
+interface DigestDue {
+  readonly type: 'digestDue';
+  readonly isUrgent: boolean;
 }
 
 interface DigestReceived {
@@ -140,6 +148,7 @@
   | FleetProven
   | PeersRegistered
   | StoreRegained
+  | DigestDue
   | DigestReceived
   | StewardLeaseHeld
   | StewardLeaseLost
--- a/src/core/serving/expire.ts
+++ b/src/core/serving/expire.ts
@@ -1,6 +1,8 @@
 import type {ServingStep} from './types.js';
+import {LOST_FOR_MS} from './lost_for_ms.js';
 import {applyFleet} from './apply_fleet.js';
 import {dispatchWaiting} from './dispatch_waiting.js';
+import {dropPeer} from './drop_peer.js';
 import {isAccessProven} from './is_access_proven.js';
 import {isLeavingForGood} from './is_leaving_for_good.js';
 import {logDecision} from './log_decision.js';
@@ -10,8 +12,6 @@
 
 /** A peer that is silent for this long has nothing in flight any more, and takes no callers. */
 const PEER_SILENT_MS = 1500;
-/** An engine that was found lost is asked again by use after this time, when the store still lists it. */
-const LOST_FOR_MS = 20_000;
 /** Longer than any head is waited for. */
 const DEPARTED_KEPT_MS = 60_000;
 /** An opinion older than this tells nothing of now. */
@@ -83,17 +83,11 @@
 
 function expirePeers(step: ServingStep): void {
   const {state, nowMs} = step;
-  for (const [nodeId, {digest, atMs}] of state.peers) {
+  for (const [key, {atMs}] of [...state.peers]) {
     if (nowMs - atMs <= PEER_SILENT_MS) continue;
-    for (const {vmId, inFlight, unreadTokens} of digest.loads) {
-      const load = state.peerLoads.get(vmId);
-      if (!load) continue;
-      load.inFlight -= inFlight;
-      load.unreadTokens -= unreadTokens;
-    }
-    state.peers.delete(nodeId);
+    dropPeer(state, key);
     logDecision(step, 'info', 'peers', 'peer silent', {
-      peer: nodeId,
+      peer: key,
       silentMs: Math.round(nowMs - atMs),
     });
   }
--- a/src/core/serving/index.ts
+++ b/src/core/serving/index.ts
@@ -8,3 +8,8 @@
 export {reduceServing} from './reduce_serving.js';
 export type * from './types.js';
 export {repeatBudget} from './repeat_budget.js';
+export {isAmongRegistered} from './relays/is_among_registered.js';
+export {selectUpstream} from './relays/select_upstream.js';
+export {isFleetBehind} from './relays/is_fleet_behind.js';
+export {latestConfigVersion} from './relays/latest_config_version.js';
+export {stewardRank} from './relays/steward_rank.js';
--- a/src/core/serving/needs_config_watch.ts
+++ b/src/core/serving/needs_config_watch.ts
@@ -1,4 +1,5 @@
 import type {ServingState} from './types.js';
+import {isAwaitingPeers} from './relays/is_awaiting_peers.js';
 
 /** A node asks the store itself when peers' proofs are older; half of the time that keys are let in without one. */
 const TOLD_MS = 2000;
@@ -11,10 +12,12 @@
  * and keeps callers let in where the store can't be reached.
  */
 export function needsConfigWatch(state: ServingState, nowMs: number): boolean {
-  if (!state.config || nowMs - state.configProvenAtMs > TOLD_MS) return true;
-  for (const [nodeId, {digest, atMs}] of state.peers) {
+  if (!state.config) return !isAwaitingPeers(state, nowMs);
+  if (nowMs - state.configProvenAtMs > TOLD_MS) return true;
+  if (state.exchange.isRelayed) return state.exchange.relayRank === 0;
+  for (const {digest, atMs} of state.peers.values()) {
     if (digest.zone !== state.zone || digest.isLeaving) continue;
-    if (nodeId < state.nodeId && nowMs - atMs < FRESH_MS) return false;
+    if (digest.from < state.nodeId && nowMs - atMs < FRESH_MS) return false;
   }
   return true;
 }
--- a/src/core/serving/peers/types.ts
+++ b/src/core/serving/peers/types.ts
@@ -21,8 +21,34 @@
   readonly ageMs: number;
 }
 
-/** What a node tells its peers several times a second. */
+/** A node as the store's registry lists it. */
+export interface ListedNode {
+  readonly nodeId: NodeId;
+  /** UDP, for digests. */
+  readonly peerAddress: string;
+  readonly zone: ZoneId;
+  /** Processor time that it has a second, in cores. */
+  readonly coreCount: number;
+}
+
+/** A node as its relay tells of it. */
+export interface RosterNode {
+  readonly nodeId: NodeId;
+  readonly zone: ZoneId;
+  readonly callerAddress: string;
+  readonly coreCount: number;
+  readonly isReady: boolean;
+  readonly isLeaving: boolean;
+  /** Since its relay heard it. */
+  readonly ageMs: number;
+}
+
+/** Whose requests a digest counts: the sender's, those of its zone, or all. */
+export type DigestScope = 'node' | 'zone' | 'fleet';
+
+/** What a node tells its peers several times a second, or a relay for others. */
 export interface LoadDigest {
+  readonly scope: DigestScope;
   readonly from: NodeId;
   /** Tells one life of the sender from the next. */
   readonly life: number;
@@ -30,20 +56,30 @@
   readonly sentAtMs: number;
   readonly zone: ZoneId;
   readonly callerAddress: string;
+  readonly peerAddress: string;
+  readonly coreCount: number;
   readonly isReady: boolean;
   readonly isLeaving: boolean;
-  /** The sender gives the orders, and passes on changes of engines. */
+  /** The sender gives the orders, or tells what the steward says. */
   readonly isSteward: boolean;
+  /** Peer address of the steward, where it is known. */
+  readonly stewardAddress?: string;
   readonly changes: readonly EngineChange[];
   readonly configVersion: number;
-  /** Age of the sender's own proof, from the store, that this version is the newest; -1 for none. */
+  /** Age of the proof that this version is the newest; -1 for none. A node tells its own reading of the store, a relay any that it trusts. */
   readonly configProofAgeMs: number;
-  /** Count and sum of revisions of the engines that the sender knows: equal where the engines are. */
+  /** Count and sum of revisions of the engines that the steward, or the sender, knows: equal where the engines are. */
   readonly engineCount: number;
   readonly revisionSum: number;
-  /** Age of the sender's own reading of the engines from the store; -1 for none. */
+  /** Age of the reading of the engines from the store; -1 for none. */
   readonly fleetProofAgeMs: number;
   readonly loads: readonly DigestLoad[];
+  /** Nodes that are counted. */
+  readonly nodeCount: number;
+  /** Nodes that the sender tells of; empty in most digests, since it changes seldom. */
+  readonly roster: readonly RosterNode[];
+  /** `sentAtMs` of the receiver's own digest that is counted; set by the sender for each receiver. */
+  readonly countedSentAtMs?: number;
   /** Engines that the store dropped, for nodes that have just started. */
   readonly departed: readonly DepartedEngine[];
   /** Engines that the steward asks some peers to look for. */
@@ -52,20 +88,24 @@
     readonly address: string;
     readonly peers: readonly NodeId[];
   }[];
-  /** What this node found when it looked for engines. */
+  /** What nodes found when they looked for engines. */
   readonly opinions: readonly {
     readonly vmId: VmId;
+    readonly nodeId: NodeId;
     readonly isSilent: boolean;
   }[];
   /** Requests whose last targets were lost while they ran. */
   readonly suspects: readonly {
     readonly fingerprint: Fingerprint;
     readonly losses: number;
+    /** For how long it is still to be taken as one. */
+    readonly leftMs: number;
   }[];
   /** Engines that a steward found to be lost before the store did. */
   readonly lostEngines: readonly {
     readonly vmId: VmId;
     readonly bornAtMs: number;
+    readonly ageMs: number;
   }[];
 }
 
@@ -80,11 +120,42 @@
   readonly delayMs: number;
 }
 
-/** The last digest of a peer. */
+/** The last digest that counts the requests of a node, a zone or all. */
 export interface PeerView {
   readonly digest: LoadDigest;
   readonly atMs: number;
   readonly link: PeerLink;
+  /** The last roster that was told, and when. */
+  readonly roster: readonly RosterNode[];
+  readonly rosterAtMs: number;
+}
+
+/** Last sign of life of a node, from itself or by a relay. */
+export interface HeardNode {
+  readonly atMs: number;
+  readonly isLeaving: boolean;
+  readonly peerAddress?: string;
+}
+
+/** How this node takes part in the exchange of digests. */
+export interface ExchangeState {
+  /** Nodes that the store lists, this one included once it is. */
+  readonly listed: Map<NodeId, ListedNode>;
+  hasListed: boolean;
+  /** Digests go by relays, since a zone has more nodes than tell each other directly. */
+  isRelayed: boolean;
+  /** This node's place among the relays of its zone; -1: it is none. */
+  relayRank: number;
+  /** Relays of each zone that this node sends to, the first in rank first. */
+  relays: Map<ZoneId, readonly ListedNode[]>;
+  readonly heard: Map<NodeId, HeardNode>;
+  /** Since when a relay was sent digests and was not heard. */
+  readonly triedAtMs: Map<NodeId, number>;
+  readonly links: Map<NodeId, PeerLink>;
+  /** When each peer or zone was last sent a digest. */
+  readonly sentAtMs: Map<string, number>;
+  /** Loads of this node's last digests, by `sentAtMs`: a relay's sum holds one of them. */
+  readonly told: Map<number, readonly DigestLoad[]>;
 }
 
 /** Sum of what peers have in flight at a target. */
--- a/src/core/serving/reduce_serving.ts
+++ b/src/core/serving/reduce_serving.ts
@@ -11,7 +11,9 @@
 import {logDecision} from './log_decision.js';
 import {noteAttempt} from './note_attempt.js';
 import {noteLostWhileRunning} from './note_lost_while_running.js';
+import {noteListed} from './relays/note_listed.js';
 import {noteStoreContact} from './note_store_contact.js';
+import {planDigests} from './relays/plan_digests.js';
 import {rebuildTargets} from './rebuild_targets.js';
 import {reduceSteward} from '../steward/reduce_steward.js';
 
@@ -52,7 +54,7 @@
       applyConfig(step, event);
       break;
     case 'fleetListed':
-      noteStoreContact(step, nowMs);
+      noteStoreContact(step, event.provenAtMs ?? nowMs);
       applyFleet(step, {
         changes: event.changes,
         revision: event.revision,
@@ -70,7 +72,10 @@
       noteStoreContact(step, event.provenAtMs);
       break;
     case 'peersRegistered':
-      state.registeredPeers = event.count;
+      noteListed(step, event.nodes);
+      break;
+    case 'digestDue':
+      planDigests(step, event.isUrgent);
       break;
     case 'digestReceived':
       applyDigest(step, event.digest);
--- /dev/null
+++ b/src/core/serving/relays/create_summary.ts
@@ -0,0 +1,109 @@
+import type {
+  DigestLoad,
+  LoadDigest,
+  PeerView,
+  RosterNode,
+  ServingState,
+} from '../types.js';
+import {ageOf} from '../age_of.js';
+import {createDigest} from '../create_digest.js';
+import {findSteward} from '../find_steward.js';
+import {listNodes} from './list_nodes.js';
+import {listRecentChanges} from '../list_recent_changes.js';
+import {provenAtMs} from '../proven_at_ms.js';
+import {rankRoster} from './rank_roster.js';
+import {sumLoads} from './sum_loads.js';
+
+/** Opinions in one datagram. */
+const MAX_OPINIONS = 60;
+/** Nodes of a zone that others are told of: as many as callers need there when their own zone is lost. */
+const FOREIGN_ROSTER = 8;
+/** A node that was heard longer ago is not named. */
+const NAMED_MS = 1500;
+
+interface SummaryOptions {
+  readonly scope: 'zone' | 'fleet';
+  readonly hasRoster: boolean;
+}
+
+/** Sums up, as relay, what the nodes of the zone tell, and for these what other zones tell. */
+export function createSummary(
+  state: ServingState,
+  {scope, hasRoster}: SummaryOptions,
+  nowMs: number,
+): LoadDigest {
+  const own = createDigest(state, nowMs);
+  const views = [...state.peers.values()].filter(
+    ({digest}) => scope === 'fleet' || digest.scope === 'node',
+  );
+  const opinions = views.flatMap(({digest}) => digest.opinions);
+  const nodeCount = views.reduce((sum, one) => sum + one.digest.nodeCount, 1);
+  return {
+    ...own,
+    ...describeSteward(state, own, views, nowMs),
+    scope,
+    nodeCount,
+    loads: sumLoads([own.loads, ...views.map(view => agedLoads(view, nowMs))]),
+    configProofAgeMs: ageOf(state.configProvenAtMs, nowMs),
+    opinions: [...own.opinions, ...opinions].slice(-MAX_OPINIONS),
+    roster: hasRoster ? createRoster(state, own, scope, nowMs) : [],
+  };
+}
+
+/** What the steward says, as far as the views that are summed up tell; without steward, what this node has read itself. */
+function describeSteward(
+  state: ServingState,
+  own: LoadDigest,
+  views: readonly PeerView[],
+  nowMs: number,
+): Partial<LoadDigest> {
+  const changes = listRecentChanges(state, nowMs);
+  if (own.isSteward) return {changes};
+  const view = findSteward(state, nowMs);
+  if (!view || !views.includes(view)) {
+    return {isSteward: false, changes};
+  }
+  const {engineCount, revisionSum, fleetProofAgeMs, asks, stewardAddress} =
+    view.digest;
+  return {
+    isSteward: true,
+    stewardAddress,
+    changes,
+    engineCount,
+    revisionSum,
+    fleetProofAgeMs: ageOf(provenAtMs(view, fleetProofAgeMs), nowMs),
+    asks,
+  };
+}
+
+function agedLoads({digest, atMs}: PeerView, nowMs: number): DigestLoad[] {
+  const sinceMs = Math.max(0, Math.round(nowMs - atMs));
+  return digest.loads.map(load =>
+    load.progressAgeMs < 0
+      ? load
+      : {...load, progressAgeMs: load.progressAgeMs + sinceMs},
+  );
+}
+
+function createRoster(
+  state: ServingState,
+  own: LoadDigest,
+  scope: 'zone' | 'fleet',
+  nowMs: number,
+): RosterNode[] {
+  const {callerAddress, coreCount, isReady, isLeaving} = own;
+  const self: RosterNode = {
+    nodeId: state.nodeId,
+    zone: state.zone,
+    callerAddress,
+    coreCount,
+    isReady,
+    isLeaving,
+    ageMs: 0,
+  };
+  const all = [self, ...listNodes(state, nowMs).values()].filter(
+    ({ageMs}) => ageMs < NAMED_MS,
+  );
+  const ofZone = all.filter(({zone}) => zone === state.zone);
+  return scope === 'fleet' ? all : rankRoster(ofZone).slice(0, FOREIGN_ROSTER);
+}
--- /dev/null
+++ b/src/core/serving/relays/is_among_registered.ts
@@ -0,0 +1,18 @@
+import type {ServingState} from '../types.js';
+import {REGISTER_COUNT} from './register_count.js';
+import {rankNodes} from './rank_nodes.js';
+
+/** Whether this node is one of those that its zone registers with the store: the largest, as many as are needed. */
+export function isAmongRegistered({
+  nodeId,
+  peerAddress,
+  zone,
+  coreCount,
+  exchange,
+}: ServingState): boolean {
+  const others = [...exchange.listed.values()].filter(
+    node => node.zone === zone && node.nodeId !== nodeId,
+  );
+  const self = {nodeId, peerAddress, zone, coreCount};
+  return rankNodes([...others, self]).indexOf(self) < REGISTER_COUNT;
+}
--- a/src/core/serving/repeat_budget.ts
+++ b/src/core/serving/repeat_budget.ts
@@ -38,16 +38,25 @@
   ): {readonly used: number; readonly allowed: number} {
     const window = currentWindow(state, service, nowMs);
     const {repeatRatio, repeatSlack} = state.bounds;
-    let nodeCount = 1;
-    for (const {atMs} of state.peers.values()) {
-      if (nowMs - atMs < PEER_FRESH_MS) nodeCount += 1;
-    }
     const allowed =
-      repeatRatio * sum(window.requests) + repeatSlack / nodeCount;
+      repeatRatio * sum(window.requests) +
+      repeatSlack / countNodes(state, nowMs);
     return {used: sum(window.repeats), allowed};
   },
 };
 
+/** Nodes that share the allowance, this one included. */
+function countNodes({peers, exchange}: ServingState, nowMs: number): number {
+  let count = 0;
+  for (const {digest, atMs} of peers.values()) {
+    if (nowMs - atMs >= PEER_FRESH_MS) continue;
+    if (digest.scope === 'fleet') return digest.nodeCount;
+    count += digest.nodeCount;
+  }
+  // Without a relay's sum, as many as are known to be there.
+  return Math.max(1 + count, exchange.isRelayed ? exchange.heard.size : 1);
+}
+
 function currentWindow(
   state: ServingState,
   service: ServiceName,
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -1,4 +1,4 @@
-import type {PeerView, PeerLoad} from './peers/types.js';
+import type {ExchangeState, PeerView, PeerLoad} from './peers/types.js';
 import type {AccessConfig, Route} from '../access/types.js';
 import type {
   EngineChange,
@@ -155,11 +155,19 @@
   readonly listingMs: number;
 }
 
+/** A node's id; `zone/` and its name for the sum of a zone; `fleet` for the sum of all. */
+export type PeerKey = NodeId | `zone/${string}` | 'fleet';
+
 /** All that a node knows. Owned by the reducer; others only read it. */
 export interface ServingState {
   readonly nodeId: NodeId;
   readonly zone: ZoneId;
   readonly callerAddress: string;
+  /** UDP, for digests. */
+  readonly peerAddress: string;
+  /** Processor time that this VM has a second, in cores. */
+  readonly coreCount: number;
+  readonly exchange: ExchangeState;
   readonly bounds: ServingBounds;
   readonly random: Random;
   idCounter: number;
@@ -208,7 +216,8 @@
   /** Engines that this node or a steward found to be lost, with the life that was lost. */
   readonly lostEngines: Map<VmId, {bornAtMs: number; atMs: number}>;
   readonly loads: Map<VmId, TargetLoad>;
-  readonly peers: Map<NodeId, PeerView>;
+  /** Who told what, by the nodes whose requests it counts. */
+  readonly peers: Map<PeerKey, PeerView>;
   readonly peerLoads: Map<VmId, PeerLoad>;
   /** When the first event came. */
   startedAtMs?: number;
@@ -236,6 +245,6 @@
   readonly effects: ServingEffect[];
 }
 
-export type {ServingEffect, RefusalReason} from './effects.js';
+export type {DigestReceiver, ServingEffect, RefusalReason} from './effects.js';
 export type {ServingEvent, AttemptFault} from './events.js';
 export type * from './peers/types.js';
--- a/src/replay/serving/serving_world.ts
+++ b/src/replay/serving/serving_world.ts
@@ -15,11 +15,13 @@
 import type {EngineChange, EngineCosts} from '../../core/fleet/types.js';
 import type {Random} from '../../core/random/index.js';
 import type {
+  ListedNode,
   ServingEffect,
   ServingEvent,
   ServingRequest,
   ServingState,
 } from '../../core/serving/types.js';
+import {REGISTER_COUNT} from '../../core/serving/relays/register_count.js';
 import {ServingEngine} from './serving_engine.js';
 import {SERVING_BOUNDS} from './serving_bounds.js';
 import {createServingConfig} from './create_serving_config.js';
@@ -28,17 +30,14 @@
 import {WorldListing} from './world_listing.js';
 import {WorldNetwork} from './world_network.js';
 import {VirtualTime} from '../virtual_time.js';
-import {
-  createDigest,
-  createServingState,
-  reduceServing,
-} from '../../core/serving/index.js';
+import {createServingState, reduceServing} from '../../core/serving/index.js';
 import {createRandom} from '../../core/random/index.js';
 import {makeId} from '../../core/ids/index.js';
 
 const SERVICE = makeId<ServiceName>('pool');
 const TICK_MS = 50;
 const DIGEST_MS = 100;
+const ZONE_COUNT = 3;
 const HOP_MS = 1;
 const STORE_MS = 8;
 /** A node that only routes hears of a change from the store by then. */
@@ -56,6 +55,7 @@
   readonly nodeCount: number;
   readonly domainCount: number;
   readonly domainSize: number;
+  readonly zoneCount?: number;
   /** Share of orders that get no answer and are carried out seconds later. */
   readonly lateOrderShare?: number;
 }
@@ -86,11 +86,16 @@
     after: (delayMs, run) => this.after(delayMs, run),
     tell: change => this.tellNodes(change),
   });
+  private readonly nodesByAddress = new Map<string, WorldNode>();
+  private readonly zoneCount: number;
+  /** Digests that nodes sent to each other. */
+  digestCount = 0;
   private term = 0;
   private steward?: WorldNode;
 
   constructor(options: WorldOptions) {
     this.random = createRandom(options.seed);
+    this.zoneCount = options.zoneCount ?? ZONE_COUNT;
     this.costs = this.config.services.get(SERVICE)!.engine!;
     this.checks = new PromiseChecks(this);
     this.callers = new WorldCallers({
@@ -110,7 +115,9 @@
       this.addEngine(`d${Math.floor(at / options.domainSize)}`);
     }
     for (let at = 0; at < options.nodeCount; at++) {
-      this.nodes.push({state: this.createState(at), isUp: true});
+      const node = {state: this.createState(at), isUp: true};
+      this.nodes.push(node);
+      this.nodesByAddress.set(node.state.peerAddress, node);
     }
     this.startNodes();
   }
@@ -266,8 +273,9 @@
     return createServingState(
       {
         nodeId: makeId<NodeId>(`n${at}`),
-        zone: makeId<ZoneId>('zone'),
+        zone: makeId<ZoneId>(`zone-${at % this.zoneCount}`),
         callerAddress: `10.0.1.${at}:80`,
+        peerAddress: `10.0.1.${at}:7340`,
         isFirstStart: !this.hasTraffic,
       },
       SERVING_BOUNDS,
@@ -282,8 +290,7 @@
       config: this.config,
       provenAtMs: Infinity,
     });
-    const count = this.nodes.length - 1;
-    this.dispatch(node, {type: 'peersRegistered', count});
+    this.dispatch(node, {type: 'peersRegistered', nodes: this.listNodes()});
     this.dispatch(node, {type: 'fleetProven', provenAtMs: Infinity});
     this.dispatch(node, {
       type: 'fleetListed',
@@ -297,7 +304,9 @@
       this.startNode(node);
       const offset = (at * TICK_MS) / this.nodes.length;
       this.repeat(TICK_MS, offset, () => this.dispatch(node, {type: 'tick'}));
-      this.repeat(DIGEST_MS, offset, () => this.sendDigest(node));
+      this.repeat(DIGEST_MS, offset, () =>
+        this.dispatch(node, {type: 'digestDue', isUrgent: false}),
+      );
     }
     this.electSteward();
   }
@@ -337,6 +346,9 @@
       case 'probeEngine':
         this.network.probe(node, effect.vmId);
         break;
+      case 'sendDigest':
+        this.deliver(effect);
+        break;
       case 'log':
         this.logs.push(
           `${this.nowMs - 1_000_000} ${node.state.nodeId} ${effect.message} ${JSON.stringify(effect.fields)}`,
@@ -356,13 +368,30 @@
     return true;
   }
 
-  private sendDigest(node: WorldNode): void {
-    if (!node.isUp) return;
-    const digest = createDigest(node.state, this.nowMs);
-    for (const peer of this.nodes) {
-      if (peer === node) continue;
+  /** As nodes register: the first of each zone, as many as are asked for. */
+  private listNodes(): ListedNode[] {
+    const counts = new Map<ZoneId, number>();
+    return this.nodes.flatMap(({state}) => {
+      const {nodeId, zone, peerAddress, coreCount} = state;
+      const count = (counts.get(zone) ?? 0) + 1;
+      counts.set(zone, count);
+      if (count > REGISTER_COUNT) return [];
+      return [{nodeId, zone, peerAddress, coreCount}];
+    });
+  }
+
+  private deliver({
+    digest,
+    to,
+  }: Extract<ServingEffect, {type: 'sendDigest'}>): void {
+    for (const {address, countedSentAtMs} of to) {
+      const peer = this.nodesByAddress.get(address);
+      if (!peer) continue;
+      const told =
+        countedSentAtMs === undefined ? digest : {...digest, countedSentAtMs};
+      this.digestCount += 1;
       this.after(HOP_MS, () =>
-        this.dispatch(peer, {type: 'digestReceived', digest}),
+        this.dispatch(peer, {type: 'digestReceived', digest: told}),
       );
     }
   }
--- a/src/serving/create_serving_node.ts
+++ b/src/serving/create_serving_node.ts
@@ -1,6 +1,11 @@
 import {randomInt} from 'node:crypto';
 import type {PlatformStore} from '../core/store/types.js';
-import type {PlatformWire, ServingContext, ServingSettings} from './types.js';
+import type {
+  HeldConfig,
+  PlatformWire,
+  ServingContext,
+  ServingSettings,
+} from './types.js';
 import type {Logger} from '../logging/types.js';
 import type {
   ServingEffect,
@@ -9,8 +14,9 @@
 } from '../core/serving/types.js';
 import {AttemptClient} from './attempt_client.js';
 import {BootClock} from '../runtime/boot_clock.js';
-import {ConfigCatchUp} from './config_catch_up.js';
+import {CatchUp} from './catch_up.js';
 import {CountedStore} from './counted_store.js';
+import {DocumentServer} from './document_server.js';
 import {DirectoryServer} from './directory_server.js';
 import {EventLoop} from '../runtime/event_loop.js';
 import {FrontServer} from './front_server.js';
@@ -63,6 +69,8 @@
       nodeId: settings.nodeId,
       zone: settings.zone,
       callerAddress: settings.listen.callers,
+      peerAddress: settings.listen.peers,
+      coreCount: settings.coreCount,
       isFirstStart: settings.isFirstStart,
     },
     settings.bounds,
@@ -98,12 +106,15 @@
   const directory = new DirectoryServer(context);
   const metricsServer = new MetricsServer(context);
   const registry = new NodeRegistry(context);
-  const peers = new PeerExchange(context, registry);
+  const peers = new PeerExchange(context);
+  const held: HeldConfig = {version: -1};
+  const documents = new DocumentServer(context, held);
   const steward = new StewardLease(context);
-  const configWatch = watchConfig(context);
+  const configWatch = watchConfig(context, held);
   const watches = [configWatch, watchFleet(context)];
-  const catchUp = new ConfigCatchUp(context, configWatch);
-  for (const handler of [front, attempts, orders]) events.addHandler(handler);
+  const catchUp = new CatchUp(context, configWatch, held);
+  for (const handler of [front, attempts, orders, peers])
+    events.addHandler(handler);
   events.addHandler(createReporter(context));
   let settle = () => {};
   const ended = new Promise<void>(resolve => (settle = resolve));
@@ -112,6 +123,7 @@
     status.listen(),
     directory.listen(),
     peers.listen(),
+    documents.listen(),
     metricsServer.listen(),
   ]);
   for (const watch of watches) watch.start();
@@ -127,7 +139,7 @@
     events.stop();
     for (const watch of watches) watch.close();
     const parts = [catchUp, registry, steward, peers, front, attempts, orders];
-    const servers = [status, directory, metricsServer];
+    const servers = [status, directory, documents, metricsServer];
     await Promise.allSettled([...parts, ...servers].map(part => part.close()));
     await store.close();
   };
@@ -142,7 +154,7 @@
     ended,
     leave: () => {
       events.dispatch({type: 'leaveRequested'});
-      peers.send(true);
+      peers.tellUrgently();
       void steward.close();
       setTimeout(() => front.stopListening(), STOP_LISTENING_MS).unref();
     },
--- a/src/serving/digest_codec.ts
+++ b/src/serving/digest_codec.ts
@@ -1,9 +1,14 @@
+import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import type {Fingerprint, NodeId, VmId, ZoneId} from '../core/ids/index.js';
 import type {EngineChange} from '../core/fleet/types.js';
-import type {LoadDigest} from '../core/serving/types.js';
+import type {
+  DigestScope,
+  LoadDigest,
+  RosterNode,
+} from '../core/serving/types.js';
 
 /** Version of the datagram; a node drops those of another. */
-const FORMAT = 4;
+const FORMAT = 5;
 
 /** Engine, requests, unread tokens, age of progress, and the bits of its condition. */
 type LoadRow = readonly [string, number, number, number, number];
@@ -11,10 +16,31 @@
 const SUSPECT_BIT = 1;
 const SLOW_BIT = 2;
 const PROOF_FIELDS = 4;
+const SCOPES: readonly DigestScope[] = ['node', 'zone', 'fleet'];
+const READY_BIT = 1;
+const LEAVING_BIT = 2;
+/** A datagram that is larger is packed: sums of many targets shrink to a quarter. */
+const PACK_BYTES = 800;
+/** First byte of a datagram, before what is for one receiver: 8 bytes of a number, none is not a number. */
+const PLAIN = 2;
+const PACKED = 1;
+const HEAD_BYTES = 9;
+/** Fastest level: the sender packs ten datagrams a second. */
+const PACK_LEVEL = 1;
+/** A digest that unpacks to more is none of ours. */
+const MAX_UNPACKED_BYTES = 1_000_000;
+
+/** Node, zone, address for callers, cores, age, and the bits of its condition. */
+type RosterRow = readonly [string, string, string, number, number, number];
 
 interface Datagram {
   readonly v: number;
+  readonly k: number;
   readonly n: string;
+  /** Peer address, cores, steward's peer address. */
+  readonly w: readonly [string, number, string];
+  readonly u: number;
+  readonly y: readonly RosterRow[];
   readonly z: string;
   readonly a: string;
   readonly r: 0 | 1;
@@ -27,11 +53,11 @@
   /** Age of the configuration's proof; engines, their revisions, age of their proof. */
   readonly p: readonly number[];
   readonly t: readonly LoadRow[];
-  readonly s: readonly (readonly [string, number])[];
+  readonly s: readonly (readonly [string, number, number])[];
   readonly d: readonly (readonly [string, string, number, number])[];
   readonly q: readonly (readonly [string, string, readonly string[]])[];
-  readonly o: readonly (readonly [string, 0 | 1])[];
-  readonly x: readonly (readonly [string, number])[];
+  readonly o: readonly (readonly [string, string, 0 | 1])[];
+  readonly x: readonly (readonly [string, number, number])[];
 }
 
 /** Packs a load digest into a datagram, and back. */
@@ -39,6 +65,10 @@
   encode(digest: LoadDigest): Buffer {
     const datagram: Datagram = {
       v: FORMAT,
+      k: SCOPES.indexOf(digest.scope),
+      w: [digest.peerAddress, digest.coreCount, digest.stewardAddress ?? ''],
+      u: digest.nodeCount,
+      y: digest.roster.map(toRosterRow),
       n: digest.from,
       z: digest.zone,
       a: digest.callerAddress,
@@ -62,7 +92,7 @@
         load.progressAgeMs,
         (load.isSuspect ? SUSPECT_BIT : 0) | (load.isSlow ? SLOW_BIT : 0),
       ]),
-      s: digest.suspects.map(one => [one.fingerprint, one.losses]),
+      s: digest.suspects.map(one => [one.fingerprint, one.losses, one.leftMs]),
       d: digest.departed.map(one => [
         one.vmId,
         one.address,
@@ -70,24 +100,45 @@
         one.ageMs,
       ]),
       q: digest.asks.map(one => [one.vmId, one.address, one.peers]),
-      o: digest.opinions.map(one => [one.vmId, one.isSilent ? 1 : 0]),
-      x: digest.lostEngines.map(one => [one.vmId, one.bornAtMs]),
+      o: digest.opinions.map(one => [
+        one.vmId,
+        one.nodeId,
+        one.isSilent ? 1 : 0,
+      ]),
+      x: digest.lostEngines.map(one => [one.vmId, one.bornAtMs, one.ageMs]),
     };
-    return Buffer.from(JSON.stringify(datagram));
+    const bytes = Buffer.from(JSON.stringify(datagram));
+    const isPacked = bytes.length > PACK_BYTES;
+    const body = isPacked ? deflateRawSync(bytes, {level: PACK_LEVEL}) : bytes;
+    const head = Buffer.alloc(HEAD_BYTES);
+    head[0] = isPacked ? PACKED : PLAIN;
+    head.writeDoubleLE(digest.countedSentAtMs ?? NaN, 1);
+    return Buffer.concat([head, body]);
+  },
+
+  /** The same digest for another receiver, without packing it again. */
+  readdress(bytes: Buffer, countedSentAtMs: number | undefined): Buffer {
+    const copy = Buffer.from(bytes);
+    copy.writeDoubleLE(countedSentAtMs ?? NaN, 1);
+    return copy;
   },
 
   /** Undefined for bytes that are no digest. */
   decode(bytes: Buffer): LoadDigest | undefined {
+    if (bytes.length <= HEAD_BYTES) return undefined;
+    const counted = bytes.readDoubleLE(1);
     let datagram: Datagram;
     try {
-      datagram = JSON.parse(bytes.toString()) as Datagram;
+      datagram = JSON.parse(unpack(bytes).toString()) as Datagram;
     } catch {
       return undefined; // cut or foreign; the caller counts it
     }
     if (datagram?.v !== FORMAT || typeof datagram.n !== 'string') {
       return undefined;
     }
-    const tables = [datagram.t, datagram.s, datagram.x, datagram.d];
+    const scope = SCOPES[datagram.k];
+    if (!scope || !Array.isArray(datagram.w)) return undefined;
+    const tables = [datagram.t, datagram.s, datagram.x, datagram.d, datagram.y];
     if (![...tables, datagram.q, datagram.o].every(isRows)) return undefined;
     const {p: proofs, m: sentAtMs} = datagram;
     if (!Array.isArray(proofs) || !proofs.every(Number.isFinite)) {
@@ -98,7 +149,15 @@
     }
     const [configProofAgeMs, engineCount, revisionSum, fleetProofAgeMs] =
       proofs as [number, number, number, number];
+    const [peerAddress, coreCount, stewardAddress] = datagram.w;
     return {
+      scope,
+      peerAddress: String(peerAddress),
+      coreCount: toCount(coreCount),
+      ...(stewardAddress ? {stewardAddress: String(stewardAddress)} : {}),
+      nodeCount: toCount(datagram.u),
+      roster: datagram.y.map(toRosterNode),
+      ...(Number.isFinite(counted) ? {countedSentAtMs: counted} : {}),
       from: datagram.n as NodeId,
       life: toCount(datagram.b),
       sentAtMs,
@@ -124,6 +183,7 @@
       suspects: datagram.s.map(row => ({
         fingerprint: row[0] as Fingerprint,
         losses: toCount(row[1]),
+        leftMs: toCount(row[2]),
       })),
       departed: datagram.d.map(row => ({
         vmId: row[0] as VmId,
@@ -138,16 +198,48 @@
       })),
       opinions: datagram.o.map(row => ({
         vmId: row[0] as VmId,
-        isSilent: row[1] === 1,
+        nodeId: row[1] as NodeId,
+        isSilent: row[2] === 1,
       })),
       lostEngines: datagram.x.map(row => ({
         vmId: row[0] as VmId,
         bornAtMs: Number(row[1]),
+        ageMs: toCount(row[2]),
       })),
     };
   },
 };
 
+function unpack(bytes: Buffer): Buffer {
+  const body = bytes.subarray(HEAD_BYTES);
+  if (bytes[0] !== PACKED) return body;
+  return inflateRawSync(body, {maxOutputLength: MAX_UNPACKED_BYTES});
+}
+
+function toRosterRow(node: RosterNode): RosterRow {
+  return [
+    node.nodeId,
+    node.zone,
+    node.callerAddress,
+    node.coreCount,
+    Math.round(node.ageMs),
+    (node.isReady ? READY_BIT : 0) | (node.isLeaving ? LEAVING_BIT : 0),
+  ];
+}
+
+function toRosterNode(row: RosterRow): RosterNode {
+  const bits = toCount(row[5]);
+  return {
+    nodeId: row[0] as NodeId,
+    zone: row[1] as ZoneId,
+    callerAddress: String(row[2]),
+    coreCount: toCount(row[3]),
+    ageMs: toCount(row[4]),
+    isReady: (bits & READY_BIT) !== 0,
+    isLeaving: (bits & LEAVING_BIT) !== 0,
+  };
+}
+
 function isChange(value: unknown): boolean {
   const change = value as Partial<EngineChange> | null;
   return (
--- a/src/serving/directory_server.ts
+++ b/src/serving/directory_server.ts
@@ -11,12 +11,16 @@
   private readonly server = createServer((message, response) => {
     const {wire, state, clock, settings} = this.context;
     response.sendDate = false;
-    const path = (message.url ?? '').split('?')[0];
+    const [path, query] = (message.url ?? '').split('?');
     if (path !== wire.directory.path) {
       response.writeHead(404).end();
       return;
     }
-    const addresses = resolveEntries(state, clock.nowMs());
+    const addresses = resolveEntries(
+      state,
+      clock.nowMs(),
+      wire.directory.readZone(query ?? ''),
+    );
     if (!addresses) {
       response.writeHead(503).end();
       return;
--- a/src/serving/node_registry.ts
+++ b/src/serving/node_registry.ts
@@ -1,13 +1,15 @@
-import type {LeaseId, NodeId} from '../core/ids/index.js';
+import type {LeaseId, NodeId, ZoneId} from '../core/ids/index.js';
+import type {ListedNode} from '../core/serving/types.js';
 import type {ServingContext, ServingPart} from './types.js';
 import type {StoreEntry} from '../core/store/types.js';
-import {StoreWatch} from './store_watch.js';
+import {isAmongRegistered} from '../core/serving/index.js';
+import {listEntries} from './list_entries.js';
 import {makeId} from '../core/ids/index.js';
 import {sleep} from './sleep.js';
 
 const PREFIX = 'rhubarbstile/nodes/';
-const LEASE_MS = 6000;
-const RENEW_MS = 2000;
+const LEASE_MS = 10_000;
+const RENEW_MS = 3300;
 const ANSWER_MS = 800;
 /** Nodes start together: by the second look all of them are registered. */
 const SECOND_LOOK_MS = 1200;
@@ -19,69 +21,113 @@
 const RETRY_MS = 500;
 /** Part of a pause by which the looks of nodes are spread. */
 const SPREAD = 0.3;
+/**
+ * Where the whole system starts, nodes register one after the other, the
+ * largest first, so that most find enough registered. For a VM of one core.
+ */
+const FIRST_START_MS = 150;
+const FIRST_START_MOST_MS = 500;
 
-/** Registers this node with the store under a lease, and learns the addresses of the others. */
+interface NodeEntry {
+  readonly address: string;
+  readonly zone: string;
+  readonly cores: number;
+}
+
+/**
+ * Registers this node with the store under a lease, where its zone has not
+ * enough registered nodes, and learns of the others.
+ */
 export class NodeRegistry implements ServingPart {
-  /** Peer addresses by node. */
-  readonly addresses = new Map<NodeId, string>();
-  private readonly list: StoreWatch;
   private isClosed = false;
+  private isRegistered = false;
   private leaseId?: LeaseId;
 
-  constructor(private readonly context: ServingContext) {
-    const {store, clock, logger} = context;
-    this.list = new StoreWatch(store, clock, logger, {
-      label: 'nodes',
-      prefix: PREFIX,
-      waitMs: 0,
-      pauseMs: () => 0,
-      onList: entries => this.apply(entries),
-      onChanges: () => {}, // the list is read whole each time
-    });
-  }
+  constructor(private readonly context: ServingContext) {}
 
   start(): void {
-    void this.register();
     void this.follow();
+    void this.renewAlways();
   }
 
   async close(): Promise<void> {
     this.isClosed = true;
-    this.list.close();
     const {leaseId} = this;
     if (leaseId === undefined) return;
     await this.context.store.call({kind: 'revokeLease', leaseId}, ANSWER_MS);
   }
 
   private async follow(): Promise<void> {
+    const {settings, state} = this.context;
+    if (settings.isFirstStart) {
+      const most = Math.min(
+        FIRST_START_MOST_MS,
+        FIRST_START_MS / settings.coreCount,
+      );
+      await sleep(settings.coreCount >= 1 ? 0 : most * Math.random());
+    }
     let pauseMs = SECOND_LOOK_MS;
     while (!this.isClosed) {
-      const hasRead = await this.list.refresh();
+      const hasRead = await this.look();
+      if (hasRead && !this.isRegistered && isAmongRegistered(state)) {
+        await this.register();
+      }
       await sleep(hasRead ? pauseMs * (1 + SPREAD * Math.random()) : RETRY_MS);
       if (hasRead) pauseMs = LOOK_MS;
     }
   }
 
-  private apply(entries: readonly StoreEntry[]): void {
-    const {settings, events} = this.context;
-    this.addresses.clear();
-    for (const {key, value} of entries) {
-      this.addresses.set(makeId<NodeId>(key.slice(PREFIX.length)), value);
+  private async look(): Promise<boolean> {
+    const {store, events} = this.context;
+    const list = await listEntries(store, PREFIX, ANSWER_MS);
+    if (!list || this.isClosed) return false;
+    const nodes = list.entries.flatMap(entry => this.read(entry) ?? []);
+    events.dispatch({type: 'peersRegistered', nodes});
+    return true;
+  }
+
+  private read({key, value}: StoreEntry): ListedNode | undefined {
+    try {
+      const {address, zone, cores} = JSON.parse(value) as NodeEntry;
+      return {
+        nodeId: makeId<NodeId>(key.slice(PREFIX.length)),
+        peerAddress: String(address),
+        zone: makeId<ZoneId>(zone),
+        coreCount: Number(cores),
+      };
+    } catch (error) {
+      this.context.logger.write('warn', 'peers', 'entry not understood', {
+        key,
+        error: String(error),
+      });
+      return undefined;
     }
-    const isListed = this.addresses.has(settings.nodeId);
-    const count = this.addresses.size - (isListed ? 1 : 0);
-    events.dispatch({type: 'peersRegistered', count});
   }
 
   private async register(): Promise<void> {
-    let isRegistered = await this.write();
-    void (async () => {
-      while (!this.isClosed) {
-        await sleep(isRegistered ? RENEW_MS : RETRY_MS);
-        if (this.isClosed) return;
-        isRegistered = isRegistered ? await this.renew() : await this.write();
-      }
-    })();
+    const {settings, state, events} = this.context;
+    this.isRegistered = await this.write();
+    if (!this.isRegistered) return;
+    const self: ListedNode = {
+      nodeId: settings.nodeId,
+      peerAddress: settings.listen.peers,
+      zone: settings.zone,
+      coreCount: settings.coreCount,
+    };
+    const others = [...state.exchange.listed.values()].filter(
+      ({nodeId}) => nodeId !== settings.nodeId,
+    );
+    events.dispatch({type: 'peersRegistered', nodes: [...others, self]});
+  }
+
+  private async renewAlways(): Promise<void> {
+    while (!this.isClosed) {
+      await sleep(this.isRegistered ? RENEW_MS : RETRY_MS);
+      if (this.isClosed || this.leaseId === undefined) continue;
+      this.isRegistered = this.isRegistered
+        ? await this.renew()
+        : await this.write();
+    }
   }
 
   private async write(): Promise<boolean> {
@@ -93,14 +139,18 @@
     );
     if (grant.kind !== 'ok' || grant.leaseId === undefined) return false;
     this.leaseId = grant.leaseId;
-    const value = settings.listen.peers;
+    const entry: NodeEntry = {
+      address: settings.listen.peers,
+      zone: settings.zone,
+      cores: settings.coreCount,
+    };
     for (let expectedVersion = 0; ;) {
       const outcome = await store.call(
         {
           kind: 'compareAndSwap',
           key,
           expectedVersion,
-          value,
+          value: JSON.stringify(entry),
           leaseId: grant.leaseId,
         },
         ANSWER_MS,
--- a/src/serving/steward_lease.ts
+++ b/src/serving/steward_lease.ts
@@ -1,7 +1,7 @@
 import {randomBytes} from 'node:crypto';
 import type {LeaseId} from '../core/ids/index.js';
 import type {ServingContext, ServingPart} from './types.js';
-import {findSteward} from '../core/serving/index.js';
+import {findSteward, stewardRank} from '../core/serving/index.js';
 import {sleep} from './sleep.js';
 
 const KEY = 'rhubarbstile/steward';
@@ -14,6 +14,8 @@
 const RETRY_MS = 300;
 /** How often a contender looks whether the steward is still heard; the pause between digests. */
 const HEARD_MS = 100;
+/** Longest wait for the list of nodes. */
+const LISTED_MS = 1000;
 /** Pause between contenders, in the order of their names. */
 const RANK_PAUSE_MS = 120;
 
@@ -41,8 +43,13 @@
 
   private async run(): Promise<void> {
     const {state, clock} = this.context;
+    await this.awaitPeers();
     await sleep(this.rankPauseMs());
     while (!this.isClosed) {
+      if (stewardRank(state) === undefined) {
+        await sleep(HEARD_MS);
+        continue;
+      }
       if (findSteward(state, clock.nowMs())) {
         await this.awaitSilence();
         continue;
@@ -58,6 +65,15 @@
     }
   }
 
+  /** Until the other nodes are listed nobody can tell who is to be steward. */
+  private async awaitPeers(): Promise<void> {
+    const {state, clock} = this.context;
+    const untilMs = clock.nowMs() + LISTED_MS;
+    while (!state.exchange.hasListed && clock.nowMs() < untilMs) {
+      await sleep(HEARD_MS / 2);
+    }
+  }
+
   /** Leaves the store alone while a steward is heard. */
   private async awaitSilence(): Promise<void> {
     const {state, clock} = this.context;
@@ -172,11 +188,7 @@
   /** Ready nodes contend one after the other, so that most calls are saved. */
   private rankPauseMs(): number {
     const {state} = this.context;
-    let rank = 0;
-    for (const [nodeId, {digest}] of state.peers) {
-      const isContender = digest.isReady && !digest.isLeaving;
-      if (isContender && nodeId < state.nodeId) rank += 1;
-    }
+    const rank = stewardRank(state) ?? 0;
     if (state.peers.size === 0) return Math.random() * 4 * RANK_PAUSE_MS;
     return rank * RANK_PAUSE_MS + Math.random() * RANK_PAUSE_MS * 0.5;
   }
--- a/src/serving/store_watch.ts
+++ b/src/serving/store_watch.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '../runtime/types.js';
 import type {Logger} from '../logging/types.js';
 import type {PlatformStore, StoreEntry} from '../core/store/types.js';
+import {listEntries} from './list_entries.js';
 import {sleep} from './sleep.js';
 
 /** Answer time of a store in trouble that is still worth waiting for. */
@@ -80,26 +81,11 @@
   }
 
   private async list(): Promise<boolean> {
-    const entries: StoreEntry[] = [];
-    const {prefix} = this.options;
     const startedAtMs = this.clock.nowMs();
-    let revision: number | undefined;
-    let afterKey: string | undefined;
-    for (;;) {
-      const outcome = await this.store.call(
-        {kind: 'list', prefix, afterKey},
-        ANSWER_MS,
-      );
-      if (outcome.kind !== 'ok' || this.isClosed) return false;
-      const page = outcome.entries ?? [];
-      entries.push(...page);
-      // Pages are no snapshot: changes are followed from the first one on.
-      revision ??= outcome.version ?? 0;
-      afterKey = page.at(-1)?.key;
-      if (!outcome.hasMore || afterKey === undefined) break;
-    }
-    this.revision = revision;
-    this.options.onList(entries, revision);
+    const list = await listEntries(this.store, this.options.prefix, ANSWER_MS);
+    if (!list || this.isClosed) return false;
+    this.revision = list.revision;
+    this.options.onList(list.entries, list.revision);
     this.options.onProof?.(startedAtMs);
     return true;
   }
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -1,7 +1,7 @@
 import type {AccessConfig} from '../core/access/types.js';
 import type {Clock} from '../runtime/types.js';
 import type {EngineOrder} from '../core/steward/types.js';
-import type {EngineRecord} from '../core/fleet/types.js';
+import type {EngineChange, EngineRecord} from '../core/fleet/types.js';
 import type {EventSink} from '../runtime/types.js';
 import type {IncomingHttpHeaders, OutgoingHttpHeaders} from 'node:http';
 import type {Logger} from '../logging/types.js';
@@ -65,6 +65,8 @@
 /** A question of a caller for addresses, and its answer. Decides nothing. */
 export interface DirectoryWire {
   readonly path: string;
+  /** Zone of the caller that asks; undefined when it doesn't say. */
+  readZone(query: string): ZoneId | undefined;
   writeAddresses(addresses: readonly string[], keepMs: number): string;
 }
 
@@ -111,12 +113,16 @@
 export interface ServingSettings {
   readonly nodeId: NodeId;
   readonly zone: ZoneId;
+  /** Processor time that the VM has a second, in cores. */
+  readonly coreCount: number;
   readonly listen: {
     readonly callers: string;
     readonly ready: string;
     readonly directory: string;
     /** UDP, for what nodes tell each other. */
     readonly peers: string;
+    /** TCP, for documents that nodes hand on; the same port at all nodes. */
+    readonly documents: string;
     readonly metrics?: string;
   };
   /** The whole system starts for the first time. */
@@ -128,6 +134,18 @@
   readonly bounds: ServingBounds;
 }
 
+/** The newest configuration that this node has read, in the operator's words. */
+export interface HeldConfig {
+  text?: string;
+  version: number;
+}
+
+/** All engines, as one node hands them on to another. */
+export interface EngineList {
+  readonly revision: number;
+  readonly changes: readonly EngineChange[];
+}
+
 /** What every part of a serving node is given. */
 export interface ServingContext {
   readonly settings: ServingSettings;
--- a/src/serving/watch_config.ts
+++ b/src/serving/watch_config.ts
@@ -1,6 +1,7 @@
-import type {ServingContext} from './types.js';
+import type {HeldConfig, ServingContext} from './types.js';
 import type {StoreEntry} from '../core/store/types.js';
 import {StoreWatch} from './store_watch.js';
+import {applyConfigText} from './apply_config_text.js';
 import {needsConfigWatch} from '../core/serving/index.js';
 
 /**
@@ -11,20 +12,16 @@
 const WAIT_MS = 1500;
 
 /** Follows the operator's configuration. */
-export function watchConfig(context: ServingContext): StoreWatch {
+export function watchConfig(
+  context: ServingContext,
+  held: HeldConfig,
+): StoreWatch {
   const {store, clock, logger, wire, events, state} = context;
-  const {configKey, readConfig} = wire.sources;
+  const {configKey} = wire.sources;
   const apply = (entries: readonly StoreEntry[]) => {
     for (const {key, value} of entries) {
       if (key !== configKey || value === '') continue;
-      const config = readConfig(value);
-      if (typeof config === 'string') {
-        logger.write('error', 'config', 'configuration not understood', {
-          fault: config,
-        });
-        continue;
-      }
-      events.dispatch({type: 'configRead', config, provenAtMs: -Infinity});
+      applyConfigText(context, held, {text: value, provenAtMs: -Infinity});
     }
   };
   return new StoreWatch(store, clock, logger, {
--- a/test/support/adapter_node.ts
+++ b/test/support/adapter_node.ts
@@ -109,8 +109,8 @@
       });
     }
     this.store.put('servers/i-foreign', 'no JSON at all');
-    const ports = await freePorts(5);
-    const [front, ready, directory, peers, metrics] = ports.map(
+    const ports = await freePorts(6);
+    const [front, ready, directory, peers, documents, metrics] = ports.map(
       port => `127.0.0.1:${port}`,
     );
     this.front = front!;
@@ -121,11 +121,13 @@
       settings: {
         nodeId: makeId<NodeId>('edge-1'),
         zone: makeId<ZoneId>('zone-a'),
+        coreCount: 1,
         listen: {
           callers: this.front,
           ready: this.ready,
           directory: this.directory,
           peers: peers!,
+          documents: documents!,
           metrics: this.metrics,
         },
         isFirstStart: true,
--- a/test/support/serving_node.ts
+++ b/test/support/serving_node.ts
@@ -123,6 +123,11 @@
 
   peerDigest(more: Partial<LoadDigest> = {}): LoadDigest {
     return {
+      scope: 'node',
+      peerAddress: '10.0.0.2:7340',
+      coreCount: 1,
+      nodeCount: 1,
+      roster: [],
       from: makeId<NodeId>('n1'),
       life: 1,
       sentAtMs: this.nowMs,
--- a/test/units/serving/repeats.test.ts
+++ b/test/units/serving/repeats.test.ts
@@ -101,7 +101,9 @@
     assert.equal(node.take('refuse')[0]?.status, 503);
 
     const peer = new ServingNodeHarness().start();
-    const digest = node.peerDigest({suspects: [{fingerprint, losses: 2}]});
+    const digest = node.peerDigest({
+      suspects: [{fingerprint, losses: 2, leftMs: 60_000}],
+    });
     peer.dispatch({type: 'digestReceived', digest});
     peer.arrive('safe', {fingerprint});
     assert.equal(peer.take('startAttempt').length, 0);
