Wake idle nodes seldom, derive targets when used, and register only the largest

Change: one pulse for all that a node does again and again, 150 ms while a node of a large fleet has nothing under way; targets are derived when they are next used, and the sum of revisions is kept instead of summed up; nodes of less than a core wait 0.4 to 1.6 s before they look whether to register when the whole system starts; those that need not register look again only after 30 s.

--- a/src/core/serving/apply_fleet.ts
+++ b/src/core/serving/apply_fleet.ts
@@ -43,10 +43,6 @@
   if (!hasChanged && removed.length === 0) return;
   state.fleetChangedAtMs = nowMs;
   state.engineCount = state.engines.size;
-  state.revisionSum = 0;
-  for (const {revision} of state.engines.values()) {
-    state.revisionSum += revision;
-  }
   rebuildTargets(state);
   if (!change.isWhole && removed.length === 0) return;
   logDecision(step, 'info', 'fleet', 'engines changed', {
@@ -55,7 +51,6 @@
     removed,
     engines: state.engines.size,
     before,
-    targets: state.targets.size,
     revision: change.revision,
   });
 }
@@ -76,6 +71,8 @@
   }
   state.departed.delete(vmId);
   state.heldRemovals.delete(vmId);
+  state.revisionSum -= state.engines.get(vmId)?.revision ?? 0;
+  state.revisionSum += engine.revision;
   state.engines.set(vmId, engine);
   const lost = state.lostEngines.get(vmId);
   if (lost && lost.bornAtMs !== engine.bornAtMs) {
@@ -110,7 +107,8 @@
 function removeEngine({state, nowMs}: ServingStep, vmId: VmId): void {
   const record = state.engines.get(vmId);
   if (record) {
-    const {address, bornAtMs} = record;
+    const {address, bornAtMs, revision} = record;
+    state.revisionSum -= revision;
     state.departed.set(vmId, {address, bornAtMs, atMs: nowMs});
   }
   state.engines.delete(vmId);
--- /dev/null
+++ b/src/core/serving/build_targets.ts
@@ -0,0 +1,75 @@
+import type {EngineRecord, ModelSpec, ReplicaView} from '../fleet/types.js';
+import type {ServingState, ServingTarget} from './types.js';
+import {buildReplicas, replicaKey} from '../fleet/index.js';
+import {isKnownLost} from './is_known_lost.js';
+import {poolKey} from './pool_key.js';
+
+/** Derives replicas and targets anew from the engines and the configuration. */
+export function buildTargets(state: ServingState): void {
+  state.replicas = buildReplicas(state.engines.values());
+  state.targetsByPool = new Map();
+  state.targets = new Map();
+  for (const engine of state.engines.values()) {
+    const target = resolveTarget(state, engine);
+    if (!target) continue;
+    const {service} = engine;
+    const pool = target.costs
+      ? poolKey(service, engine.models[0])
+      : poolKey(service);
+    const ofPool = state.targetsByPool.get(pool);
+    if (ofPool) ofPool.push(target);
+    else state.targetsByPool.set(pool, [target]);
+    state.targets.set(engine.vmId, target);
+  }
+  for (const [vmId, load] of state.loads) {
+    if (!state.engines.has(vmId) && load.inFlight === 0) {
+      state.loads.delete(vmId);
+    }
+  }
+}
+
+function resolveTarget(
+  state: ServingState,
+  engine: EngineRecord,
+): ServingTarget | undefined {
+  const costs = state.config?.services.get(engine.service)?.engine;
+  if (isKnownLost(state, engine) || engine.isLeaving) return undefined;
+  if (!costs) {
+    return {
+      vmId: engine.vmId,
+      engine,
+      slotCount: Math.max(1, engine.slotCount),
+      pace: 1,
+    };
+  }
+  const model = costs.models.find(({name}) => name === engine.models[0]);
+  const replica = findServingReplica(state, engine, model);
+  if (!replica || !model) return undefined;
+  return {
+    vmId: engine.vmId,
+    engine,
+    slotCount: costs.slotCount,
+    pace: model.pace,
+    costs,
+    replica,
+  };
+}
+
+/** The replica of which the engine is the open head, when no member is missing or lost. */
+function findServingReplica(
+  state: ServingState,
+  engine: EngineRecord,
+  model: ModelSpec | undefined,
+): ReplicaView | undefined {
+  const {membership} = engine;
+  if (!model || membership?.rank !== 0 || membership.stage !== 'open') {
+    return undefined;
+  }
+  const key = replicaKey(membership.replicaId, membership.epoch);
+  const replica = state.replicas.get(key);
+  if (!replica || replica.members.size < model.size) return undefined;
+  for (const member of replica.members.values()) {
+    if (isKnownLost(state, member)) return undefined;
+  }
+  return replica;
+}
--- a/src/core/serving/create_serving_state.ts
+++ b/src/core/serving/create_serving_state.ts
@@ -52,6 +52,7 @@
     isFleetKnown: false,
     fleetRevision: 0,
     fleetChangedAtMs: -Infinity,
+    areTargetsStale: false,
     replicas: new Map(),
     targetsByPool: new Map(),
     targets: new Map(),
--- a/src/core/serving/index.ts
+++ b/src/core/serving/index.ts
@@ -7,6 +7,8 @@
 export {resolveEntries} from './resolve_entries.js';
 export {reduceServing} from './reduce_serving.js';
 export type * from './types.js';
+export {refreshTargets} from './refresh_targets.js';
+export {isIdle} from './is_idle.js';
 export {repeatBudget} from './repeat_budget.js';
 export {isAmongRegistered} from './relays/is_among_registered.js';
 export {selectUpstream} from './relays/select_upstream.js';
--- /dev/null
+++ b/src/core/serving/is_idle.ts
@@ -0,0 +1,21 @@
+import type {ServingState} from './types.js';
+
+/** Whether a node of a large fleet has nothing under way: it can be slow to notice the time. */
+export function isIdle({
+  requests,
+  steward,
+  exchange,
+  isFleetKnown,
+  config,
+  leavingSinceMs,
+}: ServingState): boolean {
+  return (
+    exchange.isRelayed &&
+    exchange.relayRank < 0 &&
+    requests.size === 0 &&
+    steward.term === undefined &&
+    leavingSinceMs === undefined &&
+    isFleetKnown &&
+    config !== undefined
+  );
+}
--- a/src/core/serving/reduce_serving.ts
+++ b/src/core/serving/reduce_serving.ts
@@ -14,6 +14,8 @@
 import {noteListed} from './relays/note_listed.js';
 import {noteStoreContact} from './note_store_contact.js';
 import {planDigests} from './relays/plan_digests.js';
+import {isIdle} from './is_idle.js';
+import {refreshTargets} from './refresh_targets.js';
 import {rebuildTargets} from './rebuild_targets.js';
 import {reduceSteward} from '../steward/reduce_steward.js';
 
@@ -29,6 +31,7 @@
   state.startedAtMs ??= event.nowMs;
   applyEvent(step, event);
   reduceSteward(step, event);
+  if (!isIdle(state)) refreshTargets(state);
   return step.effects;
 }
 
--- a/src/core/serving/relays/is_awaiting_peers.ts
+++ b/src/core/serving/relays/is_awaiting_peers.ts
@@ -1,9 +1,9 @@
 import type {ServingState} from '../types.js';
 
 /** Time in which the registry of nodes is read, and says whether there are relays. */
-const LIST_MS = 600;
+const LIST_MS = 2500;
 /** Time in which a relay is found, and has handed on what it knows. */
-const RELAY_MS = 2500;
+const RELAY_MS = 4500;
 
 /** Whether a node that starts may yet get from a relay what it would read from the store. */
 export function isAwaitingPeers(
--- a/src/core/serving/select_target.ts
+++ b/src/core/serving/select_target.ts
@@ -1,5 +1,6 @@
 import type {Placement, RequestRecord, ServingStep} from './types.js';
 import {estimateFirstEventMs} from './estimate_first_event_ms.js';
+import {refreshTargets} from './refresh_targets.js';
 import {isUnderSuspicion} from './is_under_suspicion.js';
 
 /**
@@ -21,6 +22,7 @@
   record: RequestRecord,
 ): Placement | undefined {
   const {state, nowMs} = step;
+  refreshTargets(state);
   const {promptTokens} = record.request;
   let best: Placement | undefined;
   let bestMs = Infinity;
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -210,6 +210,8 @@
   isFleetKnown: boolean;
   fleetRevision: number;
   fleetChangedAtMs: number;
+  /** Replicas and targets lag behind the engines. */
+  areTargetsStale: boolean;
   replicas: Map<string, ReplicaView>;
   targetsByPool: Map<string, ServingTarget[]>;
   targets: Map<VmId, ServingTarget>;
--- a/src/core/steward/adopt_replicas.ts
+++ b/src/core/steward/adopt_replicas.ts
@@ -3,6 +3,7 @@
 import type {ServingStep} from '../serving/types.js';
 import type {ServiceName, VmId} from '../ids/index.js';
 import {logDecision} from '../serving/log_decision.js';
+import {refreshTargets} from '../serving/refresh_targets.js';
 import {replicaName} from './replica_name.js';
 
 /** Time beyond a load for a replica that an earlier steward left unfinished. */
@@ -15,6 +16,7 @@
 export function adoptReplicas(step: ServingStep, service: ServiceName): void {
   const {state} = step;
   const {steward} = state;
+  refreshTargets(state);
   for (const [key, replica] of state.replicas) {
     if (replica.service !== service) continue;
     if (steward.tracks.has(key) || isReleased(step, key, replica)) continue;
--- a/src/serving/catch_up.ts
+++ b/src/serving/catch_up.ts
@@ -27,7 +27,6 @@
 
 /** Gets what peers know and this node lacks: from a relay, where there is one, or from the store. */
 export class CatchUp implements ServingPart {
-  private timer?: NodeJS.Timeout;
   private askedAtMs = -Infinity;
   private askedFor = 0;
   private isFetchingConfig = false;
@@ -43,12 +42,11 @@
   ) {}
 
   start(): void {
-    this.timer = setInterval(() => this.look(), LOOK_MS);
+    this.context.pulse.every(LOOK_MS, () => this.look());
   }
 
   close(): Promise<void> {
     this.isClosed = true;
-    clearInterval(this.timer);
     return Promise.resolve();
   }
 
--- a/src/serving/create_serving_node.ts
+++ b/src/serving/create_serving_node.ts
@@ -23,11 +23,16 @@
 import {MetricsServer} from './metrics_server.js';
 import {NodeRegistry} from './node_registry.js';
 import {OrderClient} from './order_client.js';
+import {Pulse} from './pulse.js';
 import {PeerExchange} from './peer_exchange.js';
 import {StatusServer} from './status_server.js';
 import {StewardLease} from './steward_lease.js';
 import {createNodeMetrics} from '../metrics/create_node_metrics.js';
-import {createServingState, reduceServing} from '../core/serving/index.js';
+import {
+  createServingState,
+  isIdle,
+  reduceServing,
+} from '../core/serving/index.js';
 import {watchConfig} from './watch_config.js';
 import {watchFleet} from './watch_fleet.js';
 
@@ -89,6 +94,7 @@
     logger,
     lostMs => events.dispatch({type: 'storeRegained', lostMs}),
   );
+  const pulse = new Pulse(clock, () => isIdle(state));
   const context: ServingContext = {
     settings,
     wire,
@@ -98,6 +104,7 @@
     state,
     logger,
     metrics,
+    pulse,
   };
   const front = new FrontServer(context);
   const attempts = new AttemptClient(context, front);
@@ -131,11 +138,11 @@
   peers.start();
   steward.start();
   catchUp.start();
-  const tick = setInterval(() => events.dispatch({type: 'tick'}), TICK_MS);
-  const sweep = setInterval(() => attempts.sweep(), SWEEP_MS);
+  pulse.every(TICK_MS, () => events.dispatch({type: 'tick'}));
+  pulse.every(SWEEP_MS, () => attempts.sweep());
+  pulse.start();
   const closeAll = async () => {
-    clearInterval(tick);
-    clearInterval(sweep);
+    pulse.close();
     events.stop();
     for (const watch of watches) watch.close();
     const parts = [catchUp, registry, steward, peers, front, attempts, orders];
--- a/src/serving/front_server.ts
+++ b/src/serving/front_server.ts
@@ -157,6 +157,7 @@
       call.isEnded = true;
       context.events.dispatch({type: 'callerGone', requestId});
     });
+    context.pulse.wake();
     context.events.dispatch({
       type: 'requestArrived',
       request: {
--- a/src/serving/measure_state.ts
+++ b/src/serving/measure_state.ts
@@ -1,6 +1,6 @@
 import type {NodeMetrics} from '../metrics/types.js';
 import type {ServingState} from '../core/serving/types.js';
-import {repeatBudget} from '../core/serving/index.js';
+import {refreshTargets, repeatBudget} from '../core/serving/index.js';
 
 /** Brings the gauges of a node up to date, for a scrape. */
 export function measureState(
@@ -9,6 +9,7 @@
   nowMs: number,
 ): void {
   metrics.resetGauges();
+  refreshTargets(state);
   for (const {head} of state.replicas.values()) {
     metrics.count('replicas', 1, {
       model: head?.models[0] ?? 'none',
--- a/src/serving/node_registry.ts
+++ b/src/serving/node_registry.ts
@@ -23,10 +23,10 @@
 const SPREAD = 0.3;
 /**
  * Where the whole system starts, nodes register one after the other, the
- * largest first, so that most find enough registered. For a VM of one core.
+ * largest first, so that most find enough registered. These have a whole core.
  */
-const FIRST_START_MS = 150;
-const FIRST_START_MOST_MS = 500;
+const FIRST_START_LEAST_MS = 400;
+const FIRST_START_SPREAD_MS = 1200;
 
 interface NodeEntry {
   readonly address: string;
@@ -59,12 +59,8 @@
 
   private async follow(): Promise<void> {
     const {settings, state} = this.context;
-    if (settings.isFirstStart) {
-      const most = Math.min(
-        FIRST_START_MOST_MS,
-        FIRST_START_MS / settings.coreCount,
-      );
-      await sleep(settings.coreCount >= 1 ? 0 : most * Math.random());
+    if (settings.isFirstStart && settings.coreCount < 1) {
+      await sleep(FIRST_START_LEAST_MS + FIRST_START_SPREAD_MS * Math.random());
     }
     let pauseMs = SECOND_LOOK_MS;
     while (!this.isClosed) {
@@ -72,6 +68,9 @@
       if (hasRead && !this.isRegistered && isAmongRegistered(state)) {
         await this.register();
       }
+      // Those that need not register found the relays of their zone.
+      const hasRelays = state.exchange.isRelayed && !this.isRegistered;
+      if (hasRead && hasRelays) pauseMs = LOOK_MS;
       await sleep(hasRead ? pauseMs * (1 + SPREAD * Math.random()) : RETRY_MS);
       if (hasRead) pauseMs = LOOK_MS;
     }
--- a/src/serving/peer_exchange.ts
+++ b/src/serving/peer_exchange.ts
@@ -12,7 +12,6 @@
 export class PeerExchange implements ServingPart, EffectHandler<ServingEffect> {
   readonly types = ['sendDigest'] as const;
   private readonly socket = createSocket('udp4');
-  private timer?: NodeJS.Timeout;
   private dropped = 0;
 
   constructor(private readonly context: ServingContext) {}
@@ -42,7 +41,7 @@
   }
 
   start(): void {
-    this.timer = setInterval(() => this.tell(false), SEND_MS);
+    this.context.pulse.every(SEND_MS, () => this.tell(false));
   }
 
   /** Tells peers now, for news that can't wait. */
@@ -69,7 +68,6 @@
   }
 
   close(): Promise<void> {
-    clearInterval(this.timer);
     return new Promise(resolve => this.socket.close(() => resolve()));
   }
 
--- a/src/serving/steward_lease.ts
+++ b/src/serving/steward_lease.ts
@@ -47,7 +47,7 @@
     await sleep(this.rankPauseMs());
     while (!this.isClosed) {
       if (stewardRank(state) === undefined) {
-        await sleep(HEARD_MS);
+        await this.context.pulse.wait(HEARD_MS);
         continue;
       }
       if (findSteward(state, clock.nowMs())) {
@@ -70,7 +70,7 @@
     const {state, clock} = this.context;
     const untilMs = clock.nowMs() + LISTED_MS;
     while (!state.exchange.hasListed && clock.nowMs() < untilMs) {
-      await sleep(HEARD_MS / 2);
+      await this.context.pulse.wait(HEARD_MS / 2);
     }
   }
 
@@ -78,7 +78,7 @@
   private async awaitSilence(): Promise<void> {
     const {state, clock} = this.context;
     while (!this.isClosed && findSteward(state, clock.nowMs())) {
-      await sleep(HEARD_MS);
+      await this.context.pulse.wait(HEARD_MS);
     }
     await sleep(this.rankPauseMs());
   }
--- a/src/serving/store_watch.ts
+++ b/src/serving/store_watch.ts
@@ -17,6 +17,8 @@
   readonly waitMs: number;
   /** False while peers tell what the store would; by default the store is always asked. */
   readonly isNeeded?: () => boolean;
+  /** A pause of a watch that isn't needed. */
+  readonly idle: (ms: number) => Promise<void>;
   /** Pause after changes, which gathers several into one call. */
   readonly pauseMs: () => number;
   /** All entries, at a revision of the store. */
@@ -65,7 +67,7 @@
     while (!this.isClosed) {
       if (this.options.isNeeded?.() === false) {
         this.revision = undefined;
-        await sleep(IDLE_MS);
+        await this.options.idle(IDLE_MS);
         continue;
       }
       const isOk =
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -7,6 +7,7 @@
 import type {Logger} from '../logging/types.js';
 import type {ModelName, NodeId, VmId, ZoneId} from '../core/ids/index.js';
 import type {NodeMetrics} from '../metrics/types.js';
+import type {Pulse} from './pulse.js';
 import type {PlatformStore} from '../core/store/types.js';
 import type {
   ServingBounds,
@@ -157,6 +158,7 @@
   readonly state: ServingState;
   readonly logger: Logger;
   readonly metrics: NodeMetrics;
+  readonly pulse: Pulse;
 }
 
 /** A part of a node that opens something. */
--- a/src/serving/watch_config.ts
+++ b/src/serving/watch_config.ts
@@ -28,6 +28,7 @@
     label: 'configuration',
     prefix: configKey,
     waitMs: WAIT_MS,
+    idle: ms => context.pulse.wait(ms),
     isNeeded: () => needsConfigWatch(state, clock.nowMs()),
     pauseMs: () => 0,
     onList: apply,
--- a/src/serving/watch_fleet.ts
+++ b/src/serving/watch_fleet.ts
@@ -32,6 +32,7 @@
     label: 'engines',
     prefix: enginesPrefix,
     waitMs: WAIT_MS,
+    idle: ms => context.pulse.wait(ms),
     isNeeded: () => needsFleetWatch(state, clock.nowMs()),
     pauseMs: () =>
       state.steward.term === undefined ? PAUSE_MS : STEWARD_PAUSE_MS,
