Test the exchange by relays in virtual time; find relays again after a loss

Found by the tests, each failing first: - a relay that stood still for three seconds took all others for lost, sent to nobody, and was heard by nobody from then on. A node that lacks a relay tells more often, and new relays are told at once.

The property of size: digests and rows that each of 300 nodes gets a second are at most half more than those of each of 30.

--- a/src/core/serving/relays/follow_relays.ts
+++ b/src/core/serving/relays/follow_relays.ts
@@ -1,15 +1,16 @@
-import type {ServingStep} from '../types.js';
+import type {ListedNode, ServingStep} from '../types.js';
 import type {ZoneId} from '../../ids/index.js';
 import {acceptsDigest} from './accepts_digest.js';
 import {dropPeer} from '../drop_peer.js';
 import {logDecision} from '../log_decision.js';
 import {selectRelays} from './select_relays.js';
 
-/** Selects the relays anew, and takes up or lays down this node's part as one. */
-export function followRelays(step: ServingStep): void {
+/** Selects the relays anew, and takes up or lays down this node's part as one. True when the zone has other relays than before. */
+export function followRelays(step: ServingStep): boolean {
   const {state, nowMs} = step;
   const {exchange} = state;
-  if (!exchange.isRelayed) return;
+  if (!exchange.isRelayed) return false;
+  const before = namesOf(exchange.relays.get(state.zone));
   const own = selectRelays(state, state.zone, nowMs);
   const rank = own.findIndex(({nodeId}) => nodeId === state.nodeId);
   exchange.relays = new Map([[state.zone, own]]);
@@ -25,7 +26,8 @@
       exchange.triedAtMs.set(nodeId, nowMs);
     }
   }
-  if (rank === exchange.relayRank) return;
+  const hasChanged = namesOf(own) !== before;
+  if (rank === exchange.relayRank) return hasChanged;
   logDecision(step, 'info', 'peers', 'relay rank', {
     rank,
     before: exchange.relayRank,
@@ -34,6 +36,11 @@
   const wasRelay = exchange.relayRank >= 0;
   exchange.relayRank = rank;
   if (wasRelay !== rank >= 0) dropOthers(step);
+  return hasChanged;
+}
+
+function namesOf(relays: readonly ListedNode[] = []): string {
+  return relays.map(({nodeId}) => nodeId).join();
 }
 
 function listZones({state}: ServingStep): Set<ZoneId> {
--- a/src/core/serving/relays/plan_digests.ts
+++ b/src/core/serving/relays/plan_digests.ts
@@ -24,8 +24,8 @@
 
 /** Tells peers what is due: each other directly in a small fleet, the relays of the zone in a large one. */
 export function planDigests(step: ServingStep, isUrgent: boolean): void {
-  followRelays(step);
-  if (step.state.exchange.isRelayed) tellRelays(step, isUrgent);
+  const hasNewRelays = followRelays(step);
+  if (step.state.exchange.isRelayed) tellRelays(step, isUrgent || hasNewRelays);
   else tellAll(step, isUrgent);
 }
 
@@ -48,13 +48,22 @@
 }
 
 /** The end of its last request is news as well: until it is told, others take the slot as held. */
-function pauseMs({state}: ServingStep): number {
+function pauseMs(step: ServingStep): number {
+  const {state} = step;
   const last = [...state.exchange.told.values()].at(-1) ?? [];
   const hasTold = last.some(({inFlight}) => inFlight > 0);
-  const isBusy = hasTold || state.requests.size > 0;
+  const isBusy = hasTold || state.requests.size > 0 || lacksRelay(step);
   return isBusy || state.steward.term !== undefined ? BUSY_MS : IDLE_MS;
 }
 
+/** A new relay counts a node from its next digest on. */
+function lacksRelay({state, nowMs}: ServingStep): boolean {
+  const {isRelayed, relayRank} = state.exchange;
+  if (!isRelayed || relayRank >= 0) return false;
+  const view = state.peers.get('fleet');
+  return !view || nowMs - view.atMs > SECOND_IDLE_MS;
+}
+
 function tellRelays(step: ServingStep, isUrgent: boolean): void {
   const {state, nowMs} = step;
   const {exchange} = state;
--- a/src/core/serving/relays/select_relays.ts
+++ b/src/core/serving/relays/select_relays.ts
@@ -17,8 +17,10 @@
     [...exchange.listed.values()].filter(node => node.zone === zone),
   );
   const heard = ofZone.filter(({nodeId}) => isHeard(state, nodeId, nowMs));
-  if (heard.length > 0) return heard.slice(0, RELAY_COUNT);
-  // All were tried in vain: begin anew, some may be back.
+  const others = heard.filter(({nodeId}) => nodeId !== state.nodeId);
+  const isAlone = ofZone.every(({nodeId}) => nodeId === state.nodeId);
+  if (others.length > 0 || isAlone) return heard.slice(0, RELAY_COUNT);
+  // All were tried in vain: begin anew. Some may be back, or this node was cut off.
   for (const {nodeId} of ofZone) {
     exchange.triedAtMs.delete(nodeId);
     exchange.heard.delete(nodeId);
--- a/src/replay/serving/serving_world.ts
+++ b/src/replay/serving/serving_world.ts
@@ -56,6 +56,8 @@
   readonly domainCount: number;
   readonly domainSize: number;
   readonly zoneCount?: number;
+  /** Cores of the node at a place; one where it isn't given. */
+  readonly coreCountOf?: (at: number) => number;
   /** Share of orders that get no answer and are carried out seconds later. */
   readonly lateOrderShare?: number;
 }
@@ -88,14 +90,18 @@
   });
   private readonly nodesByAddress = new Map<string, WorldNode>();
   private readonly zoneCount: number;
+  private readonly coreCountOf: (at: number) => number;
   /** Digests that nodes sent to each other. */
   digestCount = 0;
+  /** Loads and changes in them, which their bytes grow with. */
+  digestRowCount = 0;
   private term = 0;
   private steward?: WorldNode;
 
   constructor(options: WorldOptions) {
     this.random = createRandom(options.seed);
     this.zoneCount = options.zoneCount ?? ZONE_COUNT;
+    this.coreCountOf = options.coreCountOf ?? (() => 1);
     this.costs = this.config.services.get(SERVICE)!.engine!;
     this.checks = new PromiseChecks(this);
     this.callers = new WorldCallers({
@@ -276,6 +282,7 @@
         zone: makeId<ZoneId>(`zone-${at % this.zoneCount}`),
         callerAddress: `10.0.1.${at}:80`,
         peerAddress: `10.0.1.${at}:7340`,
+        coreCount: this.coreCountOf(at),
         isFirstStart: !this.hasTraffic,
       },
       SERVING_BOUNDS,
@@ -390,6 +397,7 @@
       const told =
         countedSentAtMs === undefined ? digest : {...digest, countedSentAtMs};
       this.digestCount += 1;
+      this.digestRowCount += digest.loads.length + digest.changes.length;
       this.after(HOP_MS, () =>
         this.dispatch(peer, {type: 'digestReceived', digest: told}),
       );
--- /dev/null
+++ b/test/units/serving/relays.test.ts
@@ -0,0 +1,187 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import type {ServingState} from '../../../src/core/serving/types.js';
+import type {VmId} from '../../../src/core/ids/index.js';
+import {ServingWorld, sendLoad} from '../../../src/replay/serving/index.js';
+import {
+  ServingNodeHarness,
+  createDeskEngine,
+} from '../../support/serving_node.js';
+import {createRandom} from '../../../src/core/random/index.js';
+import {resolveEntries} from '../../../src/core/serving/index.js';
+
+const ASSEMBLY_MS = 6000;
+
+/** A fleet of three zones, of which each has two nodes that are larger than the others. */
+function createFleet(nodeCount: number, seed = 5): ServingWorld {
+  return new ServingWorld({
+    seed,
+    nodeCount,
+    domainCount: 3,
+    domainSize: 11,
+    coreCountOf: at => (at < 6 ? 1.35 : 0.3),
+  });
+}
+
+function relaysOf(world: ServingWorld): ServingState[] {
+  return world.nodes
+    .filter(({isUp, state}) => isUp && state.exchange.relayRank >= 0)
+    .map(({state}) => state);
+}
+
+/** Requests in flight at a target, as a node sums them up. */
+function knownInFlight(state: ServingState, vmId: VmId): number {
+  const own = state.loads.get(vmId)?.inFlight ?? 0;
+  return own + (state.peerLoads.get(vmId)?.inFlight ?? 0);
+}
+
+function trueInFlight(world: ServingWorld, vmId: VmId): number {
+  return world.nodes.reduce(
+    (sum, {state}) => sum + (state.loads.get(vmId)?.inFlight ?? 0),
+    0,
+  );
+}
+
+/** Digests and rows that a node gets a second, under a load that grows with the nodes. */
+function measureExchange(nodeCount: number) {
+  const world = createFleet(nodeCount);
+  world.runFor(ASSEMBLY_MS);
+  sendLoad(world, createRandom(1), {forMs: 3000, perS: () => 30});
+  const {digestCount, digestRowCount} = world;
+  world.runFor(3000);
+  const nodeSeconds = nodeCount * 3;
+  return {
+    digests: (world.digestCount - digestCount) / nodeSeconds,
+    rows: (world.digestRowCount - digestRowCount) / nodeSeconds,
+  };
+}
+
+describe('exchange of digests by relays', () => {
+  it('costs each of 300 nodes at most half more than each of 30', () => {
+    const few = measureExchange(30);
+    const many = measureExchange(300);
+    assert.ok(
+      many.digests <= 1.5 * few.digests,
+      `digests ${many.digests} against ${few.digests}`,
+    );
+    assert.ok(
+      many.rows <= 1.5 * few.rows,
+      `rows ${many.rows} against ${few.rows}`,
+    );
+  });
+
+  it('has the two largest nodes of each zone for relays, and one of them as steward', () => {
+    const world = createFleet(36);
+    world.runFor(ASSEMBLY_MS);
+    const relays = relaysOf(world);
+    assert.deepEqual(relays.map(({nodeId}) => nodeId).sort(), [
+      'n0',
+      'n1',
+      'n2',
+      'n3',
+      'n4',
+      'n5',
+    ]);
+  });
+
+  it('tells each node what all others have in flight, and counts nothing twice', () => {
+    const world = createFleet(36);
+    world.runFor(ASSEMBLY_MS);
+    sendLoad(world, createRandom(3), {forMs: 4000, perS: () => 40});
+    let compared = 0;
+    let error = 0;
+    for (let at = 0; at < 30; at++) {
+      world.runFor(100);
+      for (const vmId of world.nodes[0]!.state.targets.keys()) {
+        const truth = trueInFlight(world, vmId);
+        for (const {state} of world.nodes) {
+          error += knownInFlight(state, vmId) - truth;
+          compared += 1;
+        }
+      }
+    }
+    const meanError = Math.abs(error / compared);
+    assert.ok(compared > 1000);
+    // 40 a second on six heads, known 200 ms late: one and a third at a head.
+    assert.ok(meanError < 1.4, `mean error ${meanError}`);
+    world.runFor(8000);
+    for (const {state} of world.nodes) {
+      for (const [vmId, load] of state.peerLoads) {
+        assert.equal(load.inFlight, 0, `${state.nodeId} of ${vmId}`);
+      }
+    }
+  });
+
+  it('goes on when the first relay of a zone, or both, are lost', () => {
+    for (const lostCount of [1, 2]) {
+      const world = createFleet(36);
+      world.runFor(ASSEMBLY_MS);
+      const lost = [world.nodes[0]!, world.nodes[3]!].slice(0, lostCount);
+      for (const node of lost) node.isUp = false;
+      const leaf = world.nodes[33]!.state;
+      assert.equal(leaf.zone, lost[0]!.state.zone);
+      let oldestMs = 0;
+      for (let at = 0; at < 50; at++) {
+        world.runFor(100);
+        const view = leaf.peers.get('fleet');
+        oldestMs = Math.max(oldestMs, world.nowMs - (view?.atMs ?? -Infinity));
+      }
+      // The second relay tells all along; new ones are tried after a second, and heard by then.
+      const mostMs = lostCount === 1 ? 700 : 2000;
+      assert.ok(oldestMs <= mostMs, `${lostCount} lost: ${oldestMs} ms`);
+      assert.equal(relaysOf(world).length, 6);
+    }
+  });
+
+  it('takes a relay back when it has started again', () => {
+    const world = createFleet(36);
+    world.runFor(ASSEMBLY_MS);
+    const [first] = world.nodes;
+    first!.isUp = false;
+    world.runFor(3000);
+    first!.isUp = true;
+    world.runFor(3000);
+    assert.equal(first!.state.exchange.relayRank, 0);
+    assert.equal(relaysOf(world).length, 6);
+  });
+
+  it('names callers the largest nodes of their zone, and others when that is lost', () => {
+    const world = createFleet(36);
+    world.runFor(ASSEMBLY_MS);
+    const {state} = world.nodes[33]!;
+    const entries = resolveEntries(state, world.nowMs)!;
+    const zoneOf = (address: string) =>
+      world.nodes.find(node => node.state.callerAddress === address)!.state
+        .zone;
+    assert.equal(entries.length, 6);
+    assert.ok(entries.every(address => zoneOf(address) === state.zone));
+    assert.ok(entries.includes('10.0.1.0:80'));
+    for (const node of world.nodes) {
+      if (node.state.zone === state.zone) node.isUp = false;
+    }
+    world.runFor(3000);
+    const other = world.nodes[1]!.state;
+    const elsewhere = resolveEntries(other, world.nowMs, state.zone)!;
+    assert.ok(elsewhere.length >= 6);
+    assert.ok(elsewhere.every(address => zoneOf(address) !== state.zone));
+  });
+});
+
+describe('findings that peers repeat', () => {
+  it('end with the age that they had when they were made', () => {
+    const node = new ServingNodeHarness().start();
+    const {vmId, bornAtMs} = createDeskEngine(0);
+    const repeat = (ageMs: number) =>
+      node.dispatch({
+        type: 'digestReceived',
+        digest: node.peerDigest({lostEngines: [{vmId, bornAtMs, ageMs}]}),
+      });
+    repeat(0);
+    assert.equal(node.state.targets.has(vmId), false);
+    for (let ageMs = 0; ageMs <= 25_000; ageMs += 500) {
+      repeat(ageMs);
+      node.pass(500);
+    }
+    assert.equal(node.state.targets.has(vmId), true);
+  });
+});
