--- a/src/core/steward/adopt_replicas.ts
+++ b/src/core/steward/adopt_replicas.ts
@@ -46,7 +46,6 @@
   const stage = head?.membership?.stage;
   const mayServe = !head || (stage !== 'joining' && stage !== 'ready');
   const isWhole = replica.members.size === size;
-  if (!mayServe && !isWhole) return undefined;
   const others = [...replica.members]
     .filter(([rank]) => rank !== 0)
     .sort(([a], [b]) => a - b)
@@ -57,7 +56,9 @@
   );
   const lastRecord = head ?? state.departed.get(headId);
   if (lastRecord) bornAtMs.set(headId, lastRecord.bornAtMs);
-  const phase = !mayServe ? 'joining' : head && isWhole ? 'open' : 'leaving';
+  // Its head may have been opened since it was last heard: one that lacks a
+  // member leaves before its members are used elsewhere.
+  const phase = head && isWhole ? (mayServe ? 'open' : 'joining') : 'leaving';
   logDecision(step, 'info', 'steward', 'replica adopted', {
     replica: replica.replicaId,
     epoch: replica.epoch,
--- a/test/units/steward/earlier_terms.test.ts
+++ b/test/units/steward/earlier_terms.test.ts
@@ -17,8 +17,11 @@
 const SERVICE = makeId<ServiceName>('pool');
 const TERM = 5;
 
-/** Orders to the engines of a replica that is ready, and was joined under an epoch of `term`; its last member may be leaving. */
-function ordersFor(term: number, isLeaving = false): EngineOrder['kind'][] {
+/** Orders to the engines of a replica that is ready, and was joined under an epoch of `term`; its last member may be leaving, or missing. */
+function ordersFor(
+  term: number,
+  {isLeaving = false, isMissing = false} = {},
+): EngineOrder['kind'][] {
   const node = new ServingNodeHarness().start();
   const {state} = node;
   state.steward.term = TERM;
@@ -40,6 +43,7 @@
       stage: 'ready',
     },
   }));
+  if (isMissing) engines.pop();
   node.dispatch({
     type: 'fleetListed',
     changes: engines.map(engine => {
@@ -66,6 +70,7 @@
   });
 
   it('keeps its members, when one is missing, until its head has left: the head may have been opened', () => {
-    assert.deepEqual(ordersFor(TERM - 2, true), ['leave']);
+    assert.deepEqual(ordersFor(TERM - 2, {isLeaving: true}), ['leave']);
+    assert.deepEqual(ordersFor(TERM - 2, {isMissing: true}), ['leave']);
   });
 });
