Include a node in the exchange by relays that took a large fleet for a small one

Where many registrations lapse, a node that starts could see small zones only, exchange digests directly and know the loads of relays alone. The test fails without it.

--- a/src/core/serving/relays/note_listed.ts
+++ b/src/core/serving/relays/note_listed.ts
@@ -1,8 +1,6 @@
 import type {ListedNode, ServingStep} from '../types.js';
 import {DIRECT_ZONE_SIZE} from './direct_zone_size.js';
-import {acceptsDigest} from './accepts_digest.js';
-import {dropPeer} from '../drop_peer.js';
-import {logDecision} from '../log_decision.js';
+import {setRelayed} from './set_relayed.js';
 
 /** Takes over the nodes that the store lists. */
 export function noteListed(
@@ -20,15 +18,8 @@
   }
   const isListed = exchange.listed.has(state.nodeId);
   state.registeredPeers = nodes.length - (isListed ? 1 : 0);
-  const isRelayed = Math.max(0, ...sizes.values()) > DIRECT_ZONE_SIZE;
-  if (isRelayed === exchange.isRelayed) return;
-  exchange.isRelayed = isRelayed;
-  exchange.relayRank = -1;
-  logDecision(step, 'info', 'peers', 'exchange of digests', {
-    byRelays: isRelayed,
-    listed: nodes.length,
-  });
-  for (const [key, {digest}] of [...state.peers]) {
-    if (!acceptsDigest(state, digest)) dropPeer(state, key);
-  }
+  // Some that are lost for a moment don't make a large fleet a small one.
+  const limit = exchange.isRelayed ? DIRECT_ZONE_SIZE / 2 : DIRECT_ZONE_SIZE;
+  const largest = Math.max(0, ...sizes.values());
+  setRelayed(step, largest > limit, 'nodes listed');
 }
--- /dev/null
+++ b/src/core/serving/relays/set_relayed.ts
@@ -0,0 +1,25 @@
+import type {ServingStep} from '../types.js';
+import {acceptsDigest} from './accepts_digest.js';
+import {dropPeer} from '../drop_peer.js';
+import {logDecision} from '../log_decision.js';
+
+/** Has digests go by relays, or directly; what was told the other way would count twice. */
+export function setRelayed(
+  step: ServingStep,
+  isRelayed: boolean,
+  cause: string,
+): void {
+  const {state} = step;
+  const {exchange} = state;
+  if (isRelayed === exchange.isRelayed) return;
+  exchange.isRelayed = isRelayed;
+  exchange.relayRank = -1;
+  logDecision(step, 'info', 'peers', 'exchange of digests', {
+    byRelays: isRelayed,
+    cause,
+    listed: exchange.listed.size,
+  });
+  for (const [key, {digest}] of [...state.peers]) {
+    if (!acceptsDigest(state, digest)) dropPeer(state, key);
+  }
+}
--- a/test/units/serving/relays.test.ts
+++ b/test/units/serving/relays.test.ts
@@ -8,7 +8,10 @@
   createDeskEngine,
 } from '../../support/serving_node.js';
 import {createRandom} from '../../../src/core/random/index.js';
-import {resolveEntries} from '../../../src/core/serving/index.js';
+import {
+  reduceServing,
+  resolveEntries,
+} from '../../../src/core/serving/index.js';
 
 const ASSEMBLY_MS = 6000;
 
@@ -145,6 +148,21 @@
     assert.equal(relaysOf(world).length, 6);
   });
 
+  it('includes a node that took the fleet for a small one, as many were lost when it started', () => {
+    const world = createFleet(36);
+    world.runFor(ASSEMBLY_MS);
+    const late = world.nodes[33]!;
+    const few = [...late.state.exchange.listed.values()].slice(0, 6);
+    late.state.exchange.isRelayed = false;
+    late.state.peers.clear();
+    const listed = {type: 'peersRegistered' as const, nodes: few};
+    reduceServing(late.state, {...listed, nowMs: world.nowMs});
+    assert.equal(late.state.exchange.isRelayed, false);
+    world.runFor(1500);
+    assert.equal(late.state.exchange.isRelayed, true);
+    assert.deepEqual([...late.state.peers.keys()], ['fleet']);
+  });
+
   it('names callers the largest nodes of their zone, and others when that is lost', () => {
     const world = createFleet(36);
     world.runFor(ASSEMBLY_MS);
