Take no nodes for unheard that a relay's sum counts

Cause: after a restart of all nodes each took the work of registered peers that it had not heard for as much as its own. With relays it hears one sum, so that it multiplied its own requests by the 24 to 40 registered nodes and held new ones back for two seconds. The test fails without the change.

--- a/test/units/serving/relays.test.ts
+++ b/test/units/serving/relays.test.ts
@@ -7,6 +7,7 @@
   ServingNodeHarness,
   createDeskEngine,
 } from '../../support/serving_node.js';
+import {countUnheardPeers} from '../../../src/core/serving/count_unheard_peers.js';
 import {createRandom} from '../../../src/core/random/index.js';
 import {
   reduceServing,
@@ -148,6 +149,17 @@
     assert.equal(relaysOf(world).length, 6);
   });
 
+  it('takes no others for unheard that a sum counts', () => {
+    const world = createFleet(36);
+    world.runFor(ASSEMBLY_MS);
+    const {state} = world.nodes[33]!;
+    assert.ok(state.registeredPeers > 20);
+    state.startedAtMs = world.nowMs;
+    assert.equal(countUnheardPeers(state, world.nowMs), 0);
+    state.peers.clear();
+    assert.equal(countUnheardPeers(state, world.nowMs), state.registeredPeers);
+  });
+
   it('includes a node that took the fleet for a small one, as many were lost when it started', () => {
     const world = createFleet(36);
     world.runFor(ASSEMBLY_MS);
