Check a list of engines that a peer hands on; name its pause

Read as a newcomer: a list without changes would have thrown inside the loop, a pause had no name, and the highest revision was spread over the arguments of a call, which fails at some hundred thousand engines.

--- a/src/serving/catch_up.ts
+++ b/src/serving/catch_up.ts
@@ -8,6 +8,7 @@
 import {applyConfigText} from './apply_config_text.js';
 import {documentAddress} from './document_address.js';
 import {fetchDocument} from './fetch_document.js';
+import {sleep} from './sleep.js';
 import {
   isFleetBehind,
   latestConfigVersion,
@@ -22,6 +23,8 @@
 const DOCUMENT_MS = 900;
 /** Spread of the questions of the nodes of a zone, which all hear of a version at once. */
 const SPREAD_MS = 60;
+/** Pause between two whole lists: the next digests say whether the last one was enough. */
+const REST_MS = 250;
 /** After this many failures the store is asked. */
 const FAILURES_TO_STORE = 2;
 
@@ -103,16 +106,14 @@
     const found = await this.fetch(upstream, '/engines');
     if (found) this.applyEngines(found.text, found.provenAtMs);
     else this.engineFailures += 1;
-    await new Promise(resolve => setTimeout(resolve, SPREAD_MS * 4));
+    await sleep(REST_MS);
     this.isFetchingEngines = false;
   }
 
   /** Asks the first node, or the next when the last question failed. */
   private async fetch(upstream: readonly string[], path: string) {
     const {clock, logger, settings} = this.context;
-    await new Promise(resolve =>
-      setTimeout(resolve, SPREAD_MS * Math.random()),
-    );
+    await sleep(SPREAD_MS * Math.random());
     const failures =
       path === '/engines' ? this.engineFailures : this.configFailures;
     const from = upstream[failures % upstream.length]!;
@@ -139,6 +140,7 @@
     let list: EngineList;
     try {
       list = JSON.parse(text) as EngineList;
+      if (!Array.isArray(list.changes)) throw new Error('no list of changes');
     } catch (error) {
       this.engineFailures += 1;
       logger.write('warn', 'peers', 'engines not understood', {
--- a/src/serving/document_server.ts
+++ b/src/serving/document_server.ts
@@ -67,11 +67,12 @@
     const isFresh =
       this.engines?.key === key && nowMs - this.engines.atMs < FRESH_MS;
     if (!isFresh || !this.engines) {
+      let revision = state.fleetRevision;
+      for (const known of state.engineRevisions.values()) {
+        revision = Math.max(revision, known);
+      }
       const list: EngineList = {
-        revision: Math.max(
-          state.fleetRevision,
-          ...state.engineRevisions.values(),
-        ),
+        revision,
         changes: [...state.engines.values()].map(engine => ({
           vmId: engine.vmId,
           revision: engine.revision,
