--- a/test/support/adapter_node.ts
+++ b/test/support/adapter_node.ts
@@ -22,6 +22,7 @@
   ready = '';
   directory = '';
   metrics = '';
+  documents = '';
   node!: Awaited<ReturnType<typeof createServingNode>>;
 
   static async start(answers: readonly RawAnswer[]): Promise<AdapterNode> {
@@ -117,6 +118,7 @@
     this.ready = ready!;
     this.directory = directory!;
     this.metrics = metrics!;
+    this.documents = documents!;
     this.node = await createServingNode({
       settings: {
         nodeId: makeId<NodeId>('edge-1'),
@@ -127,7 +129,7 @@
           ready: this.ready,
           directory: this.directory,
           peers: peers!,
-          documents: documents!,
+          documents: this.documents,
           metrics: this.metrics,
         },
         isFirstStart: true,
--- /dev/null
+++ b/test/units/serving/digest_codec.test.ts
@@ -0,0 +1,74 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import type {LoadDigest} from '../../../src/core/serving/types.js';
+import type {NodeId, VmId, ZoneId} from '../../../src/core/ids/index.js';
+import {ServingNodeHarness} from '../../support/serving_node.js';
+import {digestCodec} from '../../../src/serving/digest_codec.js';
+import {makeId} from '../../../src/core/ids/index.js';
+
+/** A datagram of UDP over IPv4 holds no more. */
+const DATAGRAM_BYTES = 65_507;
+
+/** A relay's sum for a fleet of two years from now. */
+function createLargeSum(): LoadDigest {
+  const node = new ServingNodeHarness().start();
+  return node.peerDigest({
+    scope: 'fleet',
+    stewardAddress: '10.0.0.9:7340',
+    isSteward: true,
+    nodeCount: 620,
+    loads: Array.from({length: 600}, (_, at) => ({
+      vmId: makeId<VmId>(`i-${at.toString(16).padStart(10, '0')}`),
+      inFlight: at % 20,
+      unreadTokens: (at * 977) % 90_000,
+      progressAgeMs: at % 1000,
+      isSuspect: at % 7 === 0,
+      isSlow: at % 5 === 0,
+    })),
+    roster: Array.from({length: 140}, (_, at) => ({
+      nodeId: makeId<NodeId>(`edge-zone-a-${at}`),
+      zone: makeId<ZoneId>('zone-a'),
+      callerAddress: `10.1.0.${at}:8227`,
+      coreCount: 0.324,
+      isReady: at % 3 > 0,
+      isLeaving: at % 11 === 0,
+      ageMs: at,
+    })),
+    opinions: [
+      {vmId: makeId('i-1'), nodeId: makeId('edge-zone-a-1'), isSilent: true},
+    ],
+    lostEngines: [{vmId: makeId('i-2'), bornAtMs: 5, ageMs: 300}],
+    suspects: [{fingerprint: makeId('f1'), losses: 2, leftMs: 900}],
+  });
+}
+
+describe('datagrams of digests', () => {
+  it('hold the sums of the largest fleet, and give them back unchanged', () => {
+    const sum = createLargeSum();
+    const bytes = digestCodec.encode(sum);
+    assert.ok(bytes.length < DATAGRAM_BYTES, `${bytes.length} bytes`);
+    assert.deepEqual(digestCodec.decode(bytes), sum);
+  });
+
+  it('name each receiver its own digest that is counted', () => {
+    const bytes = digestCodec.encode(createLargeSum());
+    for (const sentAtMs of [12.5, 1e12]) {
+      const own = digestCodec.readdress(bytes, sentAtMs);
+      assert.equal(digestCodec.decode(own)?.countedSentAtMs, sentAtMs);
+    }
+    assert.equal(digestCodec.decode(bytes)?.countedSentAtMs, undefined);
+  });
+
+  it('are dropped when they unpack to more than any digest has', () => {
+    const digest = createLargeSum();
+    const huge = {...digest, callerAddress: 'x'.repeat(2_000_000)};
+    assert.equal(digestCodec.decode(digestCodec.encode(huge)), undefined);
+  });
+
+  it('are dropped when they are cut', () => {
+    const bytes = digestCodec.encode(createLargeSum());
+    for (let length = 0; length < bytes.length; length += 97) {
+      assert.equal(digestCodec.decode(bytes.subarray(0, length)), undefined);
+    }
+  });
+});
