--- a/src/replay/serving/serving_world.ts
+++ b/src/replay/serving/serving_world.ts
@@ -15,18 +15,17 @@
 import type {EngineChange, EngineCosts} from '../../core/fleet/types.js';
 import type {Random} from '../../core/random/index.js';
 import type {
-  ListedNode,
   ServingEffect,
   ServingEvent,
   ServingRequest,
   ServingState,
 } from '../../core/serving/types.js';
-import {REGISTER_COUNT} from '../../core/serving/relays/register_count.js';
 import {ServingEngine} from './serving_engine.js';
 import {SERVING_BOUNDS} from './serving_bounds.js';
 import {createServingConfig} from './create_serving_config.js';
 import {PromiseChecks} from './promise_checks.js';
 import {WorldCallers} from './world_callers.js';
+import {WorldExchange} from './world_exchange.js';
 import {WorldListing} from './world_listing.js';
 import {WorldNetwork} from './world_network.js';
 import {VirtualTime} from '../virtual_time.js';
@@ -38,7 +37,6 @@
 const TICK_MS = 50;
 const DIGEST_MS = 100;
 const ZONE_COUNT = 3;
-const HOP_MS = 1;
 const STORE_MS = 8;
 /** A node that only routes hears of a change from the store by then. */
 const FOLLOWER_MS = 1200;
@@ -88,13 +86,12 @@
     after: (delayMs, run) => this.after(delayMs, run),
     tell: change => this.tellNodes(change),
   });
-  private readonly nodesByAddress = new Map<string, WorldNode>();
+  readonly exchange = new WorldExchange({
+    after: (delayMs, run) => this.after(delayMs, run),
+    dispatch: (node, event) => this.dispatch(node, event),
+  });
   private readonly zoneCount: number;
   private readonly coreCountOf: (at: number) => number;
-  /** Digests that nodes sent to each other. */
-  digestCount = 0;
-  /** Loads and changes in them, which their bytes grow with. */
-  digestRowCount = 0;
   private term = 0;
   private steward?: WorldNode;
 
@@ -123,7 +120,7 @@
     for (let at = 0; at < options.nodeCount; at++) {
       const node = {state: this.createState(at), isUp: true};
       this.nodes.push(node);
-      this.nodesByAddress.set(node.state.peerAddress, node);
+      this.exchange.add(node);
     }
     this.startNodes();
   }
@@ -297,7 +294,7 @@
       config: this.config,
       provenAtMs: Infinity,
     });
-    this.dispatch(node, {type: 'peersRegistered', nodes: this.listNodes()});
+    this.dispatch(node, {type: 'peersRegistered', nodes: this.exchange.list()});
     this.dispatch(node, {type: 'fleetProven', provenAtMs: Infinity});
     this.dispatch(node, {
       type: 'fleetListed',
@@ -354,7 +351,7 @@
         this.network.probe(node, effect.vmId);
         break;
       case 'sendDigest':
-        this.deliver(effect);
+        this.exchange.deliver(effect);
         break;
       case 'log':
         this.logs.push(
@@ -375,35 +372,6 @@
     return true;
   }
 
-  /** As nodes register: the first of each zone, as many as are asked for. */
-  private listNodes(): ListedNode[] {
-    const counts = new Map<ZoneId, number>();
-    return this.nodes.flatMap(({state}) => {
-      const {nodeId, zone, peerAddress, coreCount} = state;
-      const count = (counts.get(zone) ?? 0) + 1;
-      counts.set(zone, count);
-      if (count > REGISTER_COUNT) return [];
-      return [{nodeId, zone, peerAddress, coreCount}];
-    });
-  }
-
-  private deliver({
-    digest,
-    to,
-  }: Extract<ServingEffect, {type: 'sendDigest'}>): void {
-    for (const {address, countedSentAtMs} of to) {
-      const peer = this.nodesByAddress.get(address);
-      if (!peer) continue;
-      const told =
-        countedSentAtMs === undefined ? digest : {...digest, countedSentAtMs};
-      this.digestCount += 1;
-      this.digestRowCount += digest.loads.length + digest.changes.length;
-      this.after(HOP_MS, () =>
-        this.dispatch(peer, {type: 'digestReceived', digest: told}),
-      );
-    }
-  }
-
   private tellNodes(change: EngineChange): void {
     const {revision} = change;
     for (const node of this.nodes) {
--- /dev/null
+++ b/src/replay/serving/world_exchange.ts
@@ -0,0 +1,57 @@
+import type {
+  ListedNode,
+  ServingEffect,
+  ServingEvent,
+} from '../../core/serving/types.js';
+import type {WorldNode} from './types.js';
+import type {ZoneId} from '../../core/ids/index.js';
+import {REGISTER_COUNT} from '../../core/serving/relays/register_count.js';
+
+const HOP_MS = 1;
+
+interface ExchangeOptions {
+  after(delayMs: number, run: () => void): void;
+  dispatch(node: WorldNode, event: ServingEvent): void;
+}
+
+/** The way of digests between nodes, and the registry in which they find each other. */
+export class WorldExchange {
+  /** Digests that nodes sent to each other. */
+  digestCount = 0;
+  /** Loads and changes in them, which their bytes grow with. */
+  rowCount = 0;
+  private readonly nodes = new Map<string, WorldNode>();
+
+  constructor(private readonly options: ExchangeOptions) {}
+
+  add(node: WorldNode): void {
+    this.nodes.set(node.state.peerAddress, node);
+  }
+
+  /** As nodes register: the first of each zone, as many as are asked for. */
+  list(): ListedNode[] {
+    const counts = new Map<ZoneId, number>();
+    return [...this.nodes.values()].flatMap(({state}) => {
+      const {nodeId, zone, peerAddress, coreCount} = state;
+      const count = (counts.get(zone) ?? 0) + 1;
+      counts.set(zone, count);
+      if (count > REGISTER_COUNT) return [];
+      return [{nodeId, zone, peerAddress, coreCount}];
+    });
+  }
+
+  deliver({digest, to}: Extract<ServingEffect, {type: 'sendDigest'}>): void {
+    const {after, dispatch} = this.options;
+    for (const {address, countedSentAtMs} of to) {
+      const peer = this.nodes.get(address);
+      if (!peer) continue;
+      const told =
+        countedSentAtMs === undefined ? digest : {...digest, countedSentAtMs};
+      this.digestCount += 1;
+      this.rowCount += digest.loads.length + digest.changes.length;
+      after(HOP_MS, () =>
+        dispatch(peer, {type: 'digestReceived', digest: told}),
+      );
+    }
+  }
+}
--- a/test/units/serving/relays.test.ts
+++ b/test/units/serving/relays.test.ts
@@ -51,12 +51,12 @@
   const world = createFleet(nodeCount);
   world.runFor(ASSEMBLY_MS);
   sendLoad(world, createRandom(1), {forMs: 3000, perS: () => 30});
-  const {digestCount, digestRowCount} = world;
+  const {digestCount, rowCount} = world.exchange;
   world.runFor(3000);
   const nodeSeconds = nodeCount * 3;
   return {
-    digests: (world.digestCount - digestCount) / nodeSeconds,
-    rows: (world.digestRowCount - digestRowCount) / nodeSeconds,
+    digests: (world.exchange.digestCount - digestCount) / nodeSeconds,
+    rows: (world.exchange.rowCount - rowCount) / nodeSeconds,
   };
 }
 
