Heed what engines announce: that they leave, and that they want no requests for a time

Cause: src/serving read neither Server-Leaving nor an engine's Retry-After.

A leaving engine's word holds for its life at the node that got it; peers count it for 20 s, after which an engine that stays says so itself or is used again. The steward asks an engine that told only peers, and takes its replica apart on its own word. An engine that wants quiet is no choice of this node until then, and a fifth later by chance, so that nodes return one after the other; when all engines of a pool want quiet callers are told at once when the first is back.

Tests: announcements (real sockets, 13) with the two checks off: 7 fail; on: all pass.

--- /dev/null
+++ b/src/core/serving/announcements/expire_announcements.ts
@@ -0,0 +1,18 @@
+import type {ServingState} from '../types.js';
+import {LEAVING_TOLD_MS} from './leaving_told_ms.js';
+import {rebuildTargets} from '../rebuild_targets.js';
+
+/** Ends quiet times, and forgets engines that are gone, live anew, or were said to leave by peers alone. */
+export function expireAnnouncements(state: ServingState, nowMs: number): void {
+  const {quiet, leaving} = state.announcements;
+  for (const [vmId, untilMs] of quiet) {
+    if (untilMs <= nowMs) quiet.delete(vmId);
+  }
+  for (const [vmId, {bornAtMs, atMs, isOwn}] of leaving) {
+    const engine = state.engines.get(vmId) ?? state.departed.get(vmId);
+    const isOld = !isOwn && nowMs - atMs >= LEAVING_TOLD_MS;
+    if (engine?.bornAtMs === bornAtMs && !isOld) continue;
+    leaving.delete(vmId);
+    rebuildTargets(state);
+  }
+}
--- /dev/null
+++ b/src/core/serving/announcements/note_told_leaving.ts
@@ -0,0 +1,30 @@
+import type {ServingStep} from '../types.js';
+import type {NodeId} from '../../ids/index.js';
+import type {ToldLeaving} from './types.js';
+import {LEAVING_TOLD_MS} from './leaving_told_ms.js';
+import {logDecision} from '../log_decision.js';
+import {rebuildTargets} from '../rebuild_targets.js';
+
+/** Takes over which engines told a peer that they leave. */
+export function noteToldLeaving(
+  step: ServingStep,
+  from: NodeId,
+  told: readonly ToldLeaving[],
+): void {
+  const {state, nowMs} = step;
+  const {leaving} = state.announcements;
+  for (const {vmId, bornAtMs, ageMs} of told) {
+    if (state.engines.get(vmId)?.bornAtMs !== bornAtMs) continue;
+    // Peers repeat what they heard: only the first word counts, or it never ends.
+    if (ageMs >= LEAVING_TOLD_MS) continue;
+    if (leaving.get(vmId)?.bornAtMs === bornAtMs) continue;
+    leaving.set(vmId, {bornAtMs, atMs: nowMs - ageMs, isOwn: false});
+    rebuildTargets(state);
+    logDecision(step, 'info', 'fleet', 'engine leaves, by a peer', {
+      vmId,
+      bornAtMs,
+      peer: from,
+      ageMs,
+    });
+  }
+}
--- a/src/core/serving/apply_digest.ts
+++ b/src/core/serving/apply_digest.ts
@@ -4,6 +4,7 @@
 import {addPeerLoads} from './add_peer_loads.js';
 import {applyFleet} from './apply_fleet.js';
 import {logDecision} from './log_decision.js';
+import {noteToldLeaving} from './announcements/index.js';
 import {noteHeard} from './relays/note_heard.js';
 import {noteStoreContact} from './note_store_contact.js';
 import {peerKey} from './peer_key.js';
@@ -56,6 +57,7 @@
   }
   applyLost(step, digest);
   applyDeparted(step, digest);
+  noteToldLeaving(step, digest.from, digest.leavingEngines);
   lookForAsked(step, digest);
   if (digest.changes.length > 0) {
     applyFleet(step, {changes: digest.changes, isWhole: false});
--- a/src/core/serving/build_targets.ts
+++ b/src/core/serving/build_targets.ts
@@ -1,6 +1,7 @@
 import type {EngineRecord, ModelSpec, ReplicaView} from '../fleet/types.js';
 import type {ServingState, ServingTarget} from './types.js';
 import {buildReplicas, replicaKey} from '../fleet/index.js';
+import {isLeavingEngine} from './announcements/index.js';
 import {isKnownLost} from './is_known_lost.js';
 import {poolKey} from './pool_key.js';
 
@@ -33,7 +34,8 @@
   engine: EngineRecord,
 ): ServingTarget | undefined {
   const costs = state.config?.services.get(engine.service)?.engine;
-  if (isKnownLost(state, engine) || engine.isLeaving) return undefined;
+  if (isKnownLost(state, engine)) return undefined;
+  if (isLeavingEngine(state, engine)) return undefined;
   if (!costs) {
     return {
       vmId: engine.vmId,
--- a/src/core/serving/create_digest.ts
+++ b/src/core/serving/create_digest.ts
@@ -1,6 +1,7 @@
 import type {DigestLoad, LoadDigest, ServingState} from './types.js';
 import {isSlow} from './is_slow.js';
 import {ageOf} from './age_of.js';
+import {listToldLeaving} from './announcements/index.js';
 import {isReady} from './is_ready.js';
 import {listRecentChanges} from './list_recent_changes.js';
 
@@ -91,5 +92,6 @@
     loads,
     suspects,
     lostEngines,
+    leavingEngines: listToldLeaving(state, nowMs),
   };
 }
--- a/src/core/serving/create_serving_state.ts
+++ b/src/core/serving/create_serving_state.ts
@@ -1,5 +1,6 @@
 import type {NodeId, ZoneId} from '../ids/index.js';
 import type {ServingBounds, ServingState} from './types.js';
+import {createAnnouncementState} from './announcements/index.js';
 import {createExchangeState} from './relays/create_exchange_state.js';
 import {createRandom} from '../random/index.js';
 import {createStewardState} from '../steward/create_steward_state.js';
@@ -57,6 +58,7 @@
     targetsByPool: new Map(),
     targets: new Map(),
     lostEngines: new Map(),
+    announcements: createAnnouncementState(),
     loads: new Map(),
     peers: new Map(),
     peerLoads: new Map(),
--- a/src/core/serving/dispatch_waiting.ts
+++ b/src/core/serving/dispatch_waiting.ts
@@ -1,4 +1,5 @@
 import type {Placement, RequestRecord, ServingStep} from './types.js';
+import {firstReturnMs} from './announcements/index.js';
 import {refuseRequest} from './refuse_request.js';
 import {retryAfterMs} from './retry_after_ms.js';
 import {selectTarget} from './select_target.js';
@@ -16,6 +17,8 @@
  * with the next digest.
  */
 const ON_TIME_SLOT_SHARE = 1.2;
+/** A caller that comes back takes longer than this, so that a request waits for targets that take requests sooner. */
+const MAX_QUIET_WAIT_MS = 150;
 /** Part of the time that a request is held after which it may take any free slot, late as it is. */
 const QUEUE_SHARE = 0.6;
 
@@ -30,7 +33,10 @@
     if (placement && mayGo(record, placement, nowMs)) {
       waiting.splice(waiting.indexOf(record), 1);
       sendAttempt(step, record, placement);
-    } else if (nowMs >= record.holdUntilMs || isHopeless(record, placement)) {
+    } else if (
+      nowMs >= record.holdUntilMs ||
+      isHopeless(step, record, placement)
+    ) {
       refuseRequest(step, record, {
         reason: placement ? 'overloaded' : 'no-target',
         retryAfterMs: retryAfterMs(step, record, placement),
@@ -69,10 +75,14 @@
   return hasRoom && nowMs >= queueAtMs;
 }
 
-/** A request that was tried everywhere can't be placed by waiting. */
+/** A request that was tried everywhere can't be placed by waiting, nor one whose targets all want none for some time. */
 function isHopeless(
+  {state, nowMs}: ServingStep,
   record: RequestRecord,
   placement: Placement | undefined,
 ): boolean {
-  return !placement && record.tried.size > 0;
+  if (placement) return false;
+  if (record.tried.size > 0) return true;
+  const returnMs = firstReturnMs(state, record.pool, nowMs) ?? 0;
+  return returnMs > MAX_QUIET_WAIT_MS;
 }
--- a/src/core/serving/events.ts
+++ b/src/core/serving/events.ts
@@ -127,6 +127,15 @@
   readonly pace?: number;
 }
 
+/** What an engine says of itself in the head of an answer. */
+interface EngineAnnounced {
+  readonly type: 'engineAnnounced';
+  readonly vmId: VmId;
+  readonly isLeaving: boolean;
+  /** It wants no requests of this node for so long. */
+  readonly quietMs?: number;
+}
+
 interface LeaveRequested {
   readonly type: 'leaveRequested';
 }
@@ -154,5 +163,6 @@
   | StewardLeaseLost
   | OrderAnswered
   | ProbeAnswered
+  | EngineAnnounced
   | LeaveRequested
   | Tick;
--- a/src/core/serving/expire.ts
+++ b/src/core/serving/expire.ts
@@ -2,6 +2,7 @@
 import {LOST_FOR_MS} from './lost_for_ms.js';
 import {applyFleet} from './apply_fleet.js';
 import {dispatchWaiting} from './dispatch_waiting.js';
+import {expireAnnouncements} from './announcements/index.js';
 import {dropPeer} from './drop_peer.js';
 import {isAccessProven} from './is_access_proven.js';
 import {isLeavingForGood} from './is_leaving_for_good.js';
@@ -30,6 +31,7 @@
   for (const pool of state.waiting.keys()) dispatchWaiting(step, pool);
   expirePeers(step);
   noteLostWhileRunning.expire(step);
+  expireAnnouncements(state, nowMs);
   for (const [fingerprint, {untilMs}] of state.crashSuspects) {
     if (nowMs > untilMs) state.crashSuspects.delete(fingerprint);
   }
--- a/src/core/serving/peers/types.ts
+++ b/src/core/serving/peers/types.ts
@@ -1,4 +1,5 @@
 import type {EngineChange} from '../../fleet/types.js';
+import type {ToldLeaving} from '../announcements/types.js';
 import type {Fingerprint, NodeId, VmId, ZoneId} from '../../ids/index.js';
 
 /** A target's line in a load digest. */
@@ -101,6 +102,8 @@
     /** For how long it is still to be taken as one. */
     readonly leftMs: number;
   }[];
+  /** Engines that said they are leaving, to the sender or to those it heard. */
+  readonly leavingEngines: readonly ToldLeaving[];
   /** Engines that a steward found to be lost before the store did. */
   readonly lostEngines: readonly {
     readonly vmId: VmId;
--- a/src/core/serving/reduce_serving.ts
+++ b/src/core/serving/reduce_serving.ts
@@ -9,6 +9,7 @@
 import {findStalls} from './find_stalls.js';
 import {forgetRequest} from './forget_request.js';
 import {logDecision} from './log_decision.js';
+import {noteAnnouncement} from './announcements/index.js';
 import {noteAttempt} from './note_attempt.js';
 import {noteLostWhileRunning} from './note_lost_while_running.js';
 import {noteListed} from './relays/note_listed.js';
@@ -89,6 +90,10 @@
         noteLostWhileRunning.refused(step, event.vmId);
       }
       break;
+    case 'engineAnnounced':
+      noteAnnouncement(step, event);
+      dispatchAll(step);
+      break;
     case 'leaveRequested':
       if (state.leavingSinceMs !== undefined) break;
       state.leavingSinceMs = nowMs;
--- a/src/core/serving/select_target.ts
+++ b/src/core/serving/select_target.ts
@@ -1,5 +1,6 @@
 import type {Placement, RequestRecord, ServingStep} from './types.js';
 import {estimateFirstEventMs} from './estimate_first_event_ms.js';
+import {isQuiet} from './announcements/index.js';
 import {refreshTargets} from './refresh_targets.js';
 import {isUnderSuspicion} from './is_under_suspicion.js';
 
@@ -28,6 +29,7 @@
   let bestMs = Infinity;
   for (const target of state.targetsByPool.get(record.pool) ?? []) {
     if (record.tried.has(target.vmId)) continue;
+    if (isQuiet(state, target.vmId, nowMs)) continue;
     const estimate = estimateFirstEventMs(state, target, promptTokens, nowMs);
     const isSuspect = isUnderSuspicion(state, target.vmId, nowMs);
     const costMs =
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -1,3 +1,4 @@
+import type {AnnouncementState} from './announcements/types.js';
 import type {ExchangeState, PeerView, PeerLoad} from './peers/types.js';
 import type {AccessConfig, Route} from '../access/types.js';
 import type {
@@ -217,6 +218,8 @@
   targets: Map<VmId, ServingTarget>;
   /** Engines that this node or a steward found to be lost, with the life that was lost. */
   readonly lostEngines: Map<VmId, {bornAtMs: number; atMs: number}>;
+  /** What engines say of themselves in their answers. */
+  readonly announcements: AnnouncementState;
   readonly loads: Map<VmId, TargetLoad>;
   /** Who told what, by the nodes whose requests it counts. */
   readonly peers: Map<PeerKey, PeerView>;
--- a/src/core/steward/adopt_replicas.ts
+++ b/src/core/steward/adopt_replicas.ts
@@ -3,6 +3,7 @@
 import type {ServingStep} from '../serving/types.js';
 import type {ServiceName, VmId} from '../ids/index.js';
 import {logDecision} from '../serving/log_decision.js';
+import {hasSaidToLeave} from '../serving/announcements/index.js';
 import {refreshTargets} from '../serving/refresh_targets.js';
 import {replicaName} from './replica_name.js';
 
@@ -78,7 +79,7 @@
     bornAtMs,
     dueAtMs: nowMs + (spec?.loadMs ?? 0) + FINISH_MS,
     headAddress: lastRecord?.address,
-    isHeadLeaving: head?.isLeaving ?? false,
+    isHeadLeaving: head !== undefined && hasSaidToLeave(state, head),
     isClosed: false,
     phase,
     phaseSinceMs: nowMs,
--- a/src/core/steward/follow_track.ts
+++ b/src/core/steward/follow_track.ts
@@ -3,6 +3,7 @@
 import type {VmId} from '../ids/index.js';
 import {findReplaceable} from './find_replaceable.js';
 import {giveOrder} from './give_order.js';
+import {hasSaidToLeave} from '../serving/announcements/index.js';
 import {isOfTerm} from './is_of_term.js';
 import {judgeMember} from './judge_member.js';
 import {leaveTrack} from './leave_track.js';
@@ -42,7 +43,7 @@
   if (!head) return;
   track.headSeenAtMs = nowMs - state.bounds.listingMs;
   track.headAddress = head.address;
-  track.isHeadLeaving = head.isLeaving;
+  track.isHeadLeaving = hasSaidToLeave(state, head);
 }
 
 function followJoining(step: ServingStep, track: ReplicaTrack): void {
--- a/src/core/steward/free_engines.ts
+++ b/src/core/steward/free_engines.ts
@@ -1,6 +1,7 @@
 import type {EngineRecord} from '../fleet/types.js';
 import type {ServiceName, VmId} from '../ids/index.js';
 import type {ServingState} from '../serving/types.js';
+import {isLeavingEngine} from '../serving/announcements/index.js';
 import {isKnownLost} from '../serving/is_known_lost.js';
 import {replicaKey} from '../fleet/index.js';
 
@@ -15,7 +16,8 @@
   }
   const byDomain = new Map<string, EngineRecord[]>();
   for (const engine of state.engines.values()) {
-    if (engine.service !== service || engine.isLeaving) continue;
+    if (engine.service !== service) continue;
+    if (isLeavingEngine(state, engine)) continue;
     if (held.has(engine.vmId) || namesTrack(state, engine)) continue;
     if (isKnownLost(state, engine)) continue;
     const domain = engine.domain ?? '';
--- a/src/core/steward/judge_member.ts
+++ b/src/core/steward/judge_member.ts
@@ -1,6 +1,7 @@
 import type {MemberCondition, ReplicaTrack} from './types.js';
 import type {ServingState} from '../serving/types.js';
 import type {VmId} from '../ids/index.js';
+import {hasSaidToLeave} from '../serving/announcements/index.js';
 import {isKnownLost} from '../serving/is_known_lost.js';
 import {replicaKey} from '../fleet/index.js';
 
@@ -18,5 +19,5 @@
     membership !== undefined &&
     replicaKey(membership.replicaId, membership.epoch) === track.key;
   if (!isIn) return 'not-joined';
-  return engine.isLeaving ? 'leaving' : 'sound';
+  return hasSaidToLeave(state, engine) ? 'leaving' : 'sound';
 }
--- a/src/core/steward/plan_service.ts
+++ b/src/core/steward/plan_service.ts
@@ -2,6 +2,7 @@
 import type {ServiceName} from '../ids/index.js';
 import type {ServingStep} from '../serving/types.js';
 import {adoptReplicas} from './adopt_replicas.js';
+import {confirmLeaving} from './confirm_leaving.js';
 import {expireLoads} from './expire_loads.js';
 import {followTrack} from './follow_track.js';
 import {formReplicas} from './form_replicas.js';
@@ -24,6 +25,7 @@
   const {state, nowMs} = step;
   const {steward} = state;
   expireLoads(step);
+  confirmLeaving(step, service);
   adoptReplicas(step, service);
   for (const track of [...steward.tracks.values()]) {
     if (track.service !== service) continue;
--- a/src/core/steward/stage_weights.ts
+++ b/src/core/steward/stage_weights.ts
@@ -2,6 +2,7 @@
 import type {ServiceName} from '../ids/index.js';
 import type {ServingStep} from '../serving/types.js';
 import {countFreeLoads} from './count_loads.js';
+import {isLeavingEngine} from '../serving/announcements/index.js';
 import {giveOrder} from './give_order.js';
 import {noteLoad} from './note_load.js';
 import {replicaName} from './replica_name.js';
@@ -22,7 +23,8 @@
   const {steward} = state;
   if (costs.models.length < 2) return;
   for (const engine of state.engines.values()) {
-    if (engine.service !== service || engine.isLeaving) continue;
+    if (engine.service !== service) continue;
+    if (isLeavingEngine(state, engine)) continue;
     if (!isSettled(engine) || steward.loadEndsMs.has(engine.vmId)) continue;
     if (steward.hasTraffic && !isSpare(engine)) continue;
     const other = selectOther(engine, costs);
--- a/src/metrics/metric_definitions.ts
+++ b/src/metrics/metric_definitions.ts
@@ -93,6 +93,11 @@
     help: 'Dispatches that ended without a whole answer, by service and fault.',
     labels: ['service', 'fault'],
   },
+  announcements: {
+    kind: 'counter',
+    help: 'Engines that said in an answer that they leave, or want no requests for a time, by kind.',
+    labels: ['kind'],
+  },
   turnedAway: {
     kind: 'counter',
     help: 'Requests that were answered on arrival without a dispatch, by reason.',
--- a/src/replay/serving/serving_engine.ts
+++ b/src/replay/serving/serving_engine.ts
@@ -25,6 +25,8 @@
 export class ServingEngine implements VirtualEngineView {
   isUp = true;
   slowness = 1;
+  /** It says in its answers that it leaves. */
+  saysItLeaves = false;
   members: readonly VmId[] = [];
   private lastModel?: ModelSpec['name'];
   private highestEpoch = 0;
@@ -59,6 +61,7 @@
   /** A new life under the same id, with the weights that its host kept. */
   restart(): void {
     this.isUp = true;
+    this.saysItLeaves = false;
     this.life += 1;
     this.highestEpoch = 0;
     this.lastModel = undefined;
--- a/src/replay/serving/serving_world.ts
+++ b/src/replay/serving/serving_world.ts
@@ -322,7 +322,8 @@
     });
   }
 
-  private dispatch(node: WorldNode, event: ServingEvent): void {
+  /** Has a node react to an event now. */
+  dispatch(node: WorldNode, event: ServingEvent): void {
     if (!node.isUp) return;
     const dated = {...event, nowMs: this.nowMs};
     for (const effect of reduceServing(node.state, dated)) {
--- a/src/replay/serving/world_network.ts
+++ b/src/replay/serving/world_network.ts
@@ -112,13 +112,16 @@
     const engine = engines.get(vmId);
     const isThere =
       engine?.isUp === true && this.isReachable(node.state.nodeId, vmId);
-    after(isThere ? 2 * HOP_MS : PROBE_MS, () =>
+    after(isThere ? 2 * HOP_MS : PROBE_MS, () => {
+      if (isThere && engine.saysItLeaves) {
+        dispatch(node, {type: 'engineAnnounced', vmId, isLeaving: true});
+      }
       dispatch(node, {
         type: 'probeAnswered',
         vmId,
         outcome: isThere ? 'answered' : 'silent',
         pace: isThere ? engine.slowness : undefined,
-      }),
-    );
+      });
+    });
   }
 }
--- a/src/serving/digest_codec.ts
+++ b/src/serving/digest_codec.ts
@@ -8,11 +8,15 @@
 } from '../core/serving/types.js';
 
 /** Version of the datagram; a node drops those of another. */
-const FORMAT = 5;
+const FORMAT = 6;
 
 /** Engine, requests, unread tokens, age of progress, and the bits of its condition. */
 type LoadRow = readonly [string, number, number, number, number];
 
+/** One life of an engine: id, start, and the age of what is told of it. */
+type LifeRow = readonly [string, number, number];
+type ToldLife = LoadDigest['lostEngines'][number];
+
 const SUSPECT_BIT = 1;
 const SLOW_BIT = 2;
 const PROOF_FIELDS = 4;
@@ -57,7 +61,9 @@
   readonly d: readonly (readonly [string, string, number, number])[];
   readonly q: readonly (readonly [string, string, readonly string[]])[];
   readonly o: readonly (readonly [string, string, 0 | 1])[];
-  readonly x: readonly (readonly [string, number, number])[];
+  /** Engines found lost, and engines that leave. */
+  readonly x: readonly LifeRow[];
+  readonly h: readonly LifeRow[];
 }
 
 /** Packs a load digest into a datagram, and back. */
@@ -105,7 +111,8 @@
         one.nodeId,
         one.isSilent ? 1 : 0,
       ]),
-      x: digest.lostEngines.map(one => [one.vmId, one.bornAtMs, one.ageMs]),
+      x: digest.lostEngines.map(toLifeRow),
+      h: digest.leavingEngines.map(toLifeRow),
     };
     const bytes = Buffer.from(JSON.stringify(datagram));
     const isPacked = bytes.length > PACK_BYTES;
@@ -138,7 +145,14 @@
     }
     const scope = SCOPES[datagram.k];
     if (!scope || !Array.isArray(datagram.w)) return undefined;
-    const tables = [datagram.t, datagram.s, datagram.x, datagram.d, datagram.y];
+    const tables = [
+      datagram.t,
+      datagram.s,
+      datagram.x,
+      datagram.d,
+      datagram.y,
+      datagram.h,
+    ];
     if (![...tables, datagram.q, datagram.o].every(isRows)) return undefined;
     const {p: proofs, m: sentAtMs} = datagram;
     if (!Array.isArray(proofs) || !proofs.every(Number.isFinite)) {
@@ -201,11 +215,8 @@
         nodeId: row[1] as NodeId,
         isSilent: row[2] === 1,
       })),
-      lostEngines: datagram.x.map(row => ({
-        vmId: row[0] as VmId,
-        bornAtMs: Number(row[1]),
-        ageMs: toCount(row[2]),
-      })),
+      lostEngines: datagram.x.map(toLife),
+      leavingEngines: datagram.h.map(toLife),
     };
   },
 };
@@ -216,6 +227,18 @@
   return inflateRawSync(body, {maxOutputLength: MAX_UNPACKED_BYTES});
 }
 
+function toLifeRow({vmId, bornAtMs, ageMs}: ToldLife): LifeRow {
+  return [vmId, bornAtMs, ageMs];
+}
+
+function toLife([vmId, bornAtMs, ageMs]: LifeRow): ToldLife {
+  return {
+    vmId: vmId as VmId,
+    bornAtMs: Number(bornAtMs),
+    ageMs: toCount(ageMs),
+  };
+}
+
 function toRosterRow(node: RosterNode): RosterRow {
   return [
     node.nodeId,
--- a/src/serving/order_client.ts
+++ b/src/serving/order_client.ts
@@ -2,6 +2,8 @@
 import type {EffectHandler} from '../runtime/types.js';
 import type {EngineCall, ServingContext} from './types.js';
 import type {ServingEffect} from '../core/serving/types.js';
+import type {VmId} from '../core/ids/index.js';
+import {announceEngine} from './announce_engine.js';
 import {splitAddress} from '../http/index.js';
 
 /** An engine answers an order at once; the rest is time on the way. */
@@ -41,7 +43,7 @@
     const {events, wire, metrics} = this.context;
     const {vmId, address, order} = effect;
     const call = wire.engines.writeOrder(order);
-    const answer = await this.call(address, call, ORDER_MS);
+    const answer = await this.call(vmId, address, call, ORDER_MS);
     const outcome =
       answer.kind === 'answered'
         ? (wire.engines.readOrderStatus(answer.status) ?? 'unknown')
@@ -59,6 +61,7 @@
     const {events, wire, metrics} = this.context;
     const {vmId, address} = effect;
     const answer = await this.call(
+      vmId,
       address,
       wire.engines.writeProbe(),
       PROBE_MS,
@@ -75,6 +78,7 @@
   }
 
   private call(
+    vmId: VmId,
     address: string,
     call: EngineCall,
     timeoutMs: number,
@@ -106,6 +110,8 @@
         finish({kind: error.code === 'ECONNREFUSED' ? 'refused' : 'silent'}),
       );
       outgoing.on('response', response => {
+        const status = response.statusCode ?? 0;
+        announceEngine(this.context, vmId, status, response.headers);
         let body = '';
         response.setEncoding('utf8');
         response.on('data', (text: string) => {
@@ -115,7 +121,7 @@
         response.on('end', () =>
           finish({
             kind: 'answered',
-            status: response.statusCode ?? 0,
+            status,
             body,
           }),
         );
--- a/src/serving/running_attempt.ts
+++ b/src/serving/running_attempt.ts
@@ -4,6 +4,7 @@
 import type {CallerCall} from './caller_call.js';
 import type {ServingContext} from './types.js';
 import {EventSplitter} from '../targets/event_splitter.js';
+import {announceEngine} from './announce_engine.js';
 import {lastEventIdOf} from './last_event_id_of.js';
 import {splitAddress} from '../http/index.js';
 
@@ -90,6 +91,8 @@
     const head = context.wire.callers.readTarget(status, response.headers);
     response.on('error', error => this.failBroken(error.message));
     response.on('close', () => this.failBroken('connection closed'));
+    const isOwn = head.isNotRun || head.callerId === call.callerId;
+    if (isOwn) announceEngine(context, effect.vmId, status, response.headers);
     if (head.isNotRun) {
       response.resume();
       this.fail('turned-away', {status, faultyVmId: head.faultyVmId});
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -47,6 +47,14 @@
   readonly faultyVmId?: VmId;
 }
 
+/** What an engine says of itself in the head of any answer. */
+export interface EngineAnnouncement {
+  /** It takes no new work, and ends soon. */
+  readonly isLeaving: boolean;
+  /** It wants no requests of this node for so long. */
+  readonly quietMs?: number;
+}
+
 /** Names of the headers between callers and targets. Decides nothing. */
 export interface CallerWire {
   readCaller(headers: IncomingHttpHeaders): CallerHead;
@@ -87,6 +95,10 @@
   ): 'begun' | 'done' | 'conflict' | 'outdated' | undefined;
   writeProbe(): EngineCall;
   readProbe(body: string): {readonly pace?: number} | undefined;
+  readAnnouncement(
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): EngineAnnouncement;
 }
 
 /** Where the store holds what the platform provides, and how to read it. */
--- a/test/support/adapter_node.ts
+++ b/test/support/adapter_node.ts
@@ -18,6 +18,8 @@
   readonly store = new KvStandin();
   readonly engines: RawEngine[] = [];
   readonly logs: string[] = [];
+  /** Of the engines. */
+  readonly addresses: string[] = [];
   front = '';
   ready = '';
   directory = '';
@@ -98,9 +100,11 @@
     for (const [at, answer] of answers.entries()) {
       const engine = new RawEngine(answer);
       this.engines.push(engine);
+      const address = await engine.listen();
+      this.addresses.push(address);
       this.store.put(`servers/i-${at}`, {
         service: 'desk',
-        address: await engine.listen(),
+        address,
         zone: 'zone-a',
         version: 'v1',
         slots: 6,
--- a/test/support/serving_node.ts
+++ b/test/support/serving_node.ts
@@ -42,7 +42,7 @@
   readonly effects: ServingEffect[] = [];
   private count = 0;
 
-  constructor(bounds: Partial<typeof SERVING_BOUNDS> = {}) {
+  constructor(bounds: Partial<typeof SERVING_BOUNDS> = {}, seed = 7) {
     this.state = createServingState(
       {
         nodeId: makeId<NodeId>('n0'),
@@ -50,7 +50,7 @@
         callerAddress: '10.0.0.1:80',
       },
       {...SERVING_BOUNDS, ...bounds},
-      7,
+      seed,
     );
   }
 
@@ -148,6 +148,7 @@
       opinions: [],
       suspects: [],
       lostEngines: [],
+      leavingEngines: [],
       ...more,
     };
   }
--- /dev/null
+++ b/test/units/platform_adapter/announcements.test.ts
@@ -0,0 +1,172 @@
+import assert from 'node:assert/strict';
+import {afterEach, describe, it} from 'node:test';
+import type {RawAnswer} from '../../support/raw_engine.js';
+import {AdapterNode} from '../../support/adapter_node.js';
+import {waitFor} from '../../support/wait_for.js';
+
+const HEAD = 'HTTP/1.1 200 OK\r\nX-Attempt-Id: attempt-1\r\n';
+const SIGNED = `${HEAD}X-Response-Signature: signature\r\n`;
+const CALL_PAUSE_MS = 40;
+/** Bound of the contract: what arrives sooner after the answer may have been on its way. */
+const ON_ITS_WAY_MS = 500;
+const QUIET_ARRIVALS = 2;
+
+const whole: RawAnswer = socket =>
+  void socket.write(`${SIGNED}Content-Length: 5\r\n\r\nhello`);
+const leaving: RawAnswer = socket =>
+  void socket.write(
+    `${SIGNED}Server-Leaving: 1\r\nContent-Length: 5\r\n\r\nhello`,
+  );
+
+function turnAway(retryAfter: string): RawAnswer {
+  return socket =>
+    void socket.write(
+      `HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nRetry-After: ${retryAfter}\r\nContent-Length: 0\r\n\r\n`,
+    );
+}
+
+/** Notes when each request came, before it is answered. */
+class Arrivals {
+  readonly atMs: number[] = [];
+
+  constructor(private readonly answer: RawAnswer) {}
+
+  readonly take: RawAnswer = (socket, request) => {
+    this.atMs.push(Date.now());
+    this.answer(socket, request);
+  };
+
+  /** Requests later than a moment after the first one. */
+  after(ms: number): number {
+    const [first] = this.atMs;
+    return first === undefined
+      ? 0
+      : this.atMs.filter(atMs => atMs - first > ms).length;
+  }
+}
+
+describe('what engines announce in their answers', () => {
+  let adapter: AdapterNode | undefined;
+  afterEach(async () => {
+    await adapter?.close();
+    adapter = undefined;
+  });
+
+  async function callFor(ms: number, type = 'safe') {
+    const untilMs = Date.now() + ms;
+    const calls: ReturnType<AdapterNode['call']>[] = [];
+    while (Date.now() < untilMs) {
+      calls.push(adapter!.call(type));
+      await new Promise(resolve => setTimeout(resolve, CALL_PAUSE_MS));
+    }
+    return Promise.all(calls);
+  }
+
+  it('keeps requests from engines that ask for quiet, and tells callers at once when the first is back', async () => {
+    const engines = [new Arrivals(turnAway('3')), new Arrivals(turnAway('4'))];
+    adapter = await AdapterNode.start(engines.map(({take}) => take));
+    const answers = await callFor(2500);
+    for (const engine of engines) {
+      assert.ok(engine.after(ON_ITS_WAY_MS) <= QUIET_ARRIVALS);
+    }
+    const later = answers.slice(10);
+    for (const {status, headers} of later) {
+      assert.equal(status, 503);
+      const retryAfterS = Number(headers['retry-after']);
+      assert.ok(retryAfterS > 0.4 && retryAfterS < 6, `${retryAfterS} s`);
+    }
+  });
+
+  it('uses an engine again when the quiet that it asked for is over', async () => {
+    let isFull = true;
+    const engine = new Arrivals((socket, request) =>
+      (isFull ? turnAway('0.8') : whole)(socket, request),
+    );
+    adapter = await AdapterNode.start([engine.take]);
+    const refused = await adapter.call('safe');
+    assert.equal(refused.status, 503);
+    isFull = false;
+    await waitFor(
+      'an answer',
+      async () => (await adapter!.call('safe')).status === 200,
+    );
+    assert.ok(engine.atMs.at(-1)! - engine.atMs[0]! >= 800);
+  });
+
+  it('sends what one engine turned away to another at once', async () => {
+    adapter = await AdapterNode.start([turnAway('30'), whole]);
+    const answers = await callFor(400);
+    for (const {status} of answers) assert.equal(status, 200);
+    assert.ok(adapter.engines[0]!.requests.length <= 3);
+  });
+
+  for (const value of ['', '-3', 'soon', '0', 'NaN']) {
+    it(`takes Retry-After "${value}" for no wish`, async () => {
+      adapter = await AdapterNode.start([turnAway(value), whole]);
+      assert.equal((await adapter.call('safe')).status, 200);
+      assert.equal(adapter.node.state.announcements.quiet.size, 0);
+    });
+  }
+
+  it('sends nothing more to an engine that says it leaves, in an answer among others', async () => {
+    let count = 0;
+    const engine = new Arrivals((socket, request) => {
+      count += 1;
+      (count === 10 ? leaving : whole)(socket, request);
+    });
+    adapter = await AdapterNode.start([engine.take, whole]);
+    const answers = await callFor(2500);
+    for (const {status} of answers) assert.equal(status, 200);
+    // Calls that ran beside the tenth may have been sent before its answer came.
+    assert.ok(count < 13, `${count} requests`);
+    assert.equal(answers[0]!.headers['server-leaving'], undefined);
+  });
+
+  for (const [name, answer] of [
+    [
+      'the head of a stream',
+      `${SIGNED}Server-Leaving: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: d1\n\n\r\n0\r\n\r\n`,
+    ],
+    [
+      'a refusal',
+      'HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n',
+    ],
+    [
+      'a failure of its own',
+      'HTTP/1.1 500 Failed\r\nX-Attempt-Id: attempt-1\r\nX-Response-Signature: s\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n',
+    ],
+  ] as const) {
+    it(`sends nothing more to an engine that says so in ${name}`, async () => {
+      const engine = new Arrivals(socket => void socket.write(answer));
+      adapter = await AdapterNode.start([engine.take]);
+      await adapter.call('streaming');
+      await callFor(300, 'streaming');
+      assert.equal(engine.atMs.length, 1);
+    });
+  }
+
+  it('uses an engine that has left again in its next life', async () => {
+    let isLeaving = true;
+    const engine = new Arrivals((socket, request) =>
+      (isLeaving ? leaving : whole)(socket, request),
+    );
+    adapter = await AdapterNode.start([engine.take]);
+    assert.equal((await adapter.call('safe')).status, 200);
+    assert.equal((await adapter.call('safe')).status, 503);
+    isLeaving = false;
+    adapter.store.put('servers/i-0', {
+      service: 'desk',
+      address: adapter.addresses[0],
+      zone: 'zone-a',
+      version: 'v1',
+      slots: 6,
+      state: 'ready',
+      born: 2000,
+      sequence: 1,
+    });
+    await waitFor(
+      'an answer',
+      async () => (await adapter!.call('safe')).status === 200,
+    );
+  });
+});
