End answers whose bytes go on without end, wherever they come from

Cause: the client's parser bounds the fields of a head alone. Empty lines, bodies of refusals, comments, kept connections, the store's and peers' answers were read for as long as they came (measured before: 141 MB of empty lines in half a second, 98 MB from the store, 340 MB of a peer's document; refusals and kept connections never ended). An event without end was joined anew at each chunk, and comments counted as progress of a stream.

AnswerLimit counts raw bytes of a connection since the last part of use; KeptAgent ends a kept connection on which anything comes; EventSplitter keeps an incomplete event in pieces, bounded at 128 KB, and counts no comments; whole answers share 12 MB.

--- a/src/serving/attempt_client.ts
+++ b/src/serving/attempt_client.ts
@@ -1,9 +1,10 @@
-import {Agent} from 'node:http';
 import type {AttemptId, VmId} from '../core/ids/index.js';
 import type {EffectHandler} from '../runtime/types.js';
 import type {FrontServer} from './front_server.js';
 import type {ServingContext} from './types.js';
 import type {ServingEffect} from '../core/serving/types.js';
+import {HeldBytes} from './held_bytes.js';
+import {KeptAgent} from '../http/index.js';
 import {RunningAttempt} from './running_attempt.js';
 
 /** Kept connections to one target; more than a node has in flight there. */
@@ -15,8 +16,9 @@
 export class AttemptClient implements EffectHandler<ServingEffect> {
   readonly types = ['startAttempt', 'cancelAttempt'] as const;
   private readonly attempts = new Map<AttemptId, RunningAttempt>();
+  private readonly heldBytes = new HeldBytes();
   /** Connections by target, so that a new owner of an address gets none of the old ones. */
-  private readonly agents = new Map<VmId, Agent>();
+  private readonly agents = new Map<VmId, KeptAgent>();
 
   constructor(
     private readonly context: ServingContext,
@@ -35,6 +37,7 @@
     if (!call) return;
     const attempt = new RunningAttempt(this.context, call, effect, {
       agent: effect.freshConnection ? undefined : this.agentOf(effect.vmId),
+      heldBytes: this.heldBytes,
       onEnd: () => this.attempts.delete(effect.attemptId),
     });
     this.attempts.set(effect.attemptId, attempt);
@@ -60,10 +63,10 @@
     void this.close();
   }
 
-  private agentOf(vmId: VmId): Agent {
+  private agentOf(vmId: VmId): KeptAgent {
     let agent = this.agents.get(vmId);
     if (!agent) {
-      agent = new Agent({
+      agent = new KeptAgent({
         keepAlive: true,
         maxFreeSockets: MAX_FREE_SOCKETS,
         timeout: FREE_SOCKET_MS,
--- a/src/serving/fetch_document.ts
+++ b/src/serving/fetch_document.ts
@@ -1,10 +1,12 @@
 import {get} from 'node:http';
 import {gunzipSync} from 'node:zlib';
 import type {Clock} from '../runtime/types.js';
-import {splitAddress} from '../http/index.js';
+import {AnswerLimit, splitAddress} from '../http/index.js';
 
 /** A configuration with thousands of routes has some megabytes. */
-const MAX_BYTES = 32 * 1024 * 1024;
+const MAX_UNPACKED_BYTES = 32 * 1024 * 1024;
+/** The same, packed. */
+const MAX_PACKED_BYTES = 8 * 1024 * 1024;
 
 interface FetchedDocument {
   readonly text: string;
@@ -34,7 +36,7 @@
         const ageMs = Number(response.headers['rhubarbstile-age-ms'] ?? -1);
         try {
           const bytes = gunzipSync(Buffer.concat(chunks), {
-            maxOutputLength: MAX_BYTES,
+            maxOutputLength: MAX_UNPACKED_BYTES,
           });
           finish({
             text: bytes.toString(),
@@ -46,6 +48,9 @@
         }
       });
     });
+    new AnswerLimit(call, MAX_PACKED_BYTES, () =>
+      call.destroy(new Error('bytes without end')),
+    );
     const timer = setTimeout(
       () => call.destroy(new Error('timeout')),
       timeoutMs,
--- a/src/serving/order_client.ts
+++ b/src/serving/order_client.ts
@@ -4,12 +4,13 @@
 import type {ServingEffect} from '../core/serving/types.js';
 import type {VmId} from '../core/ids/index.js';
 import {announceEngine} from './announce_engine.js';
-import {splitAddress} from '../http/index.js';
+import {AnswerLimit, splitAddress} from '../http/index.js';
 
 /** An engine answers an order at once; the rest is time on the way. */
 const ORDER_MS = 600;
 const PROBE_MS = 250;
-const MAX_BODY_BYTES = 256 * 1024;
+/** An answer to an order, or a report, has some hundred bytes. */
+const MAX_ANSWER_BYTES = 256 * 1024;
 
 type CallOutcome =
   | {readonly kind: 'answered'; readonly status: number; readonly body: string}
@@ -98,6 +99,9 @@
         headers,
         agent: this.agent,
       });
+      new AnswerLimit(outgoing, MAX_ANSWER_BYTES, () =>
+        outgoing.destroy(new Error('bytes without end')),
+      );
       const timer = setTimeout(
         () => outgoing.destroy(new Error('timeout')),
         timeoutMs,
@@ -115,7 +119,7 @@
         let body = '';
         response.setEncoding('utf8');
         response.on('data', (text: string) => {
-          if (body.length < MAX_BODY_BYTES) body += text;
+          body += text;
         });
         response.on('error', () => finish({kind: 'silent'}));
         response.on('end', () =>
--- a/src/serving/running_attempt.ts
+++ b/src/serving/running_attempt.ts
@@ -3,15 +3,23 @@
 import type {AttemptFault, ServingEffect} from '../core/serving/types.js';
 import type {CallerCall} from './caller_call.js';
 import type {ServingContext} from './types.js';
+import {AnswerLimit, splitAddress} from '../http/index.js';
 import {EventSplitter} from '../targets/event_splitter.js';
+import type {HeldBytes} from './held_bytes.js';
 import {announceEngine} from './announce_engine.js';
 import {lastEventIdOf} from './last_event_id_of.js';
-import {splitAddress} from '../http/index.js';
 
 /** Time for a connection to a target; some hundred times a usual one. */
 const CONNECT_MS = 300;
-/** A whole answer over this is not kept in memory; none of the services comes near. */
-const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+/** A head of the largest size that the parser takes, and what may come before it. */
+const MAX_HEAD_BYTES = 64 * 1024;
+/** What may come of an answer without anything of use to the caller: several of the longest events. */
+const MAX_USELESS_BYTES = 256 * 1024;
+/** An event is a few hundred bytes; a hundred streams that each hold this much of one fit in the smallest node. */
+const MAX_EVENT_BYTES = 128 * 1024;
+/** A refusal that is longer, or takes longer, costs more than a new connection. */
+const MAX_REFUSAL_BYTES = 16 * 1024;
+const REFUSAL_MS = 250;
 const MIN_SERVER_ERROR = 500;
 
 type StartAttempt = Extract<ServingEffect, {type: 'startAttempt'}>;
@@ -19,6 +27,7 @@
 interface AttemptOptions {
   /** Undefined: a connection of its own. */
   readonly agent?: Agent;
+  readonly heldBytes: HeldBytes;
   readonly onEnd: () => void;
 }
 
@@ -28,6 +37,7 @@
   private isOver = false;
   private isConnected = false;
   private connectTimer?: NodeJS.Timeout;
+  private limit?: AnswerLimit;
 
   constructor(
     private readonly context: ServingContext,
@@ -58,6 +68,9 @@
       agent: this.options.agent ?? false,
     });
     this.outgoing = outgoing;
+    this.limit = new AnswerLimit(outgoing, MAX_HEAD_BYTES, () =>
+      this.failEndless('bytes without end'),
+    );
     outgoing.setNoDelay(true);
     outgoing.on('socket', socket => {
       if (!socket.connecting) {
@@ -93,8 +106,9 @@
     response.on('close', () => this.failBroken('connection closed'));
     const isOwn = head.isNotRun || head.callerId === call.callerId;
     if (isOwn) announceEngine(context, effect.vmId, status, response.headers);
+    this.limit?.renew(MAX_USELESS_BYTES);
     if (head.isNotRun) {
-      response.resume();
+      this.readOut(response);
       this.fail('turned-away', {status, faultyVmId: head.faultyVmId});
       return;
     }
@@ -121,13 +135,23 @@
 
   private passStream(response: IncomingMessage): void {
     const {context, call, effect} = this;
-    const splitter = new EventSplitter();
+    const splitter = new EventSplitter(MAX_EVENT_BYTES);
+    /** Comments, which wait for an event. */
+    let held: Buffer[] = [];
     const headers = context.wire.callers.passAnswer(response.headers);
     const status = response.statusCode ?? 200;
     response.on('data', (chunk: Buffer) => {
       if (this.isOver) return;
-      const {events, count} = splitter.split(chunk);
+      const {events: complete, count} = splitter.split(chunk);
+      if (splitter.overflows) {
+        this.failEndless('event without end');
+        return;
+      }
+      if (complete.length > 0) held.push(complete);
       if (count === 0) return;
+      this.limit?.renew();
+      const events = held.length === 1 ? complete : Buffer.concat(held);
+      held = [];
       call.writeHead(status, headers);
       call.lastEventId = lastEventIdOf(events) ?? call.lastEventId;
       if (!call.write(events)) {
@@ -147,6 +171,7 @@
         return;
       }
       call.writeHead(status, headers);
+      for (const events of held) call.write(events);
       call.finish();
       this.end(status);
     });
@@ -156,14 +181,16 @@
     const {context, call, effect} = this;
     const status = response.statusCode ?? 0;
     const chunks: Buffer[] = [];
-    let sizeBytes = 0;
+    const held = this.options.heldBytes.open();
+    response.on('close', () => held.close());
     response.on('data', (chunk: Buffer) => {
-      sizeBytes += chunk.length;
-      chunks.push(chunk);
-      if (sizeBytes > MAX_ANSWER_BYTES) {
-        this.outgoing?.destroy();
-        this.fail('garbled', {status, detail: 'answer too large'});
+      if (this.isOver) return;
+      if (!held.add(chunk.length)) {
+        this.failEndless('answer too large');
+        return;
       }
+      this.limit?.renew();
+      chunks.push(chunk);
     });
     response.on('end', () => {
       if (this.isOver) return;
@@ -184,6 +211,19 @@
     });
   }
 
+  /** Reads the rest of a refusal, so that its connection can be used again. */
+  private readOut(response: IncomingMessage): void {
+    this.limit?.renew(MAX_REFUSAL_BYTES);
+    const timer = setTimeout(() => this.outgoing?.destroy(), REFUSAL_MS);
+    response.on('close', () => clearTimeout(timer));
+    response.resume();
+  }
+
+  private failEndless(detail: string): void {
+    this.outgoing?.destroy();
+    this.fail('garbled', {detail});
+  }
+
   private end(status: number): void {
     if (this.isOver) return;
     this.isOver = true;
--- a/test/support/kv_standin.ts
+++ b/test/support/kv_standin.ts
@@ -1,4 +1,5 @@
 import {createServer} from 'node:http';
+import type {Socket} from 'node:net';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
 interface Item {
@@ -26,6 +27,8 @@
 export class KvStandin {
   /** Answers every call with this status. */
   failWith?: number;
+  /** Writes to the connection of each call, in place of an answer. */
+  pourInto?: (socket: Socket) => void;
   /** Writes take effect and are not answered. */
   losesAnswers = false;
   callCount = 0;
@@ -79,6 +82,13 @@
     this.callCount += 1;
     let text = '';
     for await (const chunk of message) text += String(chunk);
+    if (this.pourInto) {
+      message.socket.write(
+        'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+      );
+      this.pourInto(message.socket);
+      return;
+    }
     if (this.failWith !== undefined) {
       response.writeHead(this.failWith).end('{}');
       return;
--- /dev/null
+++ b/test/units/platform_adapter/endless_bytes.test.ts
@@ -0,0 +1,230 @@
+import assert from 'node:assert/strict';
+import {afterEach, describe, it} from 'node:test';
+import type {Socket} from 'node:net';
+import type {RawAnswer} from '../../support/raw_engine.js';
+import {AdapterNode} from '../../support/adapter_node.js';
+import {RawEngine} from '../../support/raw_engine.js';
+import {fetchDocument} from '../../../src/serving/fetch_document.js';
+import {pour} from '../../support/pour.js';
+import {waitFor} from '../../support/wait_for.js';
+
+const HEAD = 'HTTP/1.1 200 OK\r\nX-Attempt-Id: attempt-1\r\n';
+const SIGNED = `${HEAD}X-Response-Signature: signature\r\n`;
+const EVENTS = `${SIGNED}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`;
+const PIECE_BYTES = 64 * 1024;
+const MIB = 1024 * 1024;
+/** What a node reads of an answer without use, with what the sockets of both sides hold. */
+const TAKEN_BYTES = 16 * MIB;
+const MEMORY_BYTES = 20 * MIB;
+
+/** Repeats a text to a piece of the usual size of a read. */
+function fill(text: string): Buffer {
+  return Buffer.from(text.repeat(Math.ceil(PIECE_BYTES / text.length)));
+}
+
+function chunk(text: string): string {
+  return `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
+}
+
+function endless(head: string, piece: Buffer): RawAnswer {
+  return socket => {
+    socket.write(head);
+    pour(socket, piece);
+  };
+}
+
+const FILLER = 'x'.repeat(1000);
+/** What an engine may write without end in place of an answer, or after it has begun. */
+const STREAMS: Readonly<Record<string, RawAnswer>> = {
+  'fields of a head': endless(HEAD, fill(`X-More: ${FILLER}\r\n`)),
+  'interim answers': endless('', fill('HTTP/1.1 102 Processing\r\n\r\n')),
+  'empty lines before a head': endless('', fill('\r\n')),
+  'a chunk extension': endless(`${EVENTS}5;more=`, fill(FILLER)),
+  'an event': endless(EVENTS, fill(chunk(FILLER))),
+  'comments of a stream': endless(EVENTS, fill(chunk(`: ${FILLER}\n\n`))),
+  trailers: endless(`${EVENTS}0\r\n`, fill(`X-More: ${FILLER}\r\n`)),
+  'bytes that are no answer': endless('', fill('\0\x01\x02')),
+};
+const REFUSALS: Readonly<Record<string, RawAnswer>> = {
+  'the body of a refusal': endless(
+    'HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n',
+    fill(chunk(FILLER)),
+  ),
+  'the body of a refusal without length': endless(
+    'HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nConnection: close\r\n\r\n',
+    fill(FILLER),
+  ),
+};
+
+const soundStream: RawAnswer = socket =>
+  void socket.write(
+    EVENTS +
+      chunk('id: 1\ndata: d1\n\n') +
+      chunk('id: 2\ndata: d2\n\n') +
+      '0\r\n\r\n',
+  );
+const sound: RawAnswer = socket =>
+  void socket.write(`${SIGNED}Content-Length: 5\r\n\r\nhello`);
+
+/** Counts what the node took of each connection. */
+class Pouring {
+  readonly sockets: Socket[] = [];
+
+  constructor(private readonly answer: RawAnswer) {}
+
+  readonly take: RawAnswer = (socket, request) => {
+    this.sockets.push(socket);
+    this.answer(socket, request);
+  };
+
+  get areClosed(): boolean {
+    return this.sockets.every(({destroyed}) => destroyed);
+  }
+
+  check(): void {
+    for (const {bytesWritten} of this.sockets) {
+      assert.ok(bytesWritten < TAKEN_BYTES, `${bytesWritten} bytes taken`);
+    }
+  }
+}
+
+describe('bytes without end', () => {
+  let adapter: AdapterNode;
+  afterEach(() => adapter.close());
+
+  for (const [name, answer] of Object.entries(STREAMS)) {
+    it(`as ${name}: ended, and answered by another engine`, async () => {
+      const pouring = new Pouring(answer);
+      adapter = await AdapterNode.start([pouring.take, soundStream]);
+      await adapter.call('streaming'); // loads what the first call needs
+      const beforeBytes = process.memoryUsage().rss;
+      for (let count = 0; count < 6; count++) {
+        const startedAtMs = Date.now();
+        const {whole, body} = await adapter.call('streaming');
+        assert.equal(whole, true);
+        assert.match(body, /d1[^]*d2/);
+        assert.ok(Date.now() - startedAtMs < 1000);
+      }
+      assert.ok(pouring.sockets.length > 0);
+      await waitFor('closed connections', () => pouring.areClosed);
+      pouring.check();
+      assert.ok(process.memoryUsage().rss - beforeBytes < MEMORY_BYTES);
+    });
+  }
+
+  for (const [name, answer] of Object.entries(REFUSALS)) {
+    it(`as ${name}: ended, and answered by another engine`, async () => {
+      const pouring = new Pouring(answer);
+      adapter = await AdapterNode.start([pouring.take, sound]);
+      for (let count = 0; count < 6; count++) {
+        assert.equal((await adapter.call('unsafe')).status, 200);
+      }
+      assert.ok(pouring.sockets.length > 0);
+      await waitFor('closed connections', () => pouring.areClosed);
+      pouring.check();
+    });
+  }
+
+  it('as the body of whole answers: ended below the memory of all, while others are answered', async () => {
+    const pouring = new Pouring(
+      endless(
+        `${SIGNED}Transfer-Encoding: chunked\r\n\r\n`,
+        fill(chunk(FILLER)),
+      ),
+    );
+    adapter = await AdapterNode.start([pouring.take, sound]);
+    await adapter.call('safe');
+    const beforeBytes = process.memoryUsage().rss;
+    const answers = await Promise.all(
+      Array.from({length: 40}, () => adapter.call('safe')),
+    );
+    for (const {status} of answers) assert.ok(status === 200 || status === 502);
+    assert.ok(answers.some(({status}) => status === 200));
+    await waitFor('closed connections', () => pouring.areClosed);
+    const takenBytes = process.memoryUsage().rss - beforeBytes;
+    assert.ok(takenBytes < MEMORY_BYTES, `${takenBytes} bytes more`);
+    pouring.check();
+  });
+
+  it('past the length of an answer: the answer stands, the connection is not used again', async () => {
+    const pouring = new Pouring(
+      endless(`${SIGNED}Content-Length: 5\r\n\r\nhello`, fill(FILLER)),
+    );
+    adapter = await AdapterNode.start([pouring.take]);
+    for (let count = 0; count < 4; count++) {
+      const {status, body} = await adapter.call('safe');
+      if (status === 200) assert.equal(body, 'hello');
+      else assert.equal(status, 502);
+    }
+    await waitFor('closed connections', () => pouring.areClosed);
+    pouring.check();
+  });
+
+  it('on a connection that is kept after an answer: ended', async () => {
+    const pouring = new Pouring(socket => {
+      socket.write(`${SIGNED}Content-Length: 5\r\n\r\nhello`);
+      setTimeout(() => pour(socket, fill(FILLER)), 50);
+    });
+    adapter = await AdapterNode.start([pouring.take]);
+    assert.equal((await adapter.call('safe')).status, 200);
+    await waitFor('closed connections', () => pouring.areClosed);
+    pouring.check();
+  });
+
+  it('after the caller has left: ended', async () => {
+    const pouring = new Pouring(
+      endless(EVENTS, fill(chunk('id: 1\ndata: d\n\n'))),
+    );
+    adapter = await AdapterNode.start([pouring.take]);
+    const leaving = new AbortController();
+    await adapter
+      .call('streaming', {
+        signal: leaving.signal,
+        onData: () => leaving.abort(),
+      })
+      .catch(() => {}); // the caller's own abort
+    await waitFor('closed connections', () => pouring.areClosed);
+  });
+
+  it('from the store: each call ends, and the node goes on by what it knows', async () => {
+    adapter = await AdapterNode.start([sound]);
+    const sockets: Socket[] = [];
+    adapter.store.pourInto = socket => {
+      sockets.push(socket);
+      pour(socket, fill(chunk(FILLER)));
+    };
+    await waitFor('calls', () => sockets.length > 3);
+    assert.equal((await adapter.call('safe')).status, 200);
+    await waitFor('closed connections', () =>
+      sockets.slice(0, 3).every(({destroyed}) => destroyed),
+    );
+    for (const {bytesWritten} of sockets) {
+      assert.ok(bytesWritten < 2 * TAKEN_BYTES, `${bytesWritten} bytes taken`);
+    }
+    adapter.store.pourInto = undefined;
+    adapter.configure(5);
+    await waitFor('version 5', () => adapter.node.state.config?.version === 5);
+  });
+});
+
+describe('documents and orders without end', () => {
+  it('are ended at their bound', async () => {
+    const pouring = new Pouring(
+      endless(
+        'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+        fill(chunk(FILLER)),
+      ),
+    );
+    const engine = new RawEngine(pouring.take);
+    const address = await engine.listen();
+    const document = await fetchDocument(
+      {nowMs: () => 0},
+      address,
+      '/engines',
+      2000,
+    );
+    assert.ok(document instanceof Error);
+    pouring.check();
+    engine.close();
+  });
+});
