Order what the store says by era and revision, and stop at the first sign of a return from a copy

Cause: revisions alone ordered engines, terms and leases. After a return from a copy they go back and are given out again: changes of engines were dropped as old ones, a holder of a lease that was gone went on, and a lease number could be another's.

One number now holds era and revision (core/store/store_version), decoded in platform/. Calls that rest on a revision or lease of another era are refused before they go out, and answers of an older era count as lost. A new era goes to all peers in the next digests; a steward stops at once, removals are held, nothing is planned and no configuration is proven for the 2.2 s in which all is written again; entries older than what a node knows of the same life are passed over until a second listing. The term of a steward exceeds all terms that engines name. An entry of the steward that this node wrote and doesn't hold is removed by it: it may hang on somebody else's lease. Ruled out: bare revisions with a reset on 410 (a node that reads between misses it, terms go back).

--- a/src/core/fleet/types.ts
+++ b/src/core/fleet/types.ts
@@ -36,7 +36,9 @@
   /** Models whose weights are on the VM's host. */
   readonly stagedModels: readonly ModelName[];
   readonly membership?: Membership;
-  /** Of the store, at the last change of the entry. */
+  /** Rises with each entry that the engine writes in this life. */
+  readonly sequence: number;
+  /** Of the store, at the last change of the entry: a `storeVersion`. */
   readonly revision: number;
 }
 
--- a/src/core/serving/apply_digest.ts
+++ b/src/core/serving/apply_digest.ts
@@ -10,6 +10,7 @@
 import {peerKey} from './peer_key.js';
 import {peerLoad} from './peer_load.js';
 import {provenAtMs} from './proven_at_ms.js';
+import {isRestoring, noteStoreEra} from './restore/index.js';
 import {rebuildTargets} from './rebuild_targets.js';
 import {withoutOwn} from './relays/without_own.js';
 
@@ -23,6 +24,8 @@
   const link = noteHeard(step, told);
   if (!acceptsDigest(state, told)) return;
   const digest = withoutOwn(state, told);
+  if (digest.storeEra > 0) noteStoreEra(step, digest.storeEra, digest.from);
+  const isOutdated = digest.storeEra < (state.restore.era ?? 0);
   const key = peerKey(digest);
   const peer = state.peers.get(key);
   if (peer) addPeerLoads(state, peer.digest.loads, -1);
@@ -45,7 +48,7 @@
     rosterAtMs: hasRoster ? nowMs : (peer?.rosterAtMs ?? -Infinity),
   };
   state.peers.set(key, view);
-  takeProof(state, view);
+  if (!isOutdated && !isRestoring(state, nowMs)) takeProof(state, view);
   for (const {fingerprint, losses, leftMs} of digest.suspects) {
     const known = state.crashSuspects.get(fingerprint);
     if (known && known.losses >= losses) continue;
@@ -62,6 +65,7 @@
   if (digest.changes.length > 0) {
     applyFleet(step, {changes: digest.changes, isWhole: false});
   }
+  if (isOutdated) return;
   if (digest.isSteward || digest.scope === 'fleet') {
     noteStoreContact(step, provenAtMs(view, digest.fleetProofAgeMs));
     compareEngines(step, digest);
@@ -107,7 +111,14 @@
 function applyDeparted({state, nowMs}: ServingStep, digest: LoadDigest): void {
   for (const {vmId, address, bornAtMs, ageMs} of digest.departed) {
     if (state.engines.has(vmId) || state.departed.has(vmId)) continue;
-    state.departed.set(vmId, {address, bornAtMs, atMs: nowMs - ageMs});
+    // The age of its last entry isn't told: any later one in the list counts.
+    const sequence = -1;
+    state.departed.set(vmId, {
+      address,
+      bornAtMs,
+      sequence,
+      atMs: nowMs - ageMs,
+    });
   }
 }
 
--- a/src/core/serving/apply_fleet.ts
+++ b/src/core/serving/apply_fleet.ts
@@ -1,8 +1,10 @@
 import type {EngineChange} from '../fleet/types.js';
 import type {ServingStep} from './types.js';
 import type {VmId} from '../ids/index.js';
+import {isOlderCopy} from './restore/index.js';
 import {logDecision} from './log_decision.js';
 import {rebuildTargets} from './rebuild_targets.js';
+import {storeVersion} from '../store/index.js';
 
 /** Changes older than this are passed on to no peer. */
 const KEPT_MS = 1000;
@@ -31,6 +33,7 @@
       state.heldRemovals.set(one.vmId, one.revision);
       continue;
     }
+    if (change.isWhole && isOlderCopy(step, one)) continue;
     if (!applyChange(step, one)) continue;
     hasChanged = true;
     if (!one.engine) removed.push(one.vmId);
@@ -71,8 +74,9 @@
   }
   state.departed.delete(vmId);
   state.heldRemovals.delete(vmId);
-  state.revisionSum -= state.engines.get(vmId)?.revision ?? 0;
-  state.revisionSum += engine.revision;
+  const known = state.engines.get(vmId);
+  if (known) state.revisionSum -= storeVersion.checksumOf(known.revision);
+  state.revisionSum += storeVersion.checksumOf(engine.revision);
   state.engines.set(vmId, engine);
   const lost = state.lostEngines.get(vmId);
   if (lost && lost.bornAtMs !== engine.bornAtMs) {
@@ -107,9 +111,9 @@
 function removeEngine({state, nowMs}: ServingStep, vmId: VmId): void {
   const record = state.engines.get(vmId);
   if (record) {
-    const {address, bornAtMs, revision} = record;
-    state.revisionSum -= revision;
-    state.departed.set(vmId, {address, bornAtMs, atMs: nowMs});
+    const {address, bornAtMs, sequence, revision} = record;
+    state.revisionSum -= storeVersion.checksumOf(revision);
+    state.departed.set(vmId, {address, bornAtMs, sequence, atMs: nowMs});
   }
   state.engines.delete(vmId);
   state.heldRemovals.delete(vmId);
--- a/src/core/serving/create_digest.ts
+++ b/src/core/serving/create_digest.ts
@@ -77,6 +77,7 @@
     coreCount: state.coreCount,
     stewardAddress: isSteward(state) ? state.peerAddress : undefined,
     life: state.life,
+    storeEra: state.restore.era ?? 0,
     sentAtMs: nowMs,
     zone: state.zone,
     callerAddress: state.callerAddress,
--- a/src/core/serving/create_serving_state.ts
+++ b/src/core/serving/create_serving_state.ts
@@ -3,6 +3,7 @@
 import {createAnnouncementState} from './announcements/index.js';
 import {createExchangeState} from './relays/create_exchange_state.js';
 import {createRandom} from '../random/index.js';
+import {createRestoreState} from './restore/index.js';
 import {createStewardState} from '../steward/create_steward_state.js';
 
 const MAX_LIFE = 2 ** 31;
@@ -31,6 +32,7 @@
     coreCount: self.coreCount ?? 1,
     exchange: createExchangeState(),
     bounds,
+    restore: createRestoreState(),
     random: createRandom(seed),
     idCounter: 0,
     life: createRandom(seed).below(MAX_LIFE),
--- a/src/core/serving/effects.ts
+++ b/src/core/serving/effects.ts
@@ -66,6 +66,11 @@
   readonly address: string;
 }
 
+/** Lists all engines anew, where this node reads them itself. */
+interface RelistEngines {
+  readonly type: 'relistEngines';
+}
+
 /** Tells nodes a digest, each with the one of its own that is counted. */
 interface SendDigest {
   readonly type: 'sendDigest';
@@ -108,6 +113,7 @@
   | SendOrder
   | ProbeEngine
   | SendDigest
+  | RelistEngines
   | Log
   | Metric
   | Exit;
--- a/src/core/serving/events.ts
+++ b/src/core/serving/events.ts
@@ -76,6 +76,12 @@
   readonly provenAtMs: number;
 }
 
+/** An answer of the store, with its era. */
+interface StoreEraRead {
+  readonly type: 'storeEraRead';
+  readonly era: number;
+}
+
 /** The store answers again after it didn't for a time. */
 interface StoreRegained {
   readonly type: 'storeRegained';
@@ -103,6 +109,8 @@
 interface StewardLeaseHeld {
   readonly type: 'stewardLeaseHeld';
   readonly term: number;
+  /** Of the store that granted the lease. */
+  readonly era?: number;
   readonly untilMs: number;
 }
 
@@ -157,6 +165,7 @@
   | FleetProven
   | PeersRegistered
   | StoreRegained
+  | StoreEraRead
   | DigestDue
   | DigestReceived
   | StewardLeaseHeld
--- a/src/core/serving/expire.ts
+++ b/src/core/serving/expire.ts
@@ -9,6 +9,7 @@
 import {logDecision} from './log_decision.js';
 import {noteLostWhileRunning} from './note_lost_while_running.js';
 import {rebuildTargets} from './rebuild_targets.js';
+import {endRestore} from './restore/index.js';
 import {refuseRequest} from './refuse_request.js';
 
 /** A peer that is silent for this long has nothing in flight any more, and takes no callers. */
@@ -50,6 +51,7 @@
     hasFreed = true;
   }
   if (hasFreed) rebuildTargets(state);
+  endRestore(step);
   noteAccessProof(step);
   removeHeld(step);
   endWhenDone(step);
--- a/src/core/serving/peers/types.ts
+++ b/src/core/serving/peers/types.ts
@@ -66,6 +66,8 @@
   /** Peer address of the steward, where it is known. */
   readonly stewardAddress?: string;
   readonly changes: readonly EngineChange[];
+  /** The latest era of the store that the sender knows of; 0 where it knows of none. */
+  readonly storeEra: number;
   readonly configVersion: number;
   /** Age of the proof that this version is the newest; -1 for none. A node tells its own reading of the store, a relay any that it trusts. */
   readonly configProofAgeMs: number;
--- a/src/core/serving/reduce_serving.ts
+++ b/src/core/serving/reduce_serving.ts
@@ -16,6 +16,7 @@
 import {noteStoreContact} from './note_store_contact.js';
 import {planDigests} from './relays/plan_digests.js';
 import {isIdle} from './is_idle.js';
+import {isRestoring, noteStoreEra} from './restore/index.js';
 import {refreshTargets} from './refresh_targets.js';
 import {rebuildTargets} from './rebuild_targets.js';
 import {reduceSteward} from '../steward/reduce_steward.js';
@@ -75,6 +76,9 @@
       state.fleetReadAtMs = Math.max(state.fleetReadAtMs, event.provenAtMs);
       noteStoreContact(step, event.provenAtMs);
       break;
+    case 'storeEraRead':
+      noteStoreEra(step, event.era, 'the store');
+      break;
     case 'peersRegistered':
       noteListed(step, event.nodes);
       break;
@@ -116,8 +120,11 @@
 ): void {
   const {state} = step;
   const {config, provenAtMs} = event;
-  state.configReadAtMs = Math.max(state.configReadAtMs, provenAtMs);
-  state.configProvenAtMs = Math.max(state.configProvenAtMs, provenAtMs);
+  // A copy may lack what the operator wrote last, and proves nothing until it is written again.
+  if (!isRestoring(state, step.nowMs)) {
+    state.configReadAtMs = Math.max(state.configReadAtMs, provenAtMs);
+    state.configProvenAtMs = Math.max(state.configProvenAtMs, provenAtMs);
+  }
   const version = state.config?.version ?? -1;
   if (!config || config.version <= version) return;
   state.config = config;
--- /dev/null
+++ b/src/core/serving/restore/types.ts
@@ -0,0 +1,9 @@
+/** What a node knows of the store's returns from copies. */
+export interface RestoreState {
+  /** The latest era that the store, or a peer, told; undefined before the first. */
+  era?: number;
+  /** When this era was first heard of, after another; -Infinity for the first. */
+  sinceMs: number;
+  /** The engines are listed once more when what was lost should be written again. */
+  isRelistDue: boolean;
+}
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -19,6 +19,7 @@
   ZoneId,
 } from '../ids/index.js';
 import type {Random} from '../random/index.js';
+import type {RestoreState} from './restore/types.js';
 import type {StewardState} from '../steward/types.js';
 import type {Verdict} from '../verdict/index.js';
 import type {ServingEffect} from './effects.js';
@@ -170,6 +171,8 @@
   readonly coreCount: number;
   readonly exchange: ExchangeState;
   readonly bounds: ServingBounds;
+  /** The store's returns from copies. */
+  readonly restore: RestoreState;
   readonly random: Random;
   idCounter: number;
   readonly life: number;
@@ -196,7 +199,7 @@
   /** Last records of engines that the store no longer lists: they may live on. */
   readonly departed: Map<
     VmId,
-    {address: string; bornAtMs: number; atMs: number}
+    {address: string; bornAtMs: number; sequence: number; atMs: number}
   >;
   /** When a node was last heard for the first time. */
   newPeerAtMs: number;
--- /dev/null
+++ b/src/core/steward/latest_term.ts
@@ -0,0 +1,12 @@
+import type {ServingState} from '../serving/types.js';
+import {EPOCHS_PER_TERM} from './epochs_per_term.js';
+
+/** The latest term of a steward whose replicas engines name; -1 where they name none. */
+export function latestTerm({engines}: ServingState): number {
+  let latest = -1;
+  for (const {membership} of engines.values()) {
+    const term = Math.floor((membership?.epoch ?? -1) / EPOCHS_PER_TERM);
+    latest = Math.max(latest, term);
+  }
+  return latest;
+}
--- a/src/core/steward/reduce_steward.ts
+++ b/src/core/steward/reduce_steward.ts
@@ -1,12 +1,16 @@
 import type {ServingEvent} from '../serving/events.js';
 import type {ServingStep} from '../serving/types.js';
+import {endStewardship} from './end_stewardship.js';
 import {hasAuthority} from './has_authority.js';
+import {latestTerm} from './latest_term.js';
 import {RELIST_MS} from '../serving/relist_ms.js';
 import {logDecision} from '../serving/log_decision.js';
 import {noteOrder} from './note_order.js';
 import {noteProbe} from './note_probe.js';
 import {planService} from './plan_service.js';
 
+type LeaseHeld = Extract<ServingEvent, {type: 'stewardLeaseHeld'}>;
+
 /** Least time between two plans, where no engine has changed. */
 const PLAN_INTERVAL_MS = 100;
 /** A reading this old at the start of a term is recent: a watch's hold, and some. */
@@ -24,10 +28,10 @@
       if (event.digest.loads.length > 0) steward.hasTraffic = true;
       return;
     case 'stewardLeaseHeld':
-      holdLease(step, event.term, event.untilMs);
+      holdLease(step, event);
       return;
     case 'stewardLeaseLost':
-      dropLease(step);
+      endStewardship(step);
       return;
     case 'storeRegained':
       // A node that knows no engines yet can't tell which entries have lapsed.
@@ -63,11 +67,21 @@
   return state.isFleetKnown && steward.hasReadEngines;
 }
 
-function holdLease(step: ServingStep, term: number, untilMs: number): void {
-  const {steward} = step.state;
+function holdLease(step: ServingStep, {term, era, untilMs}: LeaseHeld): void {
+  const {steward, restore} = step.state;
+  if (era !== undefined && era < (restore.era ?? 0)) {
+    logDecision(step, 'warn', 'steward', 'lease of an earlier era refused', {
+      term,
+      era,
+      knownEra: restore.era,
+    });
+    return;
+  }
   steward.leaseUntilMs = untilMs;
-  if (steward.term === term) return;
-  steward.term = term;
+  if (steward.leaseTerm === term) return;
+  steward.leaseTerm = term;
+  // A store that forgot earlier terms would have engines refuse every order.
+  steward.term = Math.max(term, 1 + latestTerm(step.state));
   steward.hasReadEngines = false;
   steward.epochCount = 0;
   steward.tracks.clear();
@@ -75,16 +89,9 @@
   steward.sentAtMs.clear();
   steward.loadEndsMs.clear();
   steward.asks.clear();
-  logDecision(step, 'info', 'steward', 'stewardship begins', {term});
-}
-
-function dropLease(step: ServingStep): void {
-  const {steward} = step.state;
-  if (steward.term === undefined) return;
-  logDecision(step, 'info', 'steward', 'stewardship ends', {
+  logDecision(step, 'info', 'steward', 'stewardship begins', {
     term: steward.term,
+    leaseTerm: term,
+    era,
   });
-  steward.term = undefined;
-  steward.leaseUntilMs = -Infinity;
-  steward.tracks.clear();
 }
--- a/src/core/steward/types.ts
+++ b/src/core/steward/types.ts
@@ -77,8 +77,10 @@
 
 /** What a node does as steward of all replicas. */
 export interface StewardState {
-  /** Rises with each holder of the lease; undefined without the lease. */
+  /** Rises with each holder of the lease, and over all terms that engines name; undefined without the lease. */
   term?: number;
+  /** As the store counts it. */
+  leaseTerm?: number;
   leaseUntilMs: number;
   /** This steward has read the engines itself; before, it only heard of them. */
   hasReadEngines: boolean;
--- a/src/core/store/store_entry.ts
+++ b/src/core/store/store_entry.ts
@@ -3,7 +3,7 @@
   readonly key: string;
   /** JSON text, at most one megabyte. */
   readonly value: string;
-  /** Store-wide revision of the last write to this key; never reused. */
+  /** Of the last write to this key, in the order of all changes of the store. */
   readonly version: number;
   /** Set when the entry vanishes with a lease. */
   readonly leaseId?: string;
--- a/src/core/store/store_outcome.ts
+++ b/src/core/store/store_outcome.ts
@@ -37,4 +37,7 @@
 }
 
 /** What became of a call to the platform. */
-export type StoreOutcome = Ok | Conflict | Unknown | Unavailable;
+export type StoreOutcome = (Ok | Conflict | Unknown | Unavailable) & {
+  /** Rises by one each time that the store comes back from a copy; undefined where no answer came, or the platform counts none. */
+  readonly era?: number;
+};
--- a/src/replay/serving/serving_world.ts
+++ b/src/replay/serving/serving_world.ts
@@ -156,6 +156,7 @@
         bornAtMs: this.nowMs,
         models: [],
         stagedModels: [],
+        sequence: 0,
         revision: 0,
       },
       this,
--- a/src/serving/counted_store.ts
+++ b/src/serving/counted_store.ts
@@ -16,6 +16,7 @@
 /** The platform's store, with its calls counted, since the platform charges for each, and with a line when it is lost or regained. */
 export class CountedStore implements PlatformStore {
   private readonly counts = new Map<string, number>();
+  private era?: number;
   private failuresInRow = 0;
   private lostAtMs?: number;
   private readonly timer = setInterval(() => this.report(), REPORT_MS);
@@ -25,7 +26,11 @@
     private readonly clock: Clock,
     private readonly metrics: NodeMetrics,
     private readonly logger: Logger,
-    private readonly onRegained: (lostMs: number) => void,
+    private readonly on: {
+      readonly regained: (lostMs: number) => void;
+      /** An answer had another era than the one before. */
+      readonly era: (era: number) => void;
+    },
   ) {}
 
   async call(
@@ -34,6 +39,11 @@
   ): Promise<StoreOutcome> {
     const outcome = await this.store.call(operation, timeoutMs);
     const {kind} = operation;
+    // Before the outcome is used: it may rest on what a copy lacks.
+    if (outcome.era !== undefined && outcome.era !== this.era) {
+      this.era = outcome.era;
+      this.on.era(outcome.era);
+    }
     this.metrics.count('storeCalls', 1, {kind, outcome: outcome.kind});
     const subject = subjectOf(operation);
     this.counts.set(subject, (this.counts.get(subject) ?? 0) + 1);
@@ -64,7 +74,7 @@
         lostMs,
         failures: this.failuresInRow,
       });
-      this.onRegained(lostMs);
+      this.on.regained(lostMs);
     }
     this.failuresInRow = 0;
     this.lostAtMs = undefined;
--- a/src/serving/create_serving_node.ts
+++ b/src/serving/create_serving_node.ts
@@ -26,11 +26,13 @@
 import {Pulse} from './pulse.js';
 import {PeerExchange} from './peer_exchange.js';
 import {StatusServer} from './status_server.js';
+import type {StoreWatch} from './store_watch.js';
 import {StewardLease} from './steward_lease.js';
 import {createNodeMetrics} from '../metrics/create_node_metrics.js';
 import {
   createServingState,
   isIdle,
+  needsFleetWatch,
   reduceServing,
 } from '../core/serving/index.js';
 import {watchConfig} from './watch_config.js';
@@ -87,13 +89,10 @@
     reduce: reduceServing,
   });
   const metrics = createNodeMetrics();
-  const store = new CountedStore(
-    options.store,
-    clock,
-    metrics,
-    logger,
-    lostMs => events.dispatch({type: 'storeRegained', lostMs}),
-  );
+  const store = new CountedStore(options.store, clock, metrics, logger, {
+    regained: lostMs => events.dispatch({type: 'storeRegained', lostMs}),
+    era: era => events.dispatch({type: 'storeEraRead', era}),
+  });
   const pulse = new Pulse(clock, () => isIdle(state));
   const context: ServingContext = {
     settings,
@@ -118,11 +117,13 @@
   const documents = new DocumentServer(context, held);
   const steward = new StewardLease(context);
   const configWatch = watchConfig(context, held);
-  const watches = [configWatch, watchFleet(context)];
+  const fleetWatch = watchFleet(context);
+  const watches = [configWatch, fleetWatch];
   const catchUp = new CatchUp(context, configWatch, held);
   for (const handler of [front, attempts, orders, peers])
     events.addHandler(handler);
   events.addHandler(createReporter(context));
+  events.addHandler(createRelister(context, fleetWatch));
   let settle = () => {};
   const ended = new Promise<void>(resolve => (settle = resolve));
   await Promise.all([
@@ -169,6 +170,18 @@
   };
 }
 
+/** Lists the engines anew when the core asks for it, where this node reads them from the store. */
+function createRelister({state, clock}: ServingContext, watch: StoreWatch) {
+  return {
+    types: ['relistEngines'] as const,
+    handle(): void {
+      if (needsFleetWatch(state, clock.nowMs())) void watch.refresh();
+    },
+    close: async () => {},
+    destroy: () => {},
+  };
+}
+
 /** Writes the core's log lines and measurements. */
 function createReporter(context: ServingContext) {
   return {
--- a/src/serving/digest_codec.ts
+++ b/src/serving/digest_codec.ts
@@ -19,7 +19,7 @@
 
 const SUSPECT_BIT = 1;
 const SLOW_BIT = 2;
-const PROOF_FIELDS = 4;
+const PROOF_FIELDS = 5;
 const SCOPES: readonly DigestScope[] = ['node', 'zone', 'fleet'];
 const READY_BIT = 1;
 const LEAVING_BIT = 2;
@@ -54,7 +54,7 @@
   readonly c: number;
   readonly b: number;
   readonly m: number;
-  /** Age of the configuration's proof; engines, their revisions, age of their proof. */
+  /** Age of the configuration's proof; engines, their revisions, age of their proof; era of the store. */
   readonly p: readonly number[];
   readonly t: readonly LoadRow[];
   readonly s: readonly (readonly [string, number, number])[];
@@ -90,6 +90,7 @@
         digest.engineCount,
         digest.revisionSum,
         digest.fleetProofAgeMs,
+        digest.storeEra,
       ],
       t: digest.loads.map(load => [
         load.vmId,
@@ -161,8 +162,13 @@
     if (proofs.length !== PROOF_FIELDS || !Number.isFinite(sentAtMs)) {
       return undefined;
     }
-    const [configProofAgeMs, engineCount, revisionSum, fleetProofAgeMs] =
-      proofs as [number, number, number, number];
+    const [
+      configProofAgeMs,
+      engineCount,
+      revisionSum,
+      fleetProofAgeMs,
+      storeEra,
+    ] = proofs as [number, number, number, number, number];
     const [peerAddress, coreCount, stewardAddress] = datagram.w;
     return {
       scope,
@@ -186,6 +192,7 @@
       engineCount,
       revisionSum,
       fleetProofAgeMs,
+      storeEra: toCount(storeEra),
       loads: datagram.t.map(row => ({
         vmId: row[0] as VmId,
         inFlight: toCount(row[1]),
--- a/src/serving/steward_lease.ts
+++ b/src/serving/steward_lease.ts
@@ -1,7 +1,8 @@
 import {randomBytes} from 'node:crypto';
-import type {LeaseId} from '../core/ids/index.js';
+import type {LeaseId, NodeId} from '../core/ids/index.js';
 import type {ServingContext, ServingPart} from './types.js';
 import {findSteward, stewardRank} from '../core/serving/index.js';
+import {storeVersion} from '../core/store/index.js';
 import {sleep} from './sleep.js';
 
 const KEY = 'rhubarbstile/steward';
@@ -85,12 +86,22 @@
 
   /** Revision of the holder's entry; undefined without holder. */
   private async readHolder(): Promise<number | 'unavailable' | undefined> {
-    const outcome = await this.context.store.call(
-      {kind: 'get', key: KEY},
+    const {store, settings, logger} = this.context;
+    const outcome = await store.call({kind: 'get', key: KEY}, ANSWER_MS);
+    if (outcome.kind !== 'ok') return 'unavailable';
+    const entry = outcome.entries?.[0];
+    if (!entry?.value.startsWith(holderStart(settings.nodeId))) {
+      return entry?.version;
+    }
+    // A write of this node's that was carried out late, or that a copy brought
+    // back: it may hang on a lease that is somebody else's by now.
+    const {version: expectedVersion} = entry;
+    logger.write('info', 'steward', 'own entry removed', {expectedVersion});
+    await store.call(
+      {kind: 'compareAndSwap', key: KEY, expectedVersion, value: null},
       ANSWER_MS,
     );
-    if (outcome.kind !== 'ok') return 'unavailable';
-    return outcome.entries?.[0]?.version;
+    return undefined;
   }
 
   private async awaitChange(revision: number): Promise<void> {
@@ -121,25 +132,26 @@
       return;
     }
     const {leaseId} = grant;
-    const nonce = `${this.context.settings.nodeId}/${randomBytes(6).toString('hex')}`;
-    const value = JSON.stringify({holder: nonce});
+    const {nodeId} = this.context.settings;
+    const nonce = randomBytes(6).toString('hex');
+    const value = `${holderStart(nodeId)}${nonce}"}`;
     const write = await store.call(
       {kind: 'compareAndSwap', key: KEY, expectedVersion: 0, value, leaseId},
       ANSWER_MS,
     );
-    let term = write.kind === 'ok' ? write.version : undefined;
-    if (write.kind === 'unknown') term = await this.readBack(value);
-    if (term === undefined) {
+    let version = write.kind === 'ok' ? write.version : undefined;
+    if (write.kind === 'unknown') version = await this.readBack(value);
+    if (version === undefined) {
       void store.call({kind: 'revokeLease', leaseId}, ANSWER_MS);
       await sleep(RETRY_MS * Math.random());
       return;
     }
-    logger.write('info', 'steward', 'lease gained', {term, leaseId});
+    logger.write('info', 'steward', 'lease gained', {version, leaseId});
     this.held = leaseId;
-    await this.hold(leaseId, term, startedAtMs + ttlMs);
+    await this.hold(leaseId, version, startedAtMs + ttlMs);
   }
 
-  /** After a write without answer: the term, when the entry is this node's. */
+  /** After a write without answer: its version, when the entry is this node's. */
   private async readBack(value: string): Promise<number | undefined> {
     const outcome = await this.context.store.call(
       {kind: 'get', key: KEY},
@@ -152,27 +164,32 @@
 
   private async hold(
     leaseId: LeaseId,
-    term: number,
+    version: number,
     firstUntilMs: number,
   ): Promise<void> {
-    const {store, clock, events, logger} = this.context;
+    const {store, clock, events, logger, state} = this.context;
     const ttlMs = Math.max(LEASE_MS, this.context.settings.minLeaseMs);
     let untilMs = firstUntilMs;
-    events.dispatch({type: 'stewardLeaseHeld', term, untilMs});
+    const term = storeVersion.termOf(version);
+    const era = storeVersion.eraOf(version);
+    events.dispatch({type: 'stewardLeaseHeld', term, era, untilMs});
     while (!this.isClosed) {
       await sleep(RENEW_MS);
       if (this.isClosed) return;
       const startedAtMs = clock.nowMs();
       const outcome = await store.call({kind: 'keepAlive', leaseId}, ANSWER_MS);
       const hasLapsed = clock.nowMs() >= untilMs && outcome.kind !== 'ok';
-      if (outcome.kind === 'ok') {
+      const isVoid = era < (state.restore.era ?? 0);
+      if (outcome.kind === 'ok' && !isVoid) {
         untilMs = startedAtMs + ttlMs;
-        events.dispatch({type: 'stewardLeaseHeld', term, untilMs});
+        events.dispatch({type: 'stewardLeaseHeld', term, era, untilMs});
       }
-      if (outcome.kind === 'conflict' || hasLapsed) {
+      if (outcome.kind === 'conflict' || hasLapsed || isVoid) {
         logger.write('warn', 'steward', 'lease lost', {
           term,
           outcome: outcome.kind,
+          era,
+          storeEra: state.restore.era,
         });
         break;
       }
@@ -193,3 +210,8 @@
     return rank * RANK_PAUSE_MS + Math.random() * RANK_PAUSE_MS * 0.5;
   }
 }
+
+/** How the entry of a holder begins; the rest tells one try from the next. */
+function holderStart(nodeId: NodeId): string {
+  return `{"holder":${JSON.stringify(nodeId).slice(0, -1)}/`;
+}
--- a/test/support/kv_standin.ts
+++ b/test/support/kv_standin.ts
@@ -21,6 +21,14 @@
   readonly remove?: readonly string[];
 }
 
+/** What the store held at one moment. */
+interface StoreCopy {
+  readonly items: ReadonlyMap<string, Item>;
+  readonly revision: number;
+  readonly leaseCount: number;
+  readonly ttlsMs: ReadonlyMap<number, number>;
+}
+
 const PAGE_ITEMS = 3;
 
 /** The platform's key-value service in memory, in its published words. Faults are set by hand. */
@@ -32,6 +40,8 @@
   /** Writes take effect and are not answered. */
   losesAnswers = false;
   callCount = 0;
+  /** Rises with each return from a copy. */
+  era = 1;
   private readonly items = new Map<string, Item>();
   private changes: Change[] = [];
   private revision = 1;
@@ -43,12 +53,14 @@
     void this.take(message, response);
   });
 
+  get address(): string {
+    const {port} = this.server.address() as {port: number};
+    return `127.0.0.1:${port}`;
+  }
+
   listen(): Promise<string> {
     return new Promise(resolve => {
-      this.server.listen(0, '127.0.0.1', () => {
-        const address = this.server.address() as {port: number};
-        resolve(`127.0.0.1:${address.port}`);
-      });
+      this.server.listen(0, '127.0.0.1', () => resolve(this.address));
     });
   }
 
@@ -70,6 +82,30 @@
     this.note({key, revision: this.revision});
   }
 
+  takeCopy(): StoreCopy {
+    return {
+      items: new Map(this.items),
+      revision: this.revision,
+      leaseCount: this.leaseCount,
+      ttlsMs: new Map(
+        [...this.leases.keys()].map(lease => [lease, this.ttlsMs.get(lease)!]),
+      ),
+    };
+  }
+
+  /** Comes back as it was when the copy was taken: what was written since is gone, leases too. */
+  comeBack(copy: StoreCopy): void {
+    this.era += 1;
+    this.revision = copy.revision;
+    this.leaseCount = copy.leaseCount;
+    this.items.clear();
+    for (const [key, item] of copy.items) this.items.set(key, item);
+    for (const timer of this.leases.values()) clearTimeout(timer);
+    this.leases.clear();
+    for (const [lease, ttlMs] of copy.ttlsMs) this.arm(lease, ttlMs);
+    this.forgetHistory();
+  }
+
   forgetHistory(): void {
     this.changes = [];
     for (const wake of [...this.waiting]) wake();
@@ -90,7 +126,7 @@
       return;
     }
     if (this.failWith !== undefined) {
-      response.writeHead(this.failWith).end('{}');
+      response.writeHead(this.failWith, this.eraHeader()).end('{}');
       return;
     }
     const url = new URL(message.url!, 'http://store');
@@ -99,10 +135,17 @@
       message.socket.destroy();
       return;
     }
-    response.writeHead(answer.status, {'content-type': 'application/json'});
+    response.writeHead(answer.status, {
+      'content-type': 'application/json',
+      ...this.eraHeader(),
+    });
     response.end(JSON.stringify(answer.body));
   }
 
+  private eraHeader(): Record<string, string> {
+    return {'store-era': String(this.era)};
+  }
+
   private async answer(
     method: string,
     url: URL,
@@ -152,6 +195,7 @@
       this.changes.filter(
         ({key, revision}) => key.startsWith(prefix) && revision > after,
       );
+    if (after > this.revision) return {status: 410, body: {}};
     if (find().length === 0) {
       await new Promise<void>(resolve => {
         const wake = () => {
@@ -163,6 +207,7 @@
         this.waiting.add(wake);
       });
     }
+    if (after > this.revision) return {status: 410, body: {}};
     const oldest = this.changes[0]?.revision ?? this.revision + 1;
     if (after + 1 < oldest && after < this.revision) {
       return {status: 410, body: {}};
--- a/test/support/serving_node.ts
+++ b/test/support/serving_node.ts
@@ -137,6 +137,7 @@
       isLeaving: false,
       isSteward: false,
       changes: [],
+      storeEra: 0,
       configVersion: 1,
       configProofAgeMs: -1,
       engineCount: 3,
@@ -200,6 +201,7 @@
     bornAtMs: 1,
     models: [],
     stagedModels: [],
+    sequence: 1,
     revision: at + 1,
   };
 }
--- /dev/null
+++ b/test/units/platform_adapter/store_copy.test.ts
@@ -0,0 +1,229 @@
+import assert from 'node:assert/strict';
+import {afterEach, describe, it} from 'node:test';
+import type {RawAnswer} from '../../support/raw_engine.js';
+import {AdapterNode} from '../../support/adapter_node.js';
+import {KvPlatformStore} from '../../../platform/store/kv_platform_store.js';
+import {KvStandin} from '../../support/kv_standin.js';
+import {freePorts} from '../../support/free_ports.js';
+import {storeVersion} from '../../../src/core/store/index.js';
+import {waitFor} from '../../support/wait_for.js';
+
+const SIGNED =
+  'HTTP/1.1 200 OK\r\nX-Attempt-Id: attempt-1\r\nX-Response-Signature: signature\r\n';
+/** By then the operator and the engines have written theirs again. */
+const WRITTEN_AGAIN_MS = 2200;
+
+const whole: RawAnswer = socket =>
+  void socket.write(`${SIGNED}Content-Length: 5\r\n\r\nhello`);
+
+const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+describe('a store that came back from a copy', () => {
+  let adapter: AdapterNode;
+  afterEach(() => adapter.close());
+
+  function register(at: number, more: object = {}): void {
+    adapter.store.put(`servers/i-${at}`, {
+      service: 'desk',
+      address: adapter.addresses[at],
+      zone: 'zone-a',
+      version: 'v1',
+      slots: 6,
+      state: 'ready',
+      born: 1000,
+      sequence: 2,
+      ...more,
+    });
+  }
+
+  /** Revisions that the copy lacks and the store gives out again. */
+  function writeMore(count: number): void {
+    for (let at = 0; at < count; at++) adapter.store.put(`other/${at}`, 'x');
+  }
+
+  /** Has the node know the engines by revisions that the copy lacks. */
+  async function writeAgain(count: number): Promise<void> {
+    writeMore(count);
+    zones += 1;
+    for (const at of adapter.addresses.keys()) {
+      register(at, {zone: `zone-${zones}`});
+    }
+    await waitFor('the engines', () =>
+      [...adapter.node.state.engines.values()].every(
+        ({zone}) => zone === `zone-${zones}`,
+      ),
+    );
+  }
+  let zones = 0;
+
+  const targets = () => [...adapter.node.state.targets.keys()].sort().join();
+
+  it('is followed at lower revisions: engines that leave get nothing more', async () => {
+    adapter = await AdapterNode.start([whole, whole, whole]);
+    const copy = adapter.store.takeCopy();
+    await writeAgain(40);
+    adapter.store.comeBack(copy);
+    const [port] = await freePorts(1);
+    const nobody = `127.0.0.1:${port}`;
+    register(0, {state: 'draining', address: nobody, sequence: 3});
+    register(1, {state: 'draining', address: nobody, sequence: 3});
+    await waitFor('one target', () => targets() === 'i-2');
+    for (let count = 0; count < 5; count++) {
+      assert.equal((await adapter.call('safe')).status, 200);
+    }
+  });
+
+  it('does not bring back engines that have left, or were leaving', async () => {
+    adapter = await AdapterNode.start([whole, whole, whole]);
+    const copy = adapter.store.takeCopy();
+    register(0, {state: 'draining'});
+    adapter.store.remove('servers/i-1');
+    await waitFor('one target', () => targets() === 'i-2');
+    const requests = adapter.engines.map(({requests: taken}) => taken.length);
+    adapter.store.comeBack(copy);
+    await waitFor('the new era', () => adapter.node.state.restore.era === 2);
+    const untilMs = Date.now() + WRITTEN_AGAIN_MS - 300;
+    while (Date.now() < untilMs) {
+      assert.equal((await adapter.call('safe')).status, 200);
+      assert.equal(targets(), 'i-2');
+      await sleep(50);
+    }
+    assert.equal(adapter.engines[0]!.requests.length, requests[0]);
+    assert.equal(adapter.engines[1]!.requests.length, requests[1]);
+  });
+
+  it('keeps engines that the copy lacks until they had time to register again', async () => {
+    adapter = await AdapterNode.start([whole, whole]);
+    const copy = adapter.store.takeCopy();
+    const {items} = copy;
+    const early = new Map([...items].filter(([key]) => key !== 'servers/i-1'));
+    adapter.store.comeBack({...copy, items: early});
+    await waitFor('the new era', () => adapter.node.state.restore.era === 2);
+    assert.equal(targets(), 'i-0,i-1');
+    await sleep(WRITTEN_AGAIN_MS - 700);
+    assert.equal(targets(), 'i-0,i-1');
+    await waitFor('its removal', () => targets() === 'i-0');
+  });
+
+  it('leaves the configuration in force while the copy is behind, and brings a later one', async () => {
+    adapter = await AdapterNode.start([whole]);
+    const {store, node} = adapter;
+    const copy = store.takeCopy();
+    writeMore(20);
+    adapter.configure(4);
+    await waitFor('version 4', () => node.state.config?.version === 4);
+    store.comeBack(copy);
+    await waitFor('the new era', () => node.state.restore.era === 2);
+    const provenAtMs = node.state.configProvenAtMs;
+    await sleep(600);
+    assert.equal(node.state.config?.version, 4);
+    assert.equal(node.state.configProvenAtMs, provenAtMs);
+    adapter.configure(4);
+    adapter.configure(7);
+    await waitFor('version 7', () => node.state.config?.version === 7);
+    await waitFor(
+      'a proof',
+      () => node.state.configProvenAtMs > provenAtMs + WRITTEN_AGAIN_MS,
+    );
+  });
+
+  it('ends a stewardship at once, and the next has a later term', async () => {
+    adapter = await AdapterNode.start([whole]);
+    const {store, node} = adapter;
+    const copy = store.takeCopy();
+    writeMore(50);
+    const {steward} = node.state;
+    await waitFor('lease', () => steward.term !== undefined);
+    const before = steward.term!;
+    store.comeBack(copy);
+    await waitFor('no lease', () => steward.term === undefined);
+    await waitFor('lease again', () => steward.term !== undefined);
+    assert.ok(steward.term! > before);
+    assert.ok(steward.pausedUntilMs > 0);
+  });
+
+  it('is read again when it comes back several times in a row', async () => {
+    adapter = await AdapterNode.start([whole, whole]);
+    const {store} = adapter;
+    const copy = store.takeCopy();
+    for (let count = 0; count < 4; count++) {
+      await writeAgain(10);
+      store.comeBack(copy);
+      await sleep(120);
+    }
+    register(0, {state: 'draining', sequence: 9});
+    await waitFor('one target', () => targets() === 'i-1');
+  });
+});
+
+describe('calls of a store that came back from a copy', () => {
+  let standin: KvStandin;
+  let store: KvPlatformStore;
+  afterEach(async () => {
+    await store.close();
+    standin.close();
+  });
+
+  async function start(): Promise<void> {
+    standin = new KvStandin();
+    store = new KvPlatformStore(await standin.listen());
+  }
+
+  it('renew no lease of an earlier era, whose number may be that of another', async () => {
+    await start();
+    const copy = standin.takeCopy();
+    const granted = await store.call({kind: 'grantLease', ttlMs: 5000}, 500);
+    assert.ok(granted.kind === 'ok' && granted.leaseId !== undefined);
+    const {leaseId} = granted;
+    standin.comeBack(copy);
+    const other = new KvPlatformStore(standin.address);
+    await other.call({kind: 'grantLease', ttlMs: 5000}, 500);
+    await other.close();
+    const renewed = await store.call({kind: 'keepAlive', leaseId}, 500);
+    assert.deepEqual(renewed, {kind: 'conflict', era: 2});
+    const before = standin.callCount;
+    await store.call({kind: 'revokeLease', leaseId}, 500);
+    assert.equal(standin.callCount, before);
+  });
+
+  it('order changes by era and revision, and go on from none of an earlier era', async () => {
+    await start();
+    const copy = standin.takeCopy();
+    for (let at = 0; at < 5; at++) standin.put('area/a', `old ${at}`);
+    const first = await store.call({kind: 'list', prefix: 'area/'}, 500);
+    standin.comeBack(copy);
+    standin.put('area/a', 'new');
+    const sinceVersion = first.kind === 'ok' ? first.version! : 0;
+    const watched = await store.call(
+      {kind: 'watch', prefix: 'area/', sinceVersion, timeoutMs: 50},
+      500,
+    );
+    assert.equal(watched.kind, 'conflict');
+    const second = await store.call({kind: 'get', key: 'area/a'}, 500);
+    assert.ok(second.kind === 'ok' && first.kind === 'ok');
+    const [entry] = second.entries!;
+    assert.ok(entry!.version > first.entries![0]!.version);
+    assert.equal(storeVersion.eraOf(entry!.version), 2);
+    const swapped = await store.call(
+      {
+        kind: 'compareAndSwap',
+        key: 'area/a',
+        expectedVersion: first.entries![0]!.version,
+        value: 'x',
+      },
+      500,
+    );
+    assert.equal(swapped.kind, 'conflict');
+  });
+
+  it('take an answer of an earlier era for none', async () => {
+    await start();
+    standin.era = 5;
+    standin.put('area/a', 'x');
+    assert.equal((await store.call({kind: 'get', key: 'area/a'}, 500)).era, 5);
+    standin.era = 4;
+    assert.deepEqual(await store.call({kind: 'get', key: 'area/a'}, 500), {
+      kind: 'unavailable',
+    });
+  });
+});
--- a/test/units/serving/counted_store.test.ts
+++ b/test/units/serving/counted_store.test.ts
@@ -33,7 +33,10 @@
         write: (_level, _area, message, fields) =>
           void lines.push(`${message} ${JSON.stringify(fields)}`),
       },
-      lostMs => void lines.push(`regained after ${lostMs}`),
+      {
+        regained: lostMs => void lines.push(`regained after ${lostMs}`),
+        era: era => void lines.push(`era ${era}`),
+      },
     );
     for (let at = 0; at < 7; at++) {
       await store.call({kind: 'get', key: 'area/name'}, 100);
