Play returns of the store from copies in virtual time, beside all other faults of replicas

The world's listing keeps what was written when, goes away, and comes back as it was up to ten seconds ago; the old steward believes in its lease until it runs out while another wins it.

--- a/src/core/serving/restore/note_store_era.ts
+++ b/src/core/serving/restore/note_store_era.ts
@@ -19,7 +19,13 @@
   const before = restore.era;
   if (before !== undefined && era <= before) return;
   restore.era = era;
-  if (before === undefined) return;
+  if (before === undefined) {
+    // A node that starts can't tell how long ago the store came back.
+    if (era > 0 && steward.hasTraffic) {
+      steward.pausedUntilMs = nowMs + RELIST_MS;
+    }
+    return;
+  }
   restore.sinceMs = nowMs;
   restore.isRelistDue = true;
   state.holdRemovalsUntilMs = nowMs + RELIST_MS;
--- a/src/replay/serving/serving_engine.ts
+++ b/src/replay/serving/serving_engine.ts
@@ -71,6 +71,7 @@
       membership: undefined,
       models: [],
       bornAtMs: this.world.nowMs,
+      sequence: 0,
     });
   }
 
--- a/src/replay/serving/serving_world.ts
+++ b/src/replay/serving/serving_world.ts
@@ -30,6 +30,7 @@
 import {WorldNetwork} from './world_network.js';
 import {VirtualTime} from '../virtual_time.js';
 import {createServingState, reduceServing} from '../../core/serving/index.js';
+import {storeVersion} from '../../core/store/index.js';
 import {createRandom} from '../../core/random/index.js';
 import {makeId} from '../../core/ids/index.js';
 
@@ -83,7 +84,9 @@
   private readonly callers: WorldCallers;
   private readonly listing = new WorldListing({
     engines: this.engines,
+    nowMs: () => this.nowMs,
     after: (delayMs, run) => this.after(delayMs, run),
+    below: limit => this.random.below(limit),
     tell: change => this.tellNodes(change),
   });
   readonly exchange = new WorldExchange({
@@ -217,14 +220,47 @@
     this.after(LEASE_MS, () => this.electSteward());
   }
 
+  /**
+   * The store is away for a time and comes back as it was before, without the
+   * steward's lease: another node may win it while the old holder still believes.
+   */
+  comeBackFromCopy(options: {
+    readonly ageMs: number;
+    readonly awayMs: number;
+  }): void {
+    if (this.listing.isAway) return;
+    this.listing.isAway = true;
+    this.after(options.awayMs, () => {
+      this.listing.comeBack(options.ageMs);
+      this.steward = undefined;
+      this.after(this.random.below(RENEW_MS), () => this.electSteward());
+      for (const node of this.nodes) {
+        this.after(STORE_MS + this.random.below(FOLLOWER_MS), () => {
+          this.dispatch(node, {
+            type: 'storeEraRead',
+            era: this.listing.era,
+          });
+          this.dispatch(node, {
+            type: 'fleetListed',
+            changes: this.listing.changes(),
+            revision: this.listing.version,
+          });
+        });
+      }
+    });
+  }
+
   private electSteward(): void {
-    if (this.steward) return;
+    if (this.steward || this.listing.isAway) return;
     const candidates = this.nodes.filter(({isUp}) => isUp);
     const next = candidates[this.random.below(candidates.length)];
     if (!next) return;
     this.steward = next;
     this.term += 1;
-    this.renewLease(next, this.term + this.listing.revision * 1000);
+    const {era, version} = this.listing;
+    this.dispatch(next, {type: 'storeEraRead', era});
+    const term = this.term + storeVersion.termOf(version) * 1000;
+    this.renewLease(next, term, era);
   }
 
   /** What became of the requests of callers. */
@@ -290,6 +326,7 @@
 
   /** What a node reads first: the configuration, and the engines that are listed. */
   private startNode(node: WorldNode): void {
+    this.dispatch(node, {type: 'storeEraRead', era: this.listing.era});
     this.dispatch(node, {
       type: 'configRead',
       config: this.config,
@@ -300,7 +337,7 @@
     this.dispatch(node, {
       type: 'fleetListed',
       changes: this.listing.changes(),
-      revision: this.listing.revision,
+      revision: this.listing.version,
     });
   }
 
@@ -355,6 +392,13 @@
       case 'sendDigest':
         this.exchange.deliver(effect);
         break;
+      case 'relistEngines':
+        this.dispatch(node, {
+          type: 'fleetListed',
+          changes: this.listing.changes(),
+          revision: this.listing.version,
+        });
+        break;
       case 'log':
         this.logs.push(
           `${this.nowMs - 1_000_000} ${node.state.nodeId} ${effect.message} ${JSON.stringify(effect.fields)}`,
@@ -391,11 +435,11 @@
     }
   }
 
-  private renewLease(node: WorldNode, term: number): void {
+  private renewLease(node: WorldNode, term: number, era: number): void {
     // Without a renewal the node acts until the time of its lease is over.
-    if (this.steward !== node) return;
+    if (this.steward !== node || this.listing.isAway) return;
     const untilMs = this.nowMs + LEASE_MS;
-    this.dispatch(node, {type: 'stewardLeaseHeld', term, untilMs});
-    this.after(RENEW_MS, () => this.renewLease(node, term));
+    this.dispatch(node, {type: 'stewardLeaseHeld', term, era, untilMs});
+    this.after(RENEW_MS, () => this.renewLease(node, term, era));
   }
 }
--- /dev/null
+++ b/test/support/replica_faults.ts
@@ -0,0 +1,100 @@
+import fc from 'fast-check';
+import type {ServingWorld} from '../../src/replay/serving/index.js';
+
+const FAULTS = [
+  'lose-silent',
+  'lose',
+  'restart',
+  'leave',
+  'slow',
+  'steward-lost',
+  'steward-cut',
+  'late-orders',
+  'head-cut',
+  'hidden',
+  'head-hidden',
+  'add',
+] as const;
+
+/** A fault of any kind, some time after the one before. */
+export const replicaFault = fc.record({
+  kind: fc.constantFrom(...FAULTS),
+  afterMs: fc.integer({min: 0, max: 1500}),
+  at: fc.nat({max: 1000}),
+});
+/** One fault of a schedule; `at` chooses what it hits. */
+export type ReplicaFault = {
+  readonly kind: (typeof FAULTS)[number];
+  readonly afterMs: number;
+  readonly at: number;
+};
+
+/** Brings a fault about. */
+export function applyReplicaFault(
+  world: ServingWorld,
+  {kind, at}: ReplicaFault,
+): void {
+  const engines = [...world.engines.values()];
+  const engine = engines[at % engines.length]!;
+  const {vmId} = engine.record;
+  switch (kind) {
+    case 'lose-silent':
+    case 'lose':
+      if (engine.isUp) {
+        world.loseEngine(vmId, {isSilent: kind === 'lose-silent'});
+        world.after(4500, () => !engine.isUp && world.restartEngine(vmId));
+      }
+      break;
+    case 'restart':
+      if (engine.isUp) {
+        engine.crash(false);
+        engine.restart();
+      }
+      break;
+    case 'leave':
+      if (engine.isUp && at % 3 === 0) {
+        engine.leaveService();
+        world.after(4000, () => {
+          if (engine.isUp) world.loseEngine(vmId, {isSilent: false});
+        });
+      }
+      break;
+    case 'slow':
+      engine.slowness = 4;
+      world.after(5000, () => (engine.slowness = 1));
+      break;
+    case 'steward-lost':
+      world.loseSteward();
+      break;
+    case 'steward-cut':
+      world.cutSteward();
+      break;
+    case 'late-orders':
+      world.network.lateOrderShare = 0.5;
+      world.after(4000, () => (world.network.lateOrderShare = 0));
+      break;
+    case 'head-cut': {
+      const head = engines.find(one => one.isServing);
+      if (!head) break;
+      const cut = head.record.vmId;
+      // Cut off from half of the nodes; the store or others hear it.
+      const parity = at % 2;
+      world.network.isReachable = (node, to) =>
+        to !== cut || Number(node.slice(1)) % 2 === parity;
+      world.after(4000, () => (world.network.isReachable = () => true));
+      break;
+    }
+    case 'hidden':
+      if (engine.isUp) world.hideEngine(vmId, 5000 + at);
+      break;
+    case 'head-hidden': {
+      const heads = engines.filter(one => one.isServing);
+      const head = heads[at % Math.max(1, heads.length)];
+      if (head) world.hideEngine(head.record.vmId, 5000 + at);
+      break;
+    }
+    case 'add':
+      world.addEngine(`d${at % 3}`);
+      break;
+  }
+}
--- /dev/null
+++ b/test/units/steward/store_copy_properties.test.ts
@@ -0,0 +1,93 @@
+import assert from 'node:assert/strict';
+import fc from 'fast-check';
+import {describe, it} from 'node:test';
+import type {ReplicaFault} from '../../support/replica_faults.js';
+import {
+  SERVING_MODELS,
+  ServingWorld,
+  sendLoad,
+} from '../../../src/replay/serving/index.js';
+import {applyReplicaFault, replicaFault} from '../../support/replica_faults.js';
+import {createRandom} from '../../../src/core/random/index.js';
+import {propertyOptions} from '../../support/property_options.js';
+
+const copy = fc.record({
+  kind: fc.constant('copy' as const),
+  afterMs: fc.integer({min: 0, max: 2500}),
+  ageMs: fc.integer({min: 0, max: 10_000}),
+  awayMs: fc.integer({min: 100, max: 5000}),
+});
+const nodesLost = fc.record({
+  kind: fc.constant('nodes-lost' as const),
+  afterMs: fc.integer({min: 0, max: 1500}),
+  downMs: fc.integer({min: 500, max: 2000}),
+});
+type ValueOf<T> = T extends fc.Arbitrary<infer U> ? U : never;
+type Fault = ReplicaFault | ValueOf<typeof copy> | ValueOf<typeof nodesLost>;
+
+function createWorld(seed: number): ServingWorld {
+  const world = new ServingWorld({
+    seed,
+    nodeCount: 4,
+    domainCount: 3,
+    domainSize: 11,
+  });
+  world.runFor(5000);
+  return world;
+}
+
+function apply(world: ServingWorld, fault: Fault): void {
+  if (fault.kind === 'copy') world.comeBackFromCopy(fault);
+  else if (fault.kind === 'nodes-lost') world.loseNodes(fault.downMs);
+  else applyReplicaFault(world, fault);
+}
+
+describe('replicas while the store comes back from copies', () => {
+  it('never serve with a member that was not ready, and never share a member', () => {
+    fc.assert(
+      fc.property(
+        fc.integer({min: 1, max: 1e6}),
+        fc.array(fc.oneof(copy, copy, nodesLost, replicaFault), {
+          minLength: 3,
+          maxLength: 12,
+        }),
+        (seed, faults) => {
+          const world = createWorld(seed);
+          sendLoad(world, createRandom(seed), {
+            forMs: 16_000,
+            perS: () => 25,
+          });
+          for (const one of faults) {
+            world.runFor(one.afterMs);
+            apply(world, one);
+          }
+          world.runFor(12_000);
+          assert.deepEqual(world.breaches, []);
+        },
+      ),
+      propertyOptions(60, 20261206),
+    );
+  });
+
+  it('serve again after the last return', () => {
+    fc.assert(
+      fc.property(
+        fc.integer({min: 1, max: 1e6}),
+        fc.array(copy, {minLength: 1, maxLength: 4}),
+        (seed, faults) => {
+          const world = createWorld(seed);
+          world.hasTraffic = true;
+          for (const one of faults) {
+            world.runFor(one.afterMs);
+            apply(world, one);
+          }
+          world.runFor(25_000);
+          const {large, small} = SERVING_MODELS;
+          assert.ok(world.countServing(large) >= 3);
+          assert.ok(world.countServing(small) >= 3);
+        },
+      ),
+      propertyOptions(25, 20261207),
+    );
+  });
+});
