Never take a copy's older entry of an engine for its newest word

An entry of an earlier sequence in the same life is now older for good; one of the same sequence until copies of engines that are gone have lapsed too.

--- a/src/core/serving/apply_digest.ts
+++ b/src/core/serving/apply_digest.ts
@@ -111,12 +111,14 @@
 function applyDeparted({state, nowMs}: ServingStep, digest: LoadDigest): void {
   for (const {vmId, address, bornAtMs, ageMs} of digest.departed) {
     if (state.engines.has(vmId) || state.departed.has(vmId)) continue;
-    // The age of its last entry isn't told: any later one in the list counts.
+    // What it wrote last isn't told: any entry counts as later.
     const sequence = -1;
+    const revision = 0;
     state.departed.set(vmId, {
       address,
       bornAtMs,
       sequence,
+      revision,
       atMs: nowMs - ageMs,
     });
   }
--- a/src/core/serving/apply_fleet.ts
+++ b/src/core/serving/apply_fleet.ts
@@ -113,7 +113,13 @@
   if (record) {
     const {address, bornAtMs, sequence, revision} = record;
     state.revisionSum -= storeVersion.checksumOf(revision);
-    state.departed.set(vmId, {address, bornAtMs, sequence, atMs: nowMs});
+    state.departed.set(vmId, {
+      address,
+      bornAtMs,
+      sequence,
+      revision,
+      atMs: nowMs,
+    });
   }
   state.engines.delete(vmId);
   state.heldRemovals.delete(vmId);
--- a/src/core/serving/restore/end_restore.ts
+++ b/src/core/serving/restore/end_restore.ts
@@ -1,15 +1,15 @@
 import type {ServingStep} from '../types.js';
-import {isRestoring} from './is_restoring.js';
+import {isSettled} from './is_settled.js';
 import {logDecision} from '../log_decision.js';
 
-/** Lists the engines once more when those that live have written their entries again. */
+/** Lists the engines once more when those that live have written their entries again, and those of others have lapsed. */
 export function endRestore(step: ServingStep): void {
   const {state, nowMs} = step;
   const {restore} = state;
-  if (!restore.isRelistDue || isRestoring(state, nowMs)) return;
+  if (!restore.isRelistDue || !isSettled(state, nowMs)) return;
   restore.isRelistDue = false;
   step.effects.push({type: 'relistEngines'});
-  logDecision(step, 'info', 'store', 'entries should be written again', {
+  logDecision(step, 'info', 'store', 'return of the store is over', {
     era: restore.era,
     afterMs: Math.round(nowMs - restore.sinceMs),
     engines: state.engines.size,
--- a/src/core/serving/restore/types.ts
+++ b/src/core/serving/restore/types.ts
@@ -4,6 +4,6 @@
   era?: number;
   /** When this era was first heard of, after another; -Infinity for the first. */
   sinceMs: number;
-  /** The engines are listed once more when what was lost should be written again. */
+  /** The engines are to be listed once more when the return is over. */
   isRelistDue: boolean;
 }
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -199,7 +199,9 @@
   /** Last records of engines that the store no longer lists: they may live on. */
   readonly departed: Map<
     VmId,
-    {address: string; bornAtMs: number; sequence: number; atMs: number}
+    Pick<EngineRecord, 'address' | 'bornAtMs' | 'sequence' | 'revision'> & {
+      atMs: number;
+    }
   >;
   /** When a node was last heard for the first time. */
   newPeerAtMs: number;
