--- a/src/targets/stream_relay.ts
+++ b/src/targets/stream_relay.ts
@@ -21,7 +21,7 @@
     if (this.isDone) return true;
     const {events, count, done} = this.splitter.split(chunk);
     this.isDone = done;
-    if (count === 0) return true;
+    if (count === 0) return this.passComments(events);
     this.tokens += count;
     const {answer, response} = this;
     if (!answer.headSent) {
@@ -33,6 +33,13 @@
     return mayGoOn;
   }
 
+  /** A sign of life of the target, which is no progress of its answer. */
+  private passComments(comments: Buffer): boolean {
+    const {answer} = this;
+    if (comments.length === 0 || !answer.headSent) return true;
+    return answer.write(comments);
+  }
+
   finish(): boolean {
     if (!this.isDone) return false;
     const {answer, response} = this;
--- a/test/units/steward/replica_properties.test.ts
+++ b/test/units/steward/replica_properties.test.ts
@@ -1,14 +1,11 @@
 import assert from 'node:assert/strict';
 import fc from 'fast-check';
 import {describe, it} from 'node:test';
-import {
-  SERVING_MODELS,
-  ServingWorld,
-  sendLoad,
-} from '../../../src/replay/serving/index.js';
+import {SERVING_MODELS, sendLoad} from '../../../src/replay/serving/index.js';
 import {applyReplicaFault, replicaFault} from '../../support/replica_faults.js';
 import {createRandom} from '../../../src/core/random/index.js';
 import {propertyOptions} from '../../support/property_options.js';
+import {startReplicaWorld} from '../../support/start_replica_world.js';
 
 describe('replicas under faults', () => {
   it('never serve with a member that was not ready, never share a member, and keep to the rate of loads', () => {
@@ -17,13 +14,7 @@
         fc.integer({min: 1, max: 1e6}),
         fc.array(replicaFault, {minLength: 4, maxLength: 16}),
         (seed, faults) => {
-          const world = new ServingWorld({
-            seed,
-            nodeCount: 4,
-            domainCount: 3,
-            domainSize: 11,
-          });
-          world.runFor(5000);
+          const world = startReplicaWorld(seed);
           sendLoad(world, createRandom(seed), {
             forMs: 16_000,
             perS: () => 25,
@@ -46,13 +37,7 @@
         fc.integer({min: 1, max: 1e6}),
         fc.array(replicaFault, {minLength: 1, maxLength: 6}),
         (seed, faults) => {
-          const world = new ServingWorld({
-            seed,
-            nodeCount: 4,
-            domainCount: 3,
-            domainSize: 11,
-          });
-          world.runFor(5000);
+          const world = startReplicaWorld(seed);
           world.hasTraffic = true;
           for (const one of faults.filter(({kind}) => kind !== 'leave')) {
             world.runFor(one.afterMs);
--- a/test/units/steward/store_copy_properties.test.ts
+++ b/test/units/steward/store_copy_properties.test.ts
@@ -2,14 +2,12 @@
 import fc from 'fast-check';
 import {describe, it} from 'node:test';
 import type {ReplicaFault} from '../../support/replica_faults.js';
-import {
-  SERVING_MODELS,
-  ServingWorld,
-  sendLoad,
-} from '../../../src/replay/serving/index.js';
+import type {ServingWorld} from '../../../src/replay/serving/index.js';
+import {SERVING_MODELS, sendLoad} from '../../../src/replay/serving/index.js';
 import {applyReplicaFault, replicaFault} from '../../support/replica_faults.js';
 import {createRandom} from '../../../src/core/random/index.js';
 import {propertyOptions} from '../../support/property_options.js';
+import {startReplicaWorld} from '../../support/start_replica_world.js';
 
 const copy = fc.record({
   kind: fc.constant('copy' as const),
@@ -25,17 +23,6 @@
 type ValueOf<T> = T extends fc.Arbitrary<infer U> ? U : never;
 type Fault = ReplicaFault | ValueOf<typeof copy> | ValueOf<typeof nodesLost>;
 
-function createWorld(seed: number): ServingWorld {
-  const world = new ServingWorld({
-    seed,
-    nodeCount: 4,
-    domainCount: 3,
-    domainSize: 11,
-  });
-  world.runFor(5000);
-  return world;
-}
-
 function apply(world: ServingWorld, fault: Fault): void {
   if (fault.kind === 'copy') world.comeBackFromCopy(fault);
   else if (fault.kind === 'nodes-lost') world.loseNodes(fault.downMs);
@@ -52,7 +39,7 @@
           maxLength: 12,
         }),
         (seed, faults) => {
-          const world = createWorld(seed);
+          const world = startReplicaWorld(seed);
           sendLoad(world, createRandom(seed), {
             forMs: 16_000,
             perS: () => 25,
@@ -75,7 +62,7 @@
         fc.integer({min: 1, max: 1e6}),
         fc.array(copy, {minLength: 1, maxLength: 4}),
         (seed, faults) => {
-          const world = createWorld(seed);
+          const world = startReplicaWorld(seed);
           world.hasTraffic = true;
           for (const one of faults) {
             world.runFor(one.afterMs);
