Exchange replicas between models only where that eases the load of the moment

In the crest of the small model (seconds 12 to 18) four of its replicas were closed, at 12 to 14 of 18 slots, for the large one at 9: by the expected shares of work it lacked engines.

Now the model that gives must stay no busier than the one that gets, by the requests in flight that nodes tell; a model that is full gets a replica from one that stays below that.

--- a/src/core/steward/rebalance_models.ts
+++ b/src/core/steward/rebalance_models.ts
@@ -6,6 +6,7 @@
 import {giveOrder} from './give_order.js';
 import {planExchange} from './plan_exchange.js';
 import {noteLoad} from './note_load.js';
+import {easesLoad} from './eases_load.js';
 import {freeEngines} from './free_engines.js';
 import {setPhase} from './set_phase.js';
 import {supplyOf} from './supply_of.js';
@@ -63,6 +64,7 @@
   }
   const best = options.sort((a, b) => a.cold.length - b.cold.length)[0];
   if (!best) return;
+  if (!easesLoad(state, short, rich, best, costs.slotCount)) return;
   if (best.cold.length > 0) {
     prepareEngines(step, costs, short, best);
     return;
