Log the prompt parts of requests on crashed targets, unconfirmed crashes, and suspects that peers report

The logs couldn't tell the hypotheses apart: they named whole requests by a hash. Nodes now read the ids of the shared parts of a prompt (all but the last, which is the request's own), and `target lost while running` names them, with the request's id and whether it had begun to answer. `crash not confirmed` says that a probe was answered or had no reply; `peer reports crash suspect` says what a node takes over. No decision changes.

--- a/src/core/ids/types.ts
+++ b/src/core/ids/types.ts
@@ -26,6 +26,8 @@
 export type OnceKey = Branded<'OnceKey'>;
 /** Hash of organisation, service and body; identifies a request that a caller sends again. */
 export type Fingerprint = Branded<'Fingerprint'>;
+/** A part of a prompt that several requests may share, such as a system prompt or a document. */
+export type PromptPartId = Branded<'PromptPartId'>;
 /** Correlates an effect with the event that carries its result. */
 export type OperationId = Branded<'OperationId'>;
 /** An order to an engine. */
--- a/src/core/serving/apply_digest.ts
+++ b/src/core/serving/apply_digest.ts
@@ -54,6 +54,12 @@
   for (const {fingerprint, losses, leftMs} of digest.suspects) {
     const previous = state.crashSuspects.get(fingerprint);
     if (previous && previous.losses >= losses) continue;
+    logDecision(step, 'info', 'requests', 'peer reports crash suspect', {
+      fingerprint,
+      losses,
+      previousLosses: previous?.losses ?? 0,
+      peer: digest.from,
+    });
     state.crashSuspects.set(fingerprint, {
       losses,
       untilMs: nowMs + leftMs,
--- a/src/core/serving/attempt_handlers.ts
+++ b/src/core/serving/attempt_handlers.ts
@@ -109,7 +109,7 @@
     }
     recordTargetFailure(step, vmId, failure);
     if (fault === 'broken') {
-      crashDetection.broken(step, record, vmId);
+      crashDetection.broken(step, record, attempt);
     }
     retryRequest(step, record);
     dispatchWaiting(step, record.pool);
--- a/src/core/serving/crash_detection.ts
+++ b/src/core/serving/crash_detection.ts
@@ -1,5 +1,12 @@
 import type {Fingerprint, VmId} from '../ids/index.js';
-import type {RequestRecord, ServingStep} from './types.js';
+import type {
+  AttemptRecord,
+  BrokenRun,
+  CrashCheck,
+  RequestRecord,
+  ServingEvent,
+  ServingStep,
+} from './types.js';
 import {logDecision} from './log_decision.js';
 import {markEngineLost} from '../steward/mark_engine_lost.js';
 
@@ -19,37 +26,60 @@
  */
 export const crashDetection = {
   /** Handles a connection that broke while the target was running the request: starts a check of the target. */
-  broken(step: ServingStep, record: RequestRecord, vmId: VmId): void {
+  broken(
+    step: ServingStep,
+    record: RequestRecord,
+    {vmId, hasStarted, sentAtMs}: AttemptRecord,
+  ): void {
     const {state, nowMs} = step;
     const engine = state.engines.get(vmId);
     if (!engine) return;
     const {crashChecks} = state;
     const previous = crashChecks.get(vmId);
-    const check =
+    const check: CrashCheck =
       previous && previous.bornAtMs === engine.bornAtMs
         ? previous
         : {
             bornAtMs: engine.bornAtMs,
             atMs: nowMs,
-            fingerprints: new Set<Fingerprint>(),
+            runs: new Map(),
           };
     crashChecks.set(vmId, check);
-    check.fingerprints.add(record.request.fingerprint);
+    const {requestId, callerId, fingerprint, sharedPartIds} = record.request;
+    check.runs.set(fingerprint, {
+      requestId,
+      callerId,
+      sharedPartIds,
+      hasStarted,
+      ranMs: Math.round(nowMs - sentAtMs),
+    });
     const {address} = engine;
     if (check !== previous) {
       step.effects.push({type: 'probeEngine', vmId, address});
     }
   },
 
-  /** Handles a target that refuses connections, which means that its process has ended. */
-  refused(step: ServingStep, vmId: VmId): void {
-    const {state} = step;
+  /** Handles the result of a probe: a target that refuses connections has ended its process. */
+  probed(
+    step: ServingStep,
+    {vmId, outcome}: Extract<ServingEvent, {type: 'probeAnswered'}>,
+  ): void {
+    const {state, nowMs} = step;
     const check = state.crashChecks.get(vmId);
     if (!check) return;
+    if (outcome !== 'refused') {
+      logDecision(step, 'info', 'requests', 'crash not confirmed', {
+        target: vmId,
+        outcome,
+        requests: check.runs.size,
+        sinceBrokenMs: Math.round(nowMs - check.atMs),
+      });
+      return;
+    }
     state.crashChecks.delete(vmId);
     markEngineLost(step, vmId, 'connection refused after a connection broke');
-    for (const fingerprint of check.fingerprints) {
-      recordLoss(step, fingerprint, vmId);
+    for (const [fingerprint, run] of check.runs) {
+      recordLoss(step, fingerprint, vmId, run);
     }
   },
 
@@ -66,6 +96,7 @@
   step: ServingStep,
   fingerprint: Fingerprint,
   vmId: VmId,
+  run: BrokenRun,
 ): void {
   const {state, nowMs} = step;
   let suspect = state.crashSuspects.get(fingerprint);
@@ -81,5 +112,6 @@
     fingerprint,
     target: vmId,
     losses: suspect.losses,
+    ...run,
   });
 }
--- a/src/core/serving/reduce_serving.ts
+++ b/src/core/serving/reduce_serving.ts
@@ -91,9 +91,7 @@
       break;
     case 'probeAnswered':
       recordProbeResult(step, event);
-      if (event.outcome === 'refused') {
-        crashDetection.refused(step, event.vmId);
-      }
+      crashDetection.probed(step, event);
       break;
     case 'engineAnnounced':
       applyAnnouncement(step, event);
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -13,6 +13,7 @@
   ModelName,
   NodeId,
   OrganisationId,
+  PromptPartId,
   RequestId,
   ServiceName,
   VmId,
@@ -37,6 +38,8 @@
   readonly arrivedAtMs: number;
   readonly model?: ModelName;
   readonly promptTokens: number;
+  /** Parts of the prompt that other requests may share, in order. */
+  readonly sharedPartIds: readonly PromptPartId[];
   /** Identifies the request's content, so that one that crashes targets is recognised when it is sent again. */
   readonly fingerprint: Fingerprint;
 }
@@ -149,7 +152,18 @@
   readonly bornAtMs: number;
   readonly atMs: number;
   /** Requests whose connections to the target broke. */
-  readonly fingerprints: Set<Fingerprint>;
+  readonly runs: Map<Fingerprint, BrokenRun>;
+}
+
+/** A request that was running at a target when the connection broke. */
+export interface BrokenRun {
+  readonly requestId: RequestId;
+  readonly callerId: string;
+  readonly sharedPartIds: readonly PromptPartId[];
+  /** The first event had arrived. */
+  readonly hasStarted: boolean;
+  /** Time since the request was sent to the target. */
+  readonly ranMs: number;
 }
 
 /** A request that was running at targets whose processes ended. */
--- a/src/replay/serving/simulated_callers.ts
+++ b/src/replay/serving/simulated_callers.ts
@@ -71,6 +71,7 @@
         callerTimeoutMs: route.timeoutMs,
         model: request.model,
         promptTokens: request.promptTokens,
+        sharedPartIds: request.sharedPartIds ?? [],
         fingerprint: makeId(`f${this.outcomes.length}`),
       },
     };
--- a/src/replay/serving/types.ts
+++ b/src/replay/serving/types.ts
@@ -74,6 +74,8 @@
   readonly path: string;
   readonly model: ServingRequest['model'];
   readonly promptTokens: number;
+  /** Parts of the prompt that other requests may share; none by default. */
+  readonly sharedPartIds?: ServingRequest['sharedPartIds'];
   /** Number of events of the complete response. */
   readonly events: number;
   readonly apiKey?: string;
--- a/src/serving/front_server.ts
+++ b/src/serving/front_server.ts
@@ -172,6 +172,7 @@
         arrivedAtMs,
         model: head.model,
         promptTokens: head.promptTokens,
+        sharedPartIds: head.sharedPartIds,
         fingerprint: fingerprintOf(path, head, body),
       },
     });
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -5,7 +5,13 @@
 import type {EventSink} from '../runtime/types.js';
 import type {IncomingHttpHeaders, OutgoingHttpHeaders} from 'node:http';
 import type {Logger} from '../logging/types.js';
-import type {ModelName, NodeId, VmId, ZoneId} from '../core/ids/index.js';
+import type {
+  ModelName,
+  NodeId,
+  PromptPartId,
+  VmId,
+  ZoneId,
+} from '../core/ids/index.js';
 import type {NodeMetrics} from '../metrics/types.js';
 import type {SharedTimer} from './shared_timer.js';
 import type {PlatformStore} from '../core/store/types.js';
@@ -25,6 +31,8 @@
   readonly model?: ModelName;
   /** 0 when the caller doesn't give it. */
   readonly promptTokens: number;
+  /** Parts of the prompt that other requests may share, in order; the last part is the request's own and is left out. */
+  readonly sharedPartIds: readonly PromptPartId[];
   /** Id of the last event that the caller has received, when it resumes a stream. */
   readonly lastEventId?: string;
 }
--- a/test/support/serving_node_harness.ts
+++ b/test/support/serving_node_harness.ts
@@ -107,6 +107,7 @@
         callerTimeoutMs: 3000,
         arrivedAtMs: this.nowMs,
         promptTokens: 0,
+        sharedPartIds: [],
         fingerprint: makeId<Fingerprint>(`f${this.count}`),
         ...overrides,
       },
--- a/test/units/platform_adapter/decoders.test.ts
+++ b/test/units/platform_adapter/decoders.test.ts
@@ -122,6 +122,7 @@
         fc.record({
           'x-token-count': value,
           'x-deadline-ms': value,
+          'x-prefix-hash': value,
           authorization: value,
           'x-instance-load': value,
           'retry-after': value,
@@ -149,6 +150,21 @@
     );
   });
 
+  it('read the shared parts of a prompt and leave out the last one', () => {
+    const sharedPartsOf = (text: string) =>
+      callerWire.readCaller({'x-prefix-hash': text}).sharedPartIds;
+    assert.deepEqual(sharedPartsOf('5c1e07a2:800,91bd3f06:410,e4402b7d:250'), [
+      '5c1e07a2',
+      '91bd3f06',
+    ]);
+    assert.deepEqual(sharedPartsOf('5c1e07a2:800'), []);
+    assert.deepEqual(sharedPartsOf(''), []);
+    assert.deepEqual(sharedPartsOf(',:7, a ,b:1'), ['a']);
+    assert.deepEqual(sharedPartsOf(`${'x'.repeat(65)}:1,a:1,b:1`), ['a']);
+    assert.equal(sharedPartsOf('a:1,'.repeat(100)).length, 32);
+    assert.deepEqual(callerWire.readCaller({}).sharedPartIds, []);
+  });
+
   it('reject datagrams that are not digests', () => {
     fc.assert(
       fc.property(fc.oneof(fc.uint8Array(), fc.json()), bytes => {
