--- a/src/replay/serving/send_load.ts
+++ b/src/replay/serving/send_load.ts
@@ -1,3 +1,4 @@
+import type {PromptPartId} from '../../core/ids/index.js';
 import type {Random} from '../../core/random/index.js';
 import type {ServingWorld} from './serving_world.js';
 import {SERVING_MODELS} from './serving_models.js';
@@ -35,6 +36,8 @@
   readonly durationMs: number;
   /** Request rate at `atMs` after the start of the load, in requests per second. */
   readonly requestsPerS: (atMs: number) => number;
+  /** Shared parts of a request's prompt; none by default. */
+  readonly sharedPartsOf?: (kind: string) => readonly PromptPartId[];
 }
 
 /** Schedules a mix of streaming requests of different sizes, with Poisson arrivals. */
@@ -54,6 +57,7 @@
         kind: requestKind.kind,
         path: requestKind.path,
         model: requestKind.model,
+        sharedPartIds: shape.sharedPartsOf?.(requestKind.kind) ?? [],
         promptTokens: Math.round(requestKind.promptTokens * sizeFactor),
         events: Math.max(
           1,
--- a/src/replay/serving/serving_engine.ts
+++ b/src/replay/serving/serving_engine.ts
@@ -24,6 +24,8 @@
 /** A simulated engine with the configured costs: it joins replicas and, as their head (rank 0), processes requests in passes of several steps. */
 export class ServingEngine implements VirtualEngineView {
   isUp = true;
+  /** The process has ended while the VM still runs, so that connections are refused. */
+  refusesConnections = false;
   /** Factor by which passes take longer; 1 is normal speed. */
   slowdownFactor = 1;
   /** Whether its responses announce that it is leaving. */
@@ -54,6 +56,7 @@
   /** Ends the process: connections break, or stop responding if the VM has stopped (`isSilent`). */
   crash(isSilent: boolean): void {
     this.isUp = false;
+    this.refusesConnections = !isSilent;
     this.generation += 1;
     const jobs = this.jobs.splice(0);
     if (!isSilent) for (const job of jobs) job.onFail('broken');
@@ -62,6 +65,7 @@
   /** Starts a new process under the same ID; staged weights in the host's memory are kept. */
   restart(): void {
     this.isUp = true;
+    this.refusesConnections = false;
     this.announcesLeaving = false;
     this.generation += 1;
     this.highestEpoch = 0;
@@ -227,6 +231,10 @@
     }
     for (const job of generating) {
       if (!this.jobs.includes(job)) continue;
+      if (job.crashingPartId !== undefined) {
+        this.world.crashByPart(this.record.vmId, job.crashingPartId);
+        return;
+      }
       if (!job.hasStarted) this.world.recordRequestStart(this.record.vmId);
       job.hasStarted = true;
       job.eventsLeft -= 1;
--- a/src/replay/serving/serving_world.ts
+++ b/src/replay/serving/serving_world.ts
@@ -1,12 +1,14 @@
 import type {
   DomainId,
   NodeId,
+  PromptPartId,
   ServiceName,
   VmId,
   ZoneId,
 } from '../../core/ids/index.js';
 import type {
   CallerOutcome,
+  CrashingPartEvent,
   EngineWorld,
   JoinOrder,
   WorldNode,
@@ -46,6 +48,7 @@
 /** Speeds up weight loads before the first request, to shorten the simulated start-up. */
 const INITIAL_LOAD_FACTOR = 0.1;
 const NODE_RESTART_MS = 2500;
+const ENGINE_RESTART_MS = 3000;
 /** Spread of the start times of processes that start together. */
 const START_SPREAD_MS = 400;
 const MAX_SEED = 2 ** 31;
@@ -81,6 +84,8 @@
   private readonly checks: InvariantChecks;
   readonly logs: string[] = [];
   readonly network: SimulatedNetwork;
+  /** Crashes of engines by prompt parts. */
+  readonly crashesByParts: CrashingPartEvent[] = [];
   /** A caller has sent a request. */
   hasTraffic = false;
   private readonly random: Random;
@@ -117,6 +122,7 @@
       engines: this.engines,
       callers: this.callers,
       random: this.random,
+      nowMs: () => this.nowMs,
       after: (delayMs, run) => this.after(delayMs, run),
       dispatch: (node, event) => this.dispatch(node, event),
     });
@@ -184,6 +190,12 @@
     this.registry.dropHeartbeats(vmId, forMs);
   }
 
+  crashByPart(vmId: VmId, partId: PromptPartId): void {
+    this.crashesByParts.push({atMs: this.nowMs, partId});
+    this.crashEngine(vmId, {isSilent: false});
+    this.after(ENGINE_RESTART_MS, () => this.restartEngine(vmId));
+  }
+
   restartEngine(vmId: VmId): void {
     this.engines.get(vmId)!.restart();
   }
@@ -202,6 +214,17 @@
     });
   }
 
+  /** Restarts a node without its state. */
+  restartNode(at: number, downMs: number): void {
+    const node = this.nodes[at]!;
+    node.isUp = false;
+    this.after(downMs, () => {
+      node.state = this.createState(at);
+      node.isUp = true;
+      this.startNode(node);
+    });
+  }
+
   /** Powers off all nodes at once; they restart without their state after `downMs`. */
   powerCycleNodes(downMs: number): void {
     this.steward = undefined;
--- a/src/replay/serving/simulated_callers.ts
+++ b/src/replay/serving/simulated_callers.ts
@@ -50,6 +50,7 @@
     const outcome: CallerOutcome = {
       kind: request.kind,
       model: request.model,
+      sharedPartIds: request.sharedPartIds ?? [],
       promptTokens: request.promptTokens,
       arrivedAtMs: this.world.time.nowMs,
       goalMs: route.goalMs,
--- a/src/replay/serving/simulated_network.ts
+++ b/src/replay/serving/simulated_network.ts
@@ -1,10 +1,15 @@
-import type {AttemptId, NodeId, VmId} from '../../core/ids/index.js';
+import type {
+  AttemptId,
+  NodeId,
+  PromptPartId,
+  VmId,
+} from '../../core/ids/index.js';
 import type {EngineOrder} from '../../core/steward/types.js';
 import type {Random} from '../../core/random/index.js';
 import type {ServingEffect, ServingEvent} from '../../core/serving/types.js';
 import type {ServingEngine} from './serving_engine.js';
 import type {SimulatedCallers} from './simulated_callers.js';
-import type {WorldNode} from './types.js';
+import type {CrashingPartEvent, WorldNode} from './types.js';
 
 const NETWORK_LATENCY_MS = 1;
 const CONNECT_TIMEOUT_MS = 300;
@@ -18,6 +23,7 @@
   readonly engines: ReadonlyMap<VmId, ServingEngine>;
   readonly callers: SimulatedCallers;
   readonly random: Random;
+  nowMs(): number;
   after(delayMs: number, run: () => void): void;
   dispatch(node: WorldNode, event: ServingEvent): void;
 }
@@ -26,6 +32,10 @@
 export class SimulatedNetwork {
   /** Share of orders, 0 to 1, that time out and are executed seconds later. */
   lateOrderShare = 0;
+  /** Prompt parts that crash an engine when it begins to answer a request with them. */
+  readonly crashingPartIds = new Set<PromptPartId>();
+  /** When requests with such a part arrived at engines. */
+  readonly crashingArrivals: CrashingPartEvent[] = [];
   /** Whether a node can reach an engine; tests replace it to simulate partitions. */
   isReachable: (node: NodeId, vmId: VmId) => boolean = () => true;
   private readonly attempts = new Map<AttemptId, VmId>();
@@ -43,7 +53,11 @@
     if (!call || !engine) return;
     this.attempts.set(attemptId, vmId);
     if (!engine.isUp || !this.isReachable(node.state.nodeId, vmId)) {
-      after(CONNECT_TIMEOUT_MS, () =>
+      const {refusesConnections} = engine;
+      const delayMs = refusesConnections
+        ? 2 * NETWORK_LATENCY_MS
+        : CONNECT_TIMEOUT_MS;
+      after(delayMs, () =>
         dispatch(node, {
           type: 'attemptFailed',
           attemptId,
@@ -54,8 +68,16 @@
     }
     const report = (event: ServingEvent) =>
       after(NETWORK_LATENCY_MS, () => dispatch(node, event));
+    const crashingPartId = call.request.sharedPartIds.find(partId =>
+      this.crashingPartIds.has(partId),
+    );
+    if (crashingPartId !== undefined) {
+      const atMs = this.options.nowMs();
+      this.crashingArrivals.push({atMs, partId: crashingPartId});
+    }
     after(NETWORK_LATENCY_MS, () =>
       engine.submit({
+        crashingPartId,
         attemptId,
         urgency: effect.urgency,
         unreadTokens: call.request.promptTokens,
@@ -113,14 +135,16 @@
     const engine = engines.get(vmId);
     const isResponding =
       engine?.isUp === true && this.isReachable(node.state.nodeId, vmId);
-    after(isResponding ? 2 * NETWORK_LATENCY_MS : PROBE_TIMEOUT_MS, () => {
+    const isRefused = engine?.refusesConnections === true;
+    const isAnswered = isResponding || isRefused;
+    after(isAnswered ? 2 * NETWORK_LATENCY_MS : PROBE_TIMEOUT_MS, () => {
       if (isResponding && engine.announcesLeaving) {
         dispatch(node, {type: 'engineAnnounced', vmId, isLeaving: true});
       }
       dispatch(node, {
         type: 'probeAnswered',
         vmId,
-        outcome: isResponding ? 'answered' : 'silent',
+        outcome: isResponding ? 'answered' : isRefused ? 'refused' : 'silent',
         pace: isResponding ? engine.slowdownFactor : undefined,
       });
     });
--- a/src/replay/serving/types.ts
+++ b/src/replay/serving/types.ts
@@ -1,7 +1,7 @@
 import type {AttemptFault} from '../../core/serving/types.js';
 import type {EngineCosts, EngineRecord} from '../../core/fleet/types.js';
 import type {EngineOrder} from '../../core/steward/types.js';
-import type {ModelName, VmId} from '../../core/ids/index.js';
+import type {ModelName, PromptPartId, VmId} from '../../core/ids/index.js';
 import type {ServingRequest, ServingState} from '../../core/serving/types.js';
 
 /** A request at a simulated engine. */
@@ -13,6 +13,8 @@
   /** Number of events that are still to be sent. */
   eventsLeft: number;
   hasStarted: boolean;
+  /** Part of the prompt that ends the engine's process when it would send the first event; undefined for a sound request. */
+  readonly crashingPartId?: PromptPartId;
   readonly onEvent: () => void;
   readonly onEnd: () => void;
   readonly onFail: (fault: AttemptFault) => void;
@@ -33,6 +35,8 @@
   recordReady(vmId: VmId): void;
   recordRequestStart(vmId: VmId): void;
   recordWeightLoad(vmId: VmId): void;
+  /** Ends the engine's process because of a prompt part; it restarts after some seconds. */
+  crashByPart(vmId: VmId, partId: PromptPartId): void;
   /** Factor on the duration of weight loads. */
   weightLoadFactor(): number;
 }
@@ -50,11 +54,18 @@
   readonly isServing: boolean;
 }
 
+/** An event that a crashing prompt part caused: its arrival at an engine, or the engine's crash. */
+export interface CrashingPartEvent {
+  readonly atMs: number;
+  readonly partId: PromptPartId;
+}
+
 /** Outcome of a caller's request, over all attempts of the caller. */
 export interface CallerOutcome {
   /** Kind of request, such as `chat`. */
   readonly kind: string;
   readonly model?: ModelName;
+  readonly sharedPartIds: readonly PromptPartId[];
   readonly promptTokens: number;
   readonly arrivedAtMs: number;
   readonly goalMs: number;
