Suspect prompt parts of crashing engines, from crash reports that all nodes share

What callers saw: streams broke on one engine after the other, 16 to 39 engines in 22 s; 153 of 170 requests that were lost twice, and so refused as suspects, were sound.

Cause: evidence against a request was kept under a hash of its whole content, and no two of the requests that crash engines were alike. What they had in common, one part of their prompts, was in no node's state. The class: evidence under a key that is narrower than its cause. Beside it, counts of nodes did not add up: a peer's count replaced the own one, and a digest carried the twenty suspects that were inserted last.

Now a confirmed crash makes a report: the engine process, its time, the requests that were running there, and the shared parts of those that had not begun to answer. Reports go to all nodes by digests, for 1.5 s and to new peers, and merge by engine process. Suspects are derived from them alike on each node: the smallest set of parts that explains the crashes, and requests that crashed two targets without such a part. Sound parts are kept free by what contradicts suspicion: a run that began to answer after the crash clears its parts everywhere; crashes within 50 ms are one; a suspect explains the losses of parts and requests that were beside it; one request alone says nothing of its parts; and other runs must crash so rarely that the losses are no coincidence. Refusal ends after 60 s (10 s for a part that was sound before) with one trial at a time per node, then twice as long. Waiting requests are refused as soon as they are suspect.

Ruled out: missing detection of crashes (all of some 250 were confirmed within 28 ms).

--- a/src/core/serving/admit_request.ts
+++ b/src/core/serving/admit_request.ts
@@ -1,8 +1,9 @@
 import type {AccessConfig, Organisation} from '../access/types.js';
+import type {CrashMarker} from './crashes/types.js';
 import type {RefusalReason} from './effects.js';
 import type {RequestRecord, ServingRequest, ServingStep} from './types.js';
 import {count} from './count.js';
-import {findCrashSuspect} from './find_crash_suspect.js';
+import {findCrashSuspect} from './crashes/index.js';
 import {estimateFirstSentAtMs} from './estimate_first_sent_at_ms.js';
 import {isAccessProven} from './is_access_proven.js';
 import {hasStoppedAccepting} from './has_stopped_accepting.js';
@@ -72,15 +73,16 @@
   };
   state.requests.set(request.requestId, record);
   retryBudget.recordRequest(state, service, nowMs);
-  const suspect = findCrashSuspect(state, request.fingerprint);
-  if (suspect) {
+  const suspicion = findCrashSuspect(state, request, nowMs);
+  if (suspicion) {
     state.requests.delete(request.requestId);
     refuseOnArrival(
       step,
       request,
       503,
       'crash-suspect',
-      suspect.untilMs - nowMs,
+      suspicion.retryAfterMs,
+      suspicion.marker,
     );
     return;
   }
@@ -101,6 +103,7 @@
   status: 401 | 404 | 503,
   reason: RefusalReason,
   retryAfterMs?: number,
+  suspect?: CrashMarker,
 ): void {
   const {state, nowMs} = step;
   const {requestId, callerId, host, path} = request;
@@ -112,6 +115,7 @@
     status,
     reason,
     retryAfterMs,
+    suspect,
     configVersion: state.config?.version,
     proofAgeMs: Math.round(nowMs - state.configProvenAtMs),
   });
--- a/src/core/serving/apply_digest.ts
+++ b/src/core/serving/apply_digest.ts
@@ -2,6 +2,7 @@
 import {LOST_ENGINE_TTL_MS} from './lost_engine_ttl_ms.js';
 import {acceptsDigest} from './relays/accepts_digest.js';
 import {addPeerLoads} from './add_peer_loads.js';
+import {applyCrashEvidence} from './crashes/index.js';
 import {applyFleet} from './apply_fleet.js';
 import {logDecision} from './log_decision.js';
 import {applyLeavingReports} from './announcements/index.js';
@@ -51,21 +52,7 @@
   };
   state.peers.set(key, view);
   if (!isOutdated && !isRestoring(state, nowMs)) adoptConfigProof(state, view);
-  for (const {fingerprint, losses, leftMs} of digest.suspects) {
-    const previous = state.crashSuspects.get(fingerprint);
-    if (previous && previous.losses >= losses) continue;
-    logDecision(step, 'info', 'requests', 'peer reports crash suspect', {
-      fingerprint,
-      losses,
-      previousLosses: previous?.losses ?? 0,
-      peer: digest.from,
-    });
-    state.crashSuspects.set(fingerprint, {
-      losses,
-      untilMs: nowMs + leftMs,
-      lostTargets: previous?.lostTargets ?? new Set(),
-    });
-  }
+  applyCrashEvidence(step, digest);
   applyLost(step, digest);
   applyDeparted(step, digest);
   applyLeavingReports(step, digest.from, digest.leavingEngines);
--- a/src/core/serving/attempt_handlers.ts
+++ b/src/core/serving/attempt_handlers.ts
@@ -8,7 +8,7 @@
 import {logDecision} from './log_decision.js';
 import {recordEventGap} from './record_event_gap.js';
 import {retryRequest} from './retry_request.js';
-import {crashDetection} from './crash_detection.js';
+import {crashDetection, recordAnswer, recordSurvival} from './crashes/index.js';
 import {markTargetSuspect} from './mark_target_suspect.js';
 import {resolveTargetLoad} from './resolve_target_load.js';
 
@@ -33,7 +33,9 @@
     const attempt = record?.attempt;
     if (!record || !attempt) return;
     const load = resolveTargetLoad(step.state, attempt.vmId);
-    if (attempt.hasStarted) {
+    const hasStarted = attempt.startedAtMs !== undefined;
+    if (hasStarted) {
+      recordSurvival(step, record, attempt);
       const gapMs = (step.nowMs - attempt.progressAtMs) / eventCount;
       recordEventGap(step, attempt.vmId, gapMs);
       count(step, 'eventGapMs', step.nowMs - attempt.progressAtMs, {
@@ -44,8 +46,8 @@
     load.progressAtMs = step.nowMs;
     load.suspectUntilMs = -Infinity;
     load.consecutiveFailures = 0;
-    if (attempt.hasStarted) return;
-    attempt.hasStarted = true;
+    if (hasStarted) return;
+    attempt.startedAtMs = step.nowMs;
     load.unreadTokens -= attempt.promptTokens;
     if (!record.hasPartialResponse) {
       const {arrivedAtMs} = record.request;
@@ -60,22 +62,23 @@
   ended(step: ServingStep, attemptId: AttemptId, status: number): void {
     const {state, nowMs} = step;
     const record = state.requestsByAttempt.get(attemptId);
-    if (!record?.attempt) return;
-    const load = resolveTargetLoad(state, record.attempt.vmId);
+    const attempt = record?.attempt;
+    if (!record || !attempt) return;
+    const load = resolveTargetLoad(state, attempt.vmId);
     load.consecutiveFailures = status >= 500 ? load.consecutiveFailures + 1 : 0;
     load.progressAtMs = nowMs;
-    const {requestId, callerId, arrivedAtMs, fingerprint} = record.request;
+    const {requestId, callerId, arrivedAtMs} = record.request;
     logDecision(step, 'info', 'requests', 'request answered', {
       requestId,
       callerId,
       route: record.route.name,
-      target: record.attempt.vmId,
+      target: attempt.vmId,
       status,
       sends: record.dispatchCount,
       ageMs: Math.round(nowMs - arrivedAtMs),
     });
     count(step, 'requests', 1, {service: record.service, verdict: 'ran'});
-    if (status < 500) state.crashSuspects.delete(fingerprint);
+    if (status < 500) recordAnswer(step, record, attempt);
     endAttempt(state, record);
     removeRequest(step, record);
     dispatchWaiting(step, record.pool);
@@ -97,7 +100,7 @@
       status,
       faultyVmId,
       detail,
-      started: attempt.hasStarted,
+      started: attempt.startedAtMs !== undefined,
       afterMs: Math.round(nowMs - attempt.sentAtMs),
     });
     count(step, 'attemptFaults', 1, {service: record.service, fault});
--- a/src/core/serving/crash_detection.ts
+++ b/src/core/serving/crashes/crash_detection.ts
@@ -1,56 +1,49 @@
-import type {Fingerprint, VmId} from '../ids/index.js';
-import type {
-  AttemptRecord,
-  BrokenRun,
-  CrashCheck,
-  RequestRecord,
-  ServingEvent,
-  ServingStep,
-} from './types.js';
-import {logDecision} from './log_decision.js';
-import {markEngineLost} from '../steward/mark_engine_lost.js';
+import type {AttemptRecord, RequestRecord, ServingStep} from '../types.js';
+import type {CrashCheck} from './types.js';
+import type {VmId} from '../../ids/index.js';
+import type {ServingEvent} from '../events.js';
+import {addCrashReport} from './add_crash_report.js';
+import {logDecision} from '../log_decision.js';
+import {markEngineLost} from '../../steward/mark_engine_lost.js';
 
-/** How long a request remains suspected of crashing its targets. */
-const CRASH_SUSPECT_TTL_MS = 60_000;
 /** A target's process end is attributed to a broken connection within this time. */
 const CRASH_CHECK_TTL_MS = 5000;
 
 /**
- * Detects requests that crash the targets that run them.
+ * Detects crashes of targets and reports the requests that were running there.
  *
  * A broken connection alone is no evidence: heads are taken out of service, and
- * responses are truncated. So the target is probed, and the requests that it was running
- * become suspects only if its process has ended. A request that crashes every target
- * is sent again with the same content, while the other requests on a crashed
- * target are rarely on a second one.
+ * responses are truncated. So the target is probed, and a crash is reported only
+ * if its process has ended.
  */
 export const crashDetection = {
   /** Handles a connection that broke while the target was running the request: starts a check of the target. */
   broken(
     step: ServingStep,
     record: RequestRecord,
-    {vmId, hasStarted, sentAtMs}: AttemptRecord,
+    {vmId, startedAtMs, sentAtMs}: AttemptRecord,
   ): void {
     const {state, nowMs} = step;
     const engine = state.engines.get(vmId);
     if (!engine) return;
-    const {crashChecks} = state;
-    const previous = crashChecks.get(vmId);
+    const {checks} = state.crashes;
+    const previous = checks.get(vmId);
     const check: CrashCheck =
       previous && previous.bornAtMs === engine.bornAtMs
         ? previous
         : {
             bornAtMs: engine.bornAtMs,
             atMs: nowMs,
+            pool: record.pool,
             runs: new Map(),
           };
-    crashChecks.set(vmId, check);
+    checks.set(vmId, check);
     const {requestId, callerId, fingerprint, sharedPartIds} = record.request;
     check.runs.set(fingerprint, {
       requestId,
       callerId,
       sharedPartIds,
-      hasStarted,
+      hasStarted: startedAtMs !== undefined,
       ranMs: Math.round(nowMs - sentAtMs),
     });
     const {address} = engine;
@@ -65,7 +58,7 @@
     {vmId, outcome}: Extract<ServingEvent, {type: 'probeAnswered'}>,
   ): void {
     const {state, nowMs} = step;
-    const check = state.crashChecks.get(vmId);
+    const check = state.crashes.checks.get(vmId);
     if (!check) return;
     if (outcome !== 'refused') {
       logDecision(step, 'info', 'requests', 'crash not confirmed', {
@@ -76,42 +69,40 @@
       });
       return;
     }
-    state.crashChecks.delete(vmId);
+    state.crashes.checks.delete(vmId);
     markEngineLost(step, vmId, 'connection refused after a connection broke');
-    for (const [fingerprint, run] of check.runs) {
-      recordLoss(step, fingerprint, vmId, run);
-    }
+    reportCrash(step, vmId, check);
   },
 
   /** Drops checks of targets whose end was not confirmed in time. */
-  expire(step: ServingStep): void {
-    const {crashChecks} = step.state;
-    for (const [vmId, {atMs}] of crashChecks) {
-      if (step.nowMs - atMs > CRASH_CHECK_TTL_MS) crashChecks.delete(vmId);
+  expire({state, nowMs}: ServingStep): void {
+    const {checks} = state.crashes;
+    for (const [vmId, {atMs}] of checks) {
+      if (nowMs - atMs > CRASH_CHECK_TTL_MS) checks.delete(vmId);
     }
   },
 };
 
-function recordLoss(
+function reportCrash(
   step: ServingStep,
-  fingerprint: Fingerprint,
   vmId: VmId,
-  run: BrokenRun,
+  {bornAtMs, pool, atMs, runs}: CrashCheck,
 ): void {
   const {state, nowMs} = step;
-  let suspect = state.crashSuspects.get(fingerprint);
-  if (!suspect) {
-    suspect = {losses: 0, untilMs: 0, lostTargets: new Set()};
-    state.crashSuspects.set(fingerprint, suspect);
-  }
-  if (suspect.lostTargets.has(vmId)) return;
-  suspect.lostTargets.add(vmId);
-  suspect.losses += 1;
-  suspect.untilMs = nowMs + CRASH_SUSPECT_TTL_MS;
-  logDecision(step, 'warn', 'requests', 'target lost while running', {
+  const entries = [...runs].map(([fingerprint, run]) => ({
     fingerprint,
-    target: vmId,
-    losses: suspect.losses,
-    ...run,
-  });
+    sharedPartIds: run.hasStarted ? [] : run.sharedPartIds,
+  }));
+  addCrashReport(
+    state.crashes,
+    {vmId, bornAtMs, pool, ageMs: nowMs - atMs, runs: entries},
+    nowMs,
+  );
+  for (const [fingerprint, run] of runs) {
+    logDecision(step, 'warn', 'requests', 'target lost while running', {
+      fingerprint,
+      target: vmId,
+      ...run,
+    });
+  }
 }
--- /dev/null
+++ b/src/core/serving/crashes/index.ts
@@ -0,0 +1,11 @@
+export {applyCrashEvidence} from './apply_crash_evidence.js';
+export {crashDetection} from './crash_detection.js';
+export {createCrashState} from './create_crash_state.js';
+export {expireCrashes} from './expire_crashes.js';
+export {findCrashSuspect} from './find_crash_suspect.js';
+export {isCrashSuspect} from './is_crash_suspect.js';
+export {listCrashEvidence} from './list_crash_evidence.js';
+export {recordAnswer} from './record_answer.js';
+export {recordSurvival} from './record_survival.js';
+export {refreshSuspects} from './refresh_suspects.js';
+export type * from './types.js';
--- a/src/core/serving/create_digest.ts
+++ b/src/core/serving/create_digest.ts
@@ -1,4 +1,5 @@
 import type {DigestLoad, LoadDigest, ServingState} from './types.js';
+import {listCrashEvidence} from './crashes/index.js';
 import {isSlow} from './is_slow.js';
 import {toAgeMs} from './to_age_ms.js';
 import {listLeavingReports} from './announcements/index.js';
@@ -7,7 +8,6 @@
 
 /** A target without requests is still included for this long after its last event, so that peers see its progress. */
 const PROGRESS_REPORT_MS = 1000;
-const MAX_SUSPECTS = 20;
 const MAX_DEPARTED = 20;
 /** How long digests include departed engines after a node has started. */
 const NEW_PEER_PERIOD_MS = 2000;
@@ -40,13 +40,6 @@
       isSlow: isSlow(load) && ageMs < PROGRESS_REPORT_MS,
     });
   }
-  const suspects = [...state.crashSuspects]
-    .slice(-MAX_SUSPECTS)
-    .map(([fingerprint, {losses, untilMs}]) => ({
-      fingerprint,
-      losses,
-      leftMs: Math.max(0, Math.round(untilMs - nowMs)),
-    }));
   const lostEngines = [...state.lostEngines]
     .slice(-MAX_ENGINE_REPORTS)
     .map(([vmId, {bornAtMs, atMs}]) => ({
@@ -93,7 +86,7 @@
     revisionSum: state.revisionSum,
     fleetProofAgeMs: toAgeMs(state.fleetReadAtMs, nowMs),
     loads,
-    suspects,
+    ...listCrashEvidence(state, hasNewPeer(state, nowMs), nowMs),
     lostEngines,
     leavingEngines: listLeavingReports(state, nowMs),
   };
--- a/src/core/serving/create_serving_state.ts
+++ b/src/core/serving/create_serving_state.ts
@@ -1,6 +1,7 @@
 import type {NodeId, ZoneId} from '../ids/index.js';
 import type {ServingBounds, ServingState} from './types.js';
 import {createAnnouncementState} from './announcements/index.js';
+import {createCrashState} from './crashes/index.js';
 import {createExchangeState} from './relays/create_exchange_state.js';
 import {createRandom} from '../random/index.js';
 import {createRestoreState} from './restore/index.js';
@@ -73,8 +74,7 @@
     requestsByAttempt: new Map(),
     waitingByPool: new Map(),
     retryWindows: new Map(),
-    crashChecks: new Map(),
-    crashSuspects: new Map(),
+    crashes: createCrashState(),
     hasExited: false,
     steward: createStewardState(!(options.isFirstStart ?? false)),
   };
--- a/src/core/serving/dispatch_waiting.ts
+++ b/src/core/serving/dispatch_waiting.ts
@@ -1,5 +1,6 @@
 import type {Placement, RequestRecord, ServingStep} from './types.js';
 import {resolvePoolBackoffMs} from './announcements/index.js';
+import {findCrashSuspect} from './crashes/index.js';
 import {refuseRequest} from './refuse_request.js';
 import {retryAfterMs} from './retry_after_ms.js';
 import {selectTarget} from './select_target.js';
@@ -30,6 +31,14 @@
   if (!waiting || waiting.length === 0) return;
   waiting.sort((a, b) => compareUrgency(a, b, nowMs));
   for (const record of [...waiting]) {
+    const suspicion = findCrashSuspect(state, record.request, nowMs);
+    if (suspicion) {
+      refuseRequest(step, record, {
+        reason: 'crash-suspect',
+        retryAfterMs: suspicion.retryAfterMs,
+      });
+      continue;
+    }
     const placement = selectTarget(step, record);
     if (placement && canDispatch(record, placement, nowMs)) {
       waiting.splice(waiting.indexOf(record), 1);
--- a/src/core/serving/end_attempt.ts
+++ b/src/core/serving/end_attempt.ts
@@ -7,7 +7,8 @@
   if (!attempt) return;
   const load = resolveTargetLoad(state, attempt.vmId);
   load.inFlight -= 1;
-  if (!attempt.hasStarted) load.unreadTokens -= attempt.promptTokens;
+  if (attempt.startedAtMs === undefined)
+    load.unreadTokens -= attempt.promptTokens;
   state.requestsByAttempt.delete(attempt.attemptId);
   record.attempt = undefined;
 }
--- a/src/core/serving/expire_state.ts
+++ b/src/core/serving/expire_state.ts
@@ -7,7 +7,7 @@
 import {isAccessProven} from './is_access_proven.js';
 import {hasStoppedAccepting} from './has_stopped_accepting.js';
 import {logDecision} from './log_decision.js';
-import {crashDetection} from './crash_detection.js';
+import {crashDetection, expireCrashes} from './crashes/index.js';
 import {markTargetsStale} from './mark_targets_stale.js';
 import {relistAfterRestore} from './restore/index.js';
 import {refuseRequest} from './refuse_request.js';
@@ -32,10 +32,8 @@
   for (const pool of state.waitingByPool.keys()) dispatchWaiting(step, pool);
   expirePeers(step);
   crashDetection.expire(step);
+  expireCrashes(state, nowMs);
   expireAnnouncements(state, nowMs);
-  for (const [fingerprint, {untilMs}] of state.crashSuspects) {
-    if (nowMs > untilMs) state.crashSuspects.delete(fingerprint);
-  }
   for (const [vmId, {atMs}] of state.departedEngines) {
     if (nowMs - atMs > DEPARTED_RETENTION_MS)
       state.departedEngines.delete(vmId);
--- a/src/core/serving/move_stalled_streams.ts
+++ b/src/core/serving/move_stalled_streams.ts
@@ -57,12 +57,13 @@
     nowMs -
     Math.max(load.progressAtMs, peers?.progressAtMs ?? 0, attempt.sentAtMs);
   const silentMs = nowMs - attempt.progressAtMs;
-  const limitMs = attempt.hasStarted
-    ? TARGET_STALL_MS
-    : Math.max(
-        MIN_FIRST_EVENT_WAIT_MS,
-        FIRST_EVENT_LATE_FACTOR * attempt.expectedFirstMs,
-      );
+  const limitMs =
+    attempt.startedAtMs !== undefined
+      ? TARGET_STALL_MS
+      : Math.max(
+          MIN_FIRST_EVENT_WAIT_MS,
+          FIRST_EVENT_LATE_FACTOR * attempt.expectedFirstMs,
+        );
   if (silentMs > limitMs && targetSilentMs > TARGET_STALL_MS) {
     return {silentMs, isWholeTarget: true};
   }
@@ -81,7 +82,8 @@
   const {state, nowMs} = step;
   const attempt = record.attempt!;
   const {route} = record;
-  if (!route.isResumable && attempt.hasStarted) return;
+  const hasStarted = attempt.startedAtMs !== undefined;
+  if (!route.isResumable && hasStarted) return;
   if (record.possibleRunCount >= route.maxAttempts) return;
   if (!retryBudget.hasRoom(state, record.service, nowMs)) return;
   const placement = selectTarget(step, record);
@@ -93,7 +95,7 @@
     from: attempt.vmId,
     to: placement.target.vmId,
     silentMs: Math.round(silentMs),
-    started: attempt.hasStarted,
+    started: hasStarted,
   });
   step.effects.push({type: 'cancelAttempt', attemptId: attempt.attemptId});
   endAttempt(state, record);
--- a/src/core/serving/peers/types.ts
+++ b/src/core/serving/peers/types.ts
@@ -1,6 +1,11 @@
 import type {EngineChange} from '../../fleet/types.js';
 import type {LeavingReport} from '../announcements/types.js';
-import type {Fingerprint, NodeId, VmId, ZoneId} from '../../ids/index.js';
+import type {NodeId, VmId, ZoneId} from '../../ids/index.js';
+import type {
+  CrashReportEntry,
+  CrashSuspectEntry,
+  SurvivalEntry,
+} from '../crashes/types.js';
 
 /** Load of one target in a digest. */
 export interface DigestLoad {
@@ -100,13 +105,12 @@
     readonly nodeId: NodeId;
     readonly isSilent: boolean;
   }[];
-  /** Requests whose targets were lost while running them, and which may have caused that. */
-  readonly suspects: readonly {
-    readonly fingerprint: Fingerprint;
-    readonly losses: number;
-    /** Time until it is no longer suspected. */
-    readonly leftMs: number;
-  }[];
+  /** Requests and prompt parts that the sender suspects of crashing their targets. */
+  readonly suspects: readonly CrashSuspectEntry[];
+  /** Crashes of engines that the sender has learned of lately. */
+  readonly crashReports: readonly CrashReportEntry[];
+  /** Runs that lately ruled out a crash by what they hold. */
+  readonly survivals: readonly SurvivalEntry[];
   /** Engines that announced that they are leaving, to the sender or to its peers. */
   readonly leavingEngines: readonly LeavingReport[];
   /** Engines found to be lost before their store entries expired. */
--- a/src/core/serving/reduce_serving.ts
+++ b/src/core/serving/reduce_serving.ts
@@ -11,7 +11,7 @@
 import {logDecision} from './log_decision.js';
 import {applyAnnouncement} from './announcements/index.js';
 import {attemptHandlers} from './attempt_handlers.js';
-import {crashDetection} from './crash_detection.js';
+import {crashDetection, refreshSuspects} from './crashes/index.js';
 import {updateRegisteredNodes} from './relays/update_registered_nodes.js';
 import {recordStoreContact} from './record_store_contact.js';
 import {planDigests} from './relays/plan_digests.js';
@@ -33,6 +33,7 @@
   const step: ServingStep = {state, nowMs: event.nowMs, effects: []};
   state.startedAtMs ??= event.nowMs;
   applyEvent(step, event);
+  refreshSuspects(step);
   reduceSteward(step, event);
   if (!isIdle(state)) refreshTargets(state);
   return step.effects;
--- a/src/core/serving/retry_budget.ts
+++ b/src/core/serving/retry_budget.ts
@@ -1,11 +1,10 @@
 import type {RetryWindow, ServingState} from './types.js';
 import type {ServiceName} from '../ids/index.js';
+import {countActiveNodes} from './count_active_nodes.js';
 
 const MS_PER_S = 1000;
 /** Share of the fleet's budget that is used; the rest covers windows that are not aligned between nodes. */
 const USABLE_SHARE = 0.7;
-/** Peers whose last digest is younger than this share the fleet's constant allowance. */
-const PEER_MAX_AGE_MS = 5000;
 
 /**
  * Counts arrivals and retries of a service, and decides whether one more retry
@@ -48,26 +47,11 @@
     const {repeatRatio, repeatSlack} = state.bounds;
     const allowed =
       repeatRatio * sum(window.requests) +
-      repeatSlack / countSharingNodes(state, nowMs);
+      repeatSlack / countActiveNodes(state, nowMs);
     return {used: sum(window.repeats), allowed};
   },
 };
 
-/** Number of nodes that share the constant allowance, this one included. */
-function countSharingNodes(
-  {peers, exchange}: ServingState,
-  nowMs: number,
-): number {
-  let count = 0;
-  for (const {digest, atMs} of peers.values()) {
-    if (nowMs - atMs >= PEER_MAX_AGE_MS) continue;
-    if (digest.scope === 'fleet') return digest.nodeCount;
-    count += digest.nodeCount;
-  }
-  // Without a relay's summary: the number of nodes known from digests.
-  return Math.max(1 + count, exchange.isRelayed ? exchange.contacts.size : 1);
-}
-
 function currentWindow(
   state: ServingState,
   service: ServiceName,
--- a/src/core/serving/retry_request.ts
+++ b/src/core/serving/retry_request.ts
@@ -1,5 +1,5 @@
 import type {RequestRecord, ServingStep} from './types.js';
-import {findCrashSuspect} from './find_crash_suspect.js';
+import {isCrashSuspect} from './crashes/index.js';
 import {queueRequest} from './queue_request.js';
 import {refuseRequest} from './refuse_request.js';
 import {retryBudget} from './retry_budget.js';
@@ -29,7 +29,7 @@
   if (record.dispatchCount >= MAX_DISPATCHES) return false;
   if (!retryBudget.hasRoom(state, record.service, nowMs)) return false;
   if (verdict === 'not-run') return true;
-  if (findCrashSuspect(state, request.fingerprint)) return false;
+  if (isCrashSuspect(state, request)) return false;
   const isRetryable =
     route.kind === 'safe' || (route.kind === 'streaming' && route.isResumable);
   if (!isRetryable) return false;
--- a/src/core/serving/send_attempt.ts
+++ b/src/core/serving/send_attempt.ts
@@ -27,7 +27,7 @@
     sentAtMs: nowMs,
     expectedFirstMs: placement.firstEventMs,
     promptTokens: request.promptTokens,
-    hasStarted: false,
+    hasSurvived: false,
     progressAtMs: nowMs,
   };
   load.inFlight += 1;
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -1,4 +1,5 @@
 import type {AnnouncementState} from './announcements/types.js';
+import type {CrashState} from './crashes/types.js';
 import type {ExchangeState, PeerView, PeerLoad} from './peers/types.js';
 import type {AccessConfig, Route} from '../access/types.js';
 import type {
@@ -53,8 +54,10 @@
   readonly expectedFirstMs: number;
   /** Prompt tokens that the target processes for this attempt. */
   readonly promptTokens: number;
-  /** The first event has arrived. */
-  hasStarted: boolean;
+  /** When the first event arrived; undefined before. */
+  startedAtMs?: number;
+  /** The target went on after the first event. */
+  hasSurvived: boolean;
   /** Time of the last event; of the dispatch before the first one. */
   progressAtMs: number;
 }
@@ -146,36 +149,6 @@
   second: number;
 }
 
-/** A target whose connection broke, while a probe checks whether its process has ended. */
-export interface CrashCheck {
-  /** Identifies the incarnation of the target whose connection broke. */
-  readonly bornAtMs: number;
-  readonly atMs: number;
-  /** Requests whose connections to the target broke. */
-  readonly runs: Map<Fingerprint, BrokenRun>;
-}
-
-/** A request that was running at a target when the connection broke. */
-export interface BrokenRun {
-  readonly requestId: RequestId;
-  readonly callerId: string;
-  readonly sharedPartIds: readonly PromptPartId[];
-  /** The first event had arrived. */
-  readonly hasStarted: boolean;
-  /** Time since the request was sent to the target. */
-  readonly ranMs: number;
-}
-
-/** A request that was running at targets whose processes ended. */
-export interface CrashSuspect {
-  /** Number of targets lost while they ran it, as counted by this node or a peer. */
-  losses: number;
-  /** The suspicion expires then. */
-  untilMs: number;
-  /** The lost targets that this node counted. */
-  readonly lostTargets: Set<VmId>;
-}
-
 /** Limits taken from the deployment's settings. */
 export interface ServingBounds {
   /** Requests are refused when the proof that the configuration is current is older; undefined: no limit. */
@@ -288,9 +261,8 @@
   /** Requests without a target, by pool. */
   readonly waitingByPool: Map<string, RequestRecord[]>;
   readonly retryWindows: Map<ServiceName, RetryWindow>;
-  /** Targets with a broken connection, and the requests that they were running. */
-  readonly crashChecks: Map<VmId, CrashCheck>;
-  readonly crashSuspects: Map<Fingerprint, CrashSuspect>;
+  /** Evidence of crashes that requests cause. */
+  readonly crashes: CrashState;
   /** When the shutdown was requested; undefined while the node serves normally. */
   leavingSinceMs?: number;
   /** The exit effect was emitted. */
--- a/src/serving/digest_codec.ts
+++ b/src/serving/digest_codec.ts
@@ -1,5 +1,12 @@
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
-import type {Fingerprint, NodeId, VmId, ZoneId} from '../core/ids/index.js';
+import type {
+  Fingerprint,
+  NodeId,
+  PromptPartId,
+  VmId,
+  ZoneId,
+} from '../core/ids/index.js';
+import type {CrashReportEntry} from '../core/serving/crashes/types.js';
 import type {EngineChange} from '../core/fleet/types.js';
 import type {
   DigestScope,
@@ -17,6 +24,15 @@
 type EngineReportRow = readonly [string, number, number];
 type EngineReport = LoadDigest['lostEngines'][number];
 
+/** VM id, start time, age in ms, for each request its fingerprint followed by the parts of its prompt, and the pool. */
+type CrashRow = readonly [
+  string,
+  number,
+  number,
+  readonly (readonly string[])[],
+  string,
+];
+
 /** Flags of a load row. */
 const SUSPECT_BIT = 1;
 const SLOW_BIT = 2;
@@ -78,8 +94,12 @@
   /** Age of the configuration's proof in ms, count of engines, sum of their revisions, age of their proof in ms, era of the store. */
   readonly p: readonly number[];
   readonly t: readonly LoadRow[];
-  /** Requests that may crash their targets: fingerprint, losses, and remaining time in ms. */
-  readonly s: readonly (readonly [string, number, number])[];
+  /** Suspects of crashes: marker, losses, remaining time in ms, age of the last loss in ms, and whether it is a prompt part. */
+  readonly s: readonly (readonly [string, number, number, number, 0 | 1])[];
+  /** Crashes of engines. */
+  readonly f?: readonly CrashRow[];
+  /** Markers of runs that did not crash, with the age in ms. */
+  readonly i?: readonly (readonly [string, number])[];
   /** Engines that the store no longer lists: VM id, address, start time, age in ms. */
   readonly d: readonly (readonly [string, string, number, number])[];
   /** Engines that peers are to probe: VM id, address, ids of these peers. */
@@ -125,7 +145,19 @@
         load.progressAgeMs,
         (load.isSuspect ? SUSPECT_BIT : 0) | (load.isSlow ? SLOW_BIT : 0),
       ]),
-      s: digest.suspects.map(one => [one.fingerprint, one.losses, one.leftMs]),
+      s: digest.suspects.map(one => [
+        one.marker,
+        one.losses,
+        one.leftMs,
+        one.lastLossAgeMs,
+        one.kind === 'part' ? 1 : 0,
+      ]),
+      ...(digest.crashReports.length > 0 && {
+        f: digest.crashReports.map(toCrashRow),
+      }),
+      ...(digest.survivals.length > 0 && {
+        i: digest.survivals.map(({marker, ageMs}) => [marker, ageMs] as const),
+      }),
       d: digest.departed.map(one => [
         one.vmId,
         one.address,
@@ -181,6 +213,8 @@
       datagram.d,
       datagram.y,
       datagram.h,
+      datagram.f ?? [],
+      datagram.i ?? [],
     ];
     if (![...tables, datagram.q, datagram.o].every(isRows)) return undefined;
     const {p: proofs, m: sentAtMs} = datagram;
@@ -230,9 +264,16 @@
         isSlow: (toCount(row[4]) & SLOW_BIT) !== 0,
       })),
       suspects: datagram.s.map(row => ({
-        fingerprint: row[0] as Fingerprint,
+        marker: row[0] as Fingerprint,
         losses: toCount(row[1]),
         leftMs: toCount(row[2]),
+        lastLossAgeMs: toCount(row[3]),
+        kind: row[4] === 1 ? ('part' as const) : ('request' as const),
+      })),
+      crashReports: (datagram.f ?? []).map(toCrashReport),
+      survivals: (datagram.i ?? []).map(row => ({
+        marker: String(row[0]) as Fingerprint,
+        ageMs: toCount(row[1]),
       })),
       departed: datagram.d.map(row => ({
         vmId: row[0] as VmId,
@@ -262,6 +303,31 @@
   return inflateRawSync(body, {maxOutputLength: MAX_DECOMPRESSED_BYTES});
 }
 
+function toCrashRow(report: CrashReportEntry): CrashRow {
+  const {vmId, bornAtMs, pool, ageMs, runs} = report;
+  return [
+    vmId,
+    bornAtMs,
+    ageMs,
+    runs.map(({fingerprint, sharedPartIds}) => [fingerprint, ...sharedPartIds]),
+    pool,
+  ];
+}
+
+function toCrashReport(row: CrashRow): CrashReportEntry {
+  const runs = isRows(row[3]) ? row[3] : [];
+  return {
+    vmId: row[0] as VmId,
+    bornAtMs: Number(row[1]),
+    ageMs: toCount(row[2]),
+    pool: String(row[4]),
+    runs: runs.map(([fingerprint, ...partIds]) => ({
+      fingerprint: String(fingerprint) as Fingerprint,
+      sharedPartIds: partIds.map(partId => String(partId) as PromptPartId),
+    })),
+  };
+}
+
 function toReportRow({vmId, bornAtMs, ageMs}: EngineReport): EngineReportRow {
   return [vmId, bornAtMs, ageMs];
 }
--- a/test/support/serving_node_harness.ts
+++ b/test/support/serving_node_harness.ts
@@ -152,6 +152,8 @@
       probeRequests: [],
       probeReports: [],
       suspects: [],
+      crashReports: [],
+      survivals: [],
       lostEngines: [],
       leavingEngines: [],
       ...overrides,
