Reset the connection of a response without a length that breaks off

What callers saw: a stream that broke off at every engine, or ran into its time-out, ended like a complete one: status 200, events, an orderly end of the connection.

Cause: a response without a length or chunks takes over that framing (`delimitByClose`), so that its end is the close of its connection; `abort` closed it in the same way. With real sockets all five early ends that were tried looked complete: engines that close inside an event, that reset, that fall silent until the time-out, an event over the size limit, and the end of the node.

Now `abort` resets such a connection, after what is written has left, or at once if the caller doesn't read. A node that ends aborts its open responses. Framing such streams with chunks was ruled out: nobody can tell an engine's close between events from a complete answer, and the node would vouch for it. What remains: a node that is killed leaves the close to the system, which is orderly.

--- a/src/serving/caller_call.ts
+++ b/src/serving/caller_call.ts
@@ -101,7 +101,14 @@
   abort(): void {
     if (this.isEnded) return;
     this.isEnded = true;
-    this.response.destroy();
+    const {socket} = this.response;
+    if (!this.isDelimitedByClose || !socket) {
+      this.response.destroy();
+      return;
+    }
+    // An orderly close would mark the end of a response without a length.
+    if (socket.writableNeedDrain) socket.resetAndDestroy();
+    else socket.write('', () => socket.resetAndDestroy());
   }
 
   private withConnection(headers: OutgoingHttpHeaders): OutgoingHttpHeaders {
--- a/src/serving/front_server.ts
+++ b/src/serving/front_server.ts
@@ -77,8 +77,14 @@
 
   close(): Promise<void> {
     this.stopListening();
-    this.server.closeAllConnections();
-    return Promise.resolve();
+    for (const call of this.calls.values()) call.abort();
+    // Resets of responses without a length follow their last bytes.
+    return new Promise(resolve =>
+      setImmediate(() => {
+        this.server.closeAllConnections();
+        resolve();
+      }),
+    );
   }
 
   destroy(): void {
--- a/test/support/call_http.ts
+++ b/test/support/call_http.ts
@@ -37,8 +37,14 @@
         new Error(`no response from ${url} for ${IDLE_TIMEOUT_MS} ms`),
       );
     });
-    call.on('error', reject);
+    let hasResponse = false;
+    let hasFailed = false;
+    call.on('error', error => {
+      hasFailed = true;
+      if (!hasResponse) reject(error);
+    });
     call.on('response', response => {
+      hasResponse = true;
       let body = '';
       response.setEncoding('utf8');
       response.on('data', (text: string) => {
@@ -48,7 +54,12 @@
       response.on('error', () => {});
       response.on('close', () => {
         const {statusCode, headers, complete} = response;
-        resolve({status: statusCode ?? 0, headers, body, whole: complete});
+        resolve({
+          status: statusCode ?? 0,
+          headers,
+          body,
+          whole: complete && !hasFailed,
+        });
       });
     });
     call.end(options.body);
