Count only admitted requests into the allowance of retries

A request that was refused as a crash suspect raised the number of retries that its service may make, though it caused no load there.

--- a/src/core/serving/admit_request.ts
+++ b/src/core/serving/admit_request.ts
@@ -44,6 +44,18 @@
     refuseOnArrival(step, request, 401, 'unknown-key');
     return;
   }
+  const suspicion = findCrashSuspect(state, request, nowMs);
+  if (suspicion) {
+    refuseOnArrival(
+      step,
+      request,
+      503,
+      'crash-suspect',
+      suspicion.retryAfterMs,
+      suspicion.marker,
+    );
+    return;
+  }
   const service = selectShare(route.shares, state.random.next());
   if (service === undefined) {
     refuseOnArrival(step, request, 503, 'no-target', PROOF_RETRY_MS);
@@ -73,19 +85,6 @@
   };
   state.requests.set(request.requestId, record);
   retryBudget.recordRequest(state, service, nowMs);
-  const suspicion = findCrashSuspect(state, request, nowMs);
-  if (suspicion) {
-    state.requests.delete(request.requestId);
-    refuseOnArrival(
-      step,
-      request,
-      503,
-      'crash-suspect',
-      suspicion.retryAfterMs,
-      suspicion.marker,
-    );
-    return;
-  }
   queueRequest(step, record);
 }
 
--- a/test/units/serving/crash_suspects.test.ts
+++ b/test/units/serving/crash_suspects.test.ts
@@ -3,12 +3,14 @@
 import type {
   Fingerprint,
   PromptPartId,
+  ServiceName,
   VmId,
 } from '../../../src/core/ids/index.js';
 import {ServingNodeHarness} from '../../support/serving_node_harness.js';
 import {createDigest} from '../../../src/core/serving/create_digest.js';
 import {digestCodec} from '../../../src/serving/digest_codec.js';
 import {makeId} from '../../../src/core/ids/index.js';
+import {retryBudget} from '../../../src/core/serving/index.js';
 
 const BAD = makeId<PromptPartId>('bad');
 const SHARED = makeId<PromptPartId>('shared');
@@ -149,6 +151,33 @@
     assert.equal(node.takeEffects('refuse')[0]?.reason, 'crash-suspect');
   });
 
+  it('add nothing to the retries that are allowed when they are refused', () => {
+    const node = new ServingNodeHarness().start();
+    node.dispatch({
+      type: 'digestReceived',
+      digest: node.createPeerDigest({
+        suspects: [
+          {
+            marker: BAD,
+            kind: 'part',
+            losses: 3,
+            leftMs: 60_000,
+            lastLossAgeMs: 100,
+          },
+        ],
+      }),
+    });
+    const service = makeId<ServiceName>('desk');
+    const allowed = () =>
+      retryBudget.usage(node.state, service, node.nowMs).allowed;
+    const before = allowed();
+    node.submitRequest('streaming', {sharedPartIds: [BAD]});
+    assert.equal(node.takeEffects('refuse').length, 1);
+    assert.equal(allowed(), before);
+    node.submitRequest('streaming');
+    assert.ok(allowed() > before);
+  });
+
   it('are reported to peers from the latest loss on, however old the suspicion is', () => {
     const node = new ServingNodeHarness().start();
     const suspects = Array.from({length: 25}, (_, at) => ({
