Derive suspects by time only on ticks, and don't take cleared ones over again

A node that had cleared a suspect, since another part explains its losses, took it over again from each peer that had not yet, ten times a second. Now the last loss of a cleared suspect is remembered, and a peer's report counts only with a later one; without that condition the new test fails, alone. And while some part lacked only time or other runs to become a suspect, every event derived all suspects anew; now ticks do.

--- a/src/core/serving/crashes/apply_crash_evidence.ts
+++ b/src/core/serving/crashes/apply_crash_evidence.ts
@@ -3,6 +3,9 @@
 import {addSurvival} from './add_survival.js';
 import {logDecision} from '../log_decision.js';
 
+/** Ages in digests are rounded and leave out the time on the way, which may include a wait for a busy node. */
+const MAX_AGE_ERROR_MS = 300;
+
 /** Adds a peer's crash reports, survivals and suspects to this node's own. */
 export function applyCrashEvidence(
   step: ServingStep,
@@ -18,6 +21,8 @@
     const lastLossAtMs = nowMs - lastLossAgeMs;
     const survivedAtMs = crashes.survivals.get(marker)?.atMs ?? -Infinity;
     if (crashes.suspects.has(marker) || survivedAtMs >= lastLossAtMs) continue;
+    const clearedAtMs = crashes.cleared.get(marker) ?? -Infinity;
+    if (lastLossAtMs <= clearedAtMs + MAX_AGE_ERROR_MS) continue;
     crashes.suspects.set(marker, {
       kind,
       losses,
--- a/src/core/serving/crashes/create_crash_state.ts
+++ b/src/core/serving/crashes/create_crash_state.ts
@@ -8,6 +8,7 @@
     lastLossAtMs: new Map(),
     survivals: new Map(),
     suspects: new Map(),
+    cleared: new Map(),
     soundPartIds: new Set(),
     survivedByPool: new Map(),
     isStale: false,
--- a/src/core/serving/crashes/refresh_suspects.ts
+++ b/src/core/serving/crashes/refresh_suspects.ts
@@ -10,11 +10,14 @@
 import {evaluateSuspects} from './evaluate_suspects.js';
 import {logDecision} from '../log_decision.js';
 
-/** Derives the suspects anew if the evidence has changed, and drops those that it has ruled out. */
-export function refreshSuspects(step: ServingStep): void {
+/** Cleared suspects that are remembered; more than digests of peers that lag behind hold. */
+const MAX_CLEARED = 1000;
+
+/** Derives the suspects anew if the evidence has changed, and drops those that it has ruled out. `isTick`: a candidate may have become a suspect by the time that has passed. */
+export function refreshSuspects(step: ServingStep, isTick: boolean): void {
   const {state, nowMs} = step;
   const {crashes} = state;
-  if (!crashes.isStale && !crashes.hasCandidate) return;
+  if (!crashes.isStale && !(isTick && crashes.hasCandidate)) return;
   crashes.isStale = false;
   const {suspects, explained, hasCandidate} = evaluateSuspects(
     crashes,
@@ -43,6 +46,7 @@
       continue;
     }
     crashes.suspects.delete(marker);
+    recordClearance(crashes, marker, suspect.lastLossAtMs);
     logDecision(step, 'info', 'requests', 'crash suspect cleared', {
       marker,
       kind: suspect.kind,
@@ -52,6 +56,17 @@
   }
 }
 
+function recordClearance(
+  {cleared}: CrashState,
+  marker: CrashMarker,
+  lastLossAtMs: number,
+): void {
+  cleared.delete(marker);
+  cleared.set(marker, lastLossAtMs);
+  const [oldest] = cleared.keys();
+  if (cleared.size > MAX_CLEARED) cleared.delete(oldest!);
+}
+
 /** Why a suspect that this node's reports don't show is dropped; undefined if a peer's reports may still show it. */
 function resolveClearance(
   {reports, survivals}: CrashState,
--- a/src/core/serving/crashes/types.ts
+++ b/src/core/serving/crashes/types.ts
@@ -109,6 +109,8 @@
   /** Of markers in reports only. */
   readonly survivals: Map<CrashMarker, Survival>;
   readonly suspects: Map<CrashMarker, CrashSuspect>;
+  /** Last loss of markers that were suspects and were cleared, in order of clearance: peers that lag behind report them again. */
+  readonly cleared: Map<CrashMarker, number>;
   /** Parts with which runs of this node survived lately, in order of use. */
   readonly soundPartIds: Set<PromptPartId>;
   /** Runs of this node since its start that began to answer and went on, by pool. */
--- a/src/core/serving/reduce_serving.ts
+++ b/src/core/serving/reduce_serving.ts
@@ -33,7 +33,7 @@
   const step: ServingStep = {state, nowMs: event.nowMs, effects: []};
   state.startedAtMs ??= event.nowMs;
   applyEvent(step, event);
-  refreshSuspects(step);
+  refreshSuspects(step, event.type === 'tick');
   reduceSteward(step, event);
   if (!isIdle(state)) refreshTargets(state);
   return step.effects;
--- a/test/units/serving/crash_suspects.test.ts
+++ b/test/units/serving/crash_suspects.test.ts
@@ -151,6 +151,34 @@
     assert.equal(node.takeEffects('refuse')[0]?.reason, 'crash-suspect');
   });
 
+  it('are not taken over again from a peer that lags behind', () => {
+    const node = new ServingNodeHarness().start();
+    const innocent: [string, PromptPartId[]] = ['innocent', []];
+    receiveCrashes(node, [
+      crashReport(1, [['f1', [SHARED, BAD]], innocent]),
+      crashReport(2, [['f2', [SHARED, BAD]], innocent]),
+    ]);
+    const marker = makeId<Fingerprint>('innocent');
+    assert.ok(node.state.crashes.suspects.has(marker));
+    const [entry] = createDigest(node.state, node.nowMs).suspects.filter(
+      one => one.marker === marker,
+    );
+    receiveCrashes(node, [crashReport(3, [['f3', [SHARED, BAD]]])]);
+    assert.equal(node.state.crashes.suspects.has(marker), false);
+    const {lastLossAgeMs} = entry!;
+    const late = {...entry!, lastLossAgeMs: lastLossAgeMs + 400};
+    node.dispatch({
+      type: 'digestReceived',
+      digest: node.createPeerDigest({suspects: [late]}),
+    });
+    assert.equal(node.state.crashes.suspects.has(marker), false);
+    const reports = node.effects.filter(
+      effect =>
+        effect.type === 'log' && effect.message.includes('peer reports'),
+    );
+    assert.deepEqual(reports, []);
+  });
+
   it('add nothing to the retries that are allowed when they are refused', () => {
     const node = new ServingNodeHarness().start();
     node.dispatch({
