List two failing tests: three crashing parts at once, and the quarantine of the product's own node

Looking for the same cause elsewhere: `core/quarantine` of the product's own node keeps evidence by a hash of organisation, service and body as well.

--- a/test/support/crash_world.ts
+++ b/test/support/crash_world.ts
@@ -100,7 +100,11 @@
   }
 
   /** Sends a request; a body that starts with `crash` crashes the engine that runs it. */
-  send(at: number, body: string): RequestId {
+  send(
+    at: number,
+    body: string,
+    prefixHashes: readonly string[] = [],
+  ): RequestId {
     const requestId = `r${++this.requestCounter}` as RequestId;
     this.bodies.set(requestId, body);
     this.node(at).dispatch({
@@ -115,7 +119,7 @@
         deterministic: false,
         unrepeatable: false,
         bodyDigest: body,
-        prefixHashes: [],
+        prefixHashes,
       },
     });
     return requestId;
--- a/test/units/quarantine/crashing_requests.test.ts
+++ b/test/units/quarantine/crashing_requests.test.ts
@@ -9,6 +9,8 @@
 const SCHEDULES = 300;
 const NODES = 3;
 const RESENDS = 6;
+/** Five crashes show the prefix; three more requests may be on their way. */
+const MAX_LOST_BY_PREFIX = 8;
 
 function nameOf(world: CrashWorld, requestId: RequestId): string | undefined {
   const answer = world.answers.get(requestId);
@@ -37,6 +39,18 @@
   assert.ok(answer.retryAfterMs! > 0 && answer.retryAfterMs! <= 300_000);
 });
 
+test('a prompt prefix that crashes its targets stops reaching them although no two requests with it are alike', () => {
+  const world = new CrashWorld(SEED, 8);
+  for (let at = 0; at < 12; at++) {
+    world.send(at % NODES, `crash ${at}`, ['shared', 'bad', `own ${at}`]);
+    world.runFor(3000);
+  }
+  assert.ok(
+    world.lostEngineCount <= MAX_LOST_BY_PREFIX,
+    `${world.lostEngineCount} were lost`,
+  );
+});
+
 test('a quarantine ends after its duration', () => {
   const world = new CrashWorld(SEED, 8);
   keepCrashing(world);
--- a/test/units/serving/crashing_parts.test.ts
+++ b/test/units/serving/crashing_parts.test.ts
@@ -168,6 +168,14 @@
     }
   });
 
+  it('stops reaching engines beside two more such parts', () => {
+    for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
+      const crashingParts = ['bad', 'worse', 'worst'];
+      const world = simulate({seed, crashingParts, crashingPerS: 0.6});
+      assertContained(world, `seed ${seed}`);
+    }
+  });
+
   it('stops reaching engines through nodes that restart in between', () => {
     for (const seed of [1, 2]) {
       const world = simulate({
