--- a/src/core/serving/crashes/types.ts
+++ b/src/core/serving/crashes/types.ts
@@ -56,6 +56,15 @@
   }[];
 }
 
+/** The crashes that a part was in since a run with it last survived. */
+export interface PartLosses {
+  /** Place of the part in the prompt. */
+  depth: number;
+  /** Oldest first. */
+  readonly reports: CrashReport[];
+  readonly fingerprints: Set<Fingerprint>;
+}
+
 /** A request or prompt part that is suspected of crashing its targets. */
 export interface CrashSuspect {
   readonly kind: 'request' | 'part';
--- a/test/units/serving/crash_suspects.test.ts
+++ b/test/units/serving/crash_suspects.test.ts
@@ -52,6 +52,24 @@
   }
 }
 
+/** Receives from a peer that the bad part is a suspect. */
+function receiveSuspect(node: ServingNodeHarness): void {
+  node.dispatch({
+    type: 'digestReceived',
+    digest: node.createPeerDigest({
+      suspects: [
+        {
+          marker: BAD,
+          kind: 'part',
+          losses: 3,
+          leftMs: 60_000,
+          lastLossAgeMs: 100,
+        },
+      ],
+    }),
+  });
+}
+
 describe('suspects of crashes', () => {
   it('are found from the reports of several nodes, of which each saw one crash', () => {
     const node = new ServingNodeHarness().start();
@@ -132,20 +150,7 @@
     }
     node.submitRequest('streaming', {sharedPartIds: [BAD]});
     assert.equal(node.takeEffects('startAttempt').length, 0);
-    node.dispatch({
-      type: 'digestReceived',
-      digest: node.createPeerDigest({
-        suspects: [
-          {
-            marker: BAD,
-            kind: 'part',
-            losses: 3,
-            leftMs: 60_000,
-            lastLossAgeMs: 100,
-          },
-        ],
-      }),
-    });
+    receiveSuspect(node);
     node.advance(50);
     assert.equal(node.takeEffects('startAttempt').length, 0);
     assert.equal(node.takeEffects('refuse')[0]?.reason, 'crash-suspect');
@@ -181,20 +186,7 @@
 
   it('add nothing to the retries that are allowed when they are refused', () => {
     const node = new ServingNodeHarness().start();
-    node.dispatch({
-      type: 'digestReceived',
-      digest: node.createPeerDigest({
-        suspects: [
-          {
-            marker: BAD,
-            kind: 'part',
-            losses: 3,
-            leftMs: 60_000,
-            lastLossAgeMs: 100,
-          },
-        ],
-      }),
-    });
+    receiveSuspect(node);
     const service = makeId<ServiceName>('desk');
     const allowed = () =>
       retryBudget.usage(node.state, service, node.nowMs).allowed;
