Take over no suspects with a single loss from nodes of an earlier build

While two builds run side by side, digests of the earlier one list requests with one loss, which were no suspects there; a node of this build would have refused them. The format of datagrams is the same version, since both builds read each other's.

--- a/src/core/serving/crashes/apply_crash_evidence.ts
+++ b/src/core/serving/crashes/apply_crash_evidence.ts
@@ -1,5 +1,6 @@
 import type {LoadDigest, ServingStep} from '../types.js';
 import {addCrashReport} from './add_crash_report.js';
+import {MIN_REQUEST_LOSSES} from './min_request_losses.js';
 import {addSurvival} from './add_survival.js';
 import {logDecision} from '../log_decision.js';
 
@@ -18,6 +19,8 @@
     addSurvival(crashes, marker, nowMs - ageMs, nowMs);
   }
   for (const {marker, kind, losses, lastLossAgeMs, leftMs} of suspects) {
+    // Nodes of an earlier build report single losses too.
+    if (losses < MIN_REQUEST_LOSSES) continue;
     const lastLossAtMs = nowMs - lastLossAgeMs;
     const survivedAtMs = crashes.survivals.get(marker)?.atMs ?? -Infinity;
     if (crashes.suspects.has(marker) || survivedAtMs >= lastLossAtMs) continue;
--- a/src/core/serving/crashes/evaluate_suspects.ts
+++ b/src/core/serving/crashes/evaluate_suspects.ts
@@ -5,6 +5,7 @@
   CrashSuspect,
 } from './types.js';
 import {MIN_PART_LOSSES} from './min_part_losses.js';
+import {MIN_REQUEST_LOSSES} from './min_request_losses.js';
 import {collectPartLosses} from './collect_part_losses.js';
 import {collectRequestLosses} from './collect_request_losses.js';
 import {estimateCoincidence} from './estimate_coincidence.js';
@@ -12,8 +13,6 @@
 import {selectPart} from './select_part.js';
 import {separateLosses} from './separate_losses.js';
 
-/** Losses of requests with the same content from which on they are suspects; one may be coincidence. */
-const MIN_REQUEST_LOSSES = 2;
 /** How long a suspect is refused at first. */
 const REFUSAL_MS = 60_000;
 /** For a part that was sound until lately, and may be so: its trials crash at most three engines in the first minute. */
--- a/test/units/serving/crash_suspects.test.ts
+++ b/test/units/serving/crash_suspects.test.ts
@@ -184,6 +184,24 @@
     assert.deepEqual(reports, []);
   });
 
+  it('do not include a request that a node of an earlier build reports with a single loss', () => {
+    const node = new ServingNodeHarness().start();
+    const marker = makeId<Fingerprint>('once');
+    const entry = {
+      marker,
+      kind: 'request' as const,
+      losses: 1,
+      leftMs: 60_000,
+      lastLossAgeMs: 0,
+    };
+    node.dispatch({
+      type: 'digestReceived',
+      digest: node.createPeerDigest({suspects: [entry]}),
+    });
+    node.submitRequest('safe', {fingerprint: marker});
+    assert.equal(node.takeEffects('startAttempt').length, 1);
+  });
+
   it('add nothing to the retries that are allowed when they are refused', () => {
     const node = new ServingNodeHarness().start();
     receiveSuspect(node);
