--- a/src/core/serving/crashes/add_crash_report.ts
+++ b/src/core/serving/crashes/add_crash_report.ts
@@ -1,5 +1,6 @@
-import type {CrashMarker, CrashReportEntry, CrashState} from './types.js';
+import type {CrashReportEntry, CrashState} from './types.js';
 import {removeCrashReport} from './remove_crash_report.js';
+import {resolveMarkers} from './resolve_markers.js';
 
 /** Reports kept; the oldest are dropped first. */
 const MAX_REPORTS = 100;
@@ -35,8 +36,7 @@
     report.runs.set(fingerprint, sharedPartIds);
     report.updatedAtMs = nowMs;
     crashes.isStale = true;
-    const markers: readonly CrashMarker[] = [fingerprint, ...sharedPartIds];
-    for (const marker of markers) {
+    for (const marker of resolveMarkers({fingerprint, sharedPartIds})) {
       const lastAtMs = crashes.lastLossAtMs.get(marker) ?? -Infinity;
       crashes.lastLossAtMs.set(marker, Math.max(lastAtMs, report.atMs));
     }
--- a/src/core/serving/crashes/evaluate_suspects.ts
+++ b/src/core/serving/crashes/evaluate_suspects.ts
@@ -15,7 +15,7 @@
 
 /** How long a suspect is refused at first. */
 const REFUSAL_MS = 60_000;
-/** For a part that was sound until lately, and may be so: its trials crash at most three engines in the first minute. */
+/** For a part that was sound until lately, and may be so: trials come 10, 30 and 70 s after the losses, within the three requests that may reach engines. */
 const SOUND_PART_REFUSAL_MS = 10_000;
 /** A part is suspect only if other runs crash so rarely that its losses have at most this probability for a sound part. */
 const MAX_COINCIDENCE = 0.005;
--- a/src/core/serving/crashes/find_crash_suspect.ts
+++ b/src/core/serving/crashes/find_crash_suspect.ts
@@ -1,5 +1,6 @@
 import type {CrashMarker, CrashSuspicion} from './types.js';
 import type {ServingRequest, ServingState} from '../types.js';
+import {resolveMarkers} from './resolve_markers.js';
 
 /** Time after which a request that waits for the outcome of a trial is worth sending again: a first event and its way to peers. */
 const TRIAL_RETRY_MS = 1000;
@@ -12,8 +13,7 @@
 ): CrashSuspicion | undefined {
   const {suspects} = state.crashes;
   if (suspects.size === 0) return undefined;
-  const {fingerprint, sharedPartIds} = request;
-  for (const marker of [fingerprint, ...sharedPartIds]) {
+  for (const marker of resolveMarkers(request)) {
     const suspect = suspects.get(marker);
     if (!suspect) continue;
     const leftMs = suspect.untilMs - nowMs;
@@ -29,9 +29,7 @@
 function isOnTrial(state: ServingState, marker: CrashMarker): boolean {
   for (const {request, attempt} of state.requestsByAttempt.values()) {
     if (!attempt || attempt.hasSurvived) continue;
-    const {fingerprint, sharedPartIds} = request;
-    const markers: readonly CrashMarker[] = [fingerprint, ...sharedPartIds];
-    if (markers.includes(marker)) return true;
+    if (resolveMarkers(request).includes(marker)) return true;
   }
   return false;
 }
