Log why a request is not retried, and how the retry budget stands at each retry

'request sent' now names the retries in the window, the allowed ones and the count of nodes; 'request given up' names what kept a request from another try; the gauge of repeats has the nodes too.

--- a/src/core/serving/refuse_request.ts
+++ b/src/core/serving/refuse_request.ts
@@ -1,5 +1,5 @@
 import type {RefusalReason} from './effects.js';
-import type {RequestRecord, ServingStep} from './types.js';
+import type {RequestRecord, RetryDenial, ServingStep} from './types.js';
 import {count} from './count.js';
 import {removeRequest} from './remove_request.js';
 import {logDecision} from './log_decision.js';
@@ -7,6 +7,8 @@
 interface RefusalOptions {
   readonly reason: RefusalReason;
   readonly retryAfterMs?: number;
+  /** Why a failed attempt is not followed by another one; for the log. */
+  readonly retryDenial?: RetryDenial;
 }
 
 /**
@@ -20,7 +22,7 @@
   options: RefusalOptions,
 ): void {
   const {request, verdict} = record;
-  const {reason, retryAfterMs} = options;
+  const {reason, retryAfterMs, retryDenial} = options;
   const mayHaveRun = verdict !== 'not-run';
   logDecision(step, 'info', 'requests', 'request given up', {
     requestId: request.requestId,
@@ -29,6 +31,7 @@
     reason,
     verdict,
     retryAfterMs,
+    retryDenial,
     ageMs: Math.round(step.nowMs - request.arrivedAtMs),
     sends: record.dispatchCount,
     target: record.attempt?.vmId,
--- a/src/core/serving/retry_budget.ts
+++ b/src/core/serving/retry_budget.ts
@@ -1,4 +1,4 @@
-import type {RetryWindow, ServingState} from './types.js';
+import type {RetryUsage, RetryWindow, ServingState} from './types.js';
 import type {ServiceName} from '../ids/index.js';
 import {countActiveNodes} from './count_active_nodes.js';
 
@@ -37,18 +37,13 @@
     return used + 1 <= USABLE_SHARE * allowed;
   },
 
-  /** Retries in the window, and the number that this node's full budget allows. */
-  usage(
-    state: ServingState,
-    service: ServiceName,
-    nowMs: number,
-  ): {readonly used: number; readonly allowed: number} {
+  usage(state: ServingState, service: ServiceName, nowMs: number): RetryUsage {
     const window = currentWindow(state, service, nowMs);
     const {repeatRatio, repeatSlack} = state.bounds;
+    const nodeCount = countActiveNodes(state, nowMs);
     const allowed =
-      repeatRatio * sum(window.requests) +
-      repeatSlack / countActiveNodes(state, nowMs);
-    return {used: sum(window.repeats), allowed};
+      repeatRatio * sum(window.requests) + repeatSlack / nodeCount;
+    return {used: sum(window.repeats), allowed, nodeCount};
   },
 };
 
--- a/src/core/serving/retry_request.ts
+++ b/src/core/serving/retry_request.ts
@@ -1,4 +1,4 @@
-import type {RequestRecord, ServingStep} from './types.js';
+import type {RequestRecord, RetryDenial, ServingStep} from './types.js';
 import {isCrashSuspect} from './crashes/index.js';
 import {queueRequest} from './queue_request.js';
 import {refuseRequest} from './refuse_request.js';
@@ -12,27 +12,35 @@
 
 /** Retries a request whose attempt failed at another target, or refuses it when a retry is not allowed. */
 export function retryRequest(step: ServingStep, record: RequestRecord): void {
-  if (canRetry(step, record)) {
+  const denial = findRetryDenial(step, record);
+  if (denial === undefined) {
     queueRequest(step, record);
     return;
   }
   refuseRequest(step, record, {
     reason: record.verdict === 'not-run' ? 'overloaded' : 'target-failed',
     retryAfterMs: retryAfterMs(step, record, undefined),
+    retryDenial: denial,
   });
 }
 
-function canRetry(step: ServingStep, record: RequestRecord): boolean {
+/** Returns why a request must not be retried; undefined if it may be. */
+function findRetryDenial(
+  step: ServingStep,
+  record: RequestRecord,
+): RetryDenial | undefined {
   const {state, nowMs} = step;
   const {route, verdict, request} = record;
-  if (record.deadlineAtMs - nowMs < MIN_REMAINING_MS) return false;
-  if (record.dispatchCount >= MAX_DISPATCHES) return false;
-  if (!retryBudget.hasRoom(state, record.service, nowMs)) return false;
-  if (verdict === 'not-run') return true;
-  if (isCrashSuspect(state, request)) return false;
+  if (record.deadlineAtMs - nowMs < MIN_REMAINING_MS) return 'deadline';
+  if (record.dispatchCount >= MAX_DISPATCHES) return 'dispatches';
+  if (!retryBudget.hasRoom(state, record.service, nowMs)) return 'budget';
+  if (verdict === 'not-run') return undefined;
+  if (isCrashSuspect(state, request)) return 'crash-suspect';
   const isRetryable =
     route.kind === 'safe' || (route.kind === 'streaming' && route.isResumable);
-  if (!isRetryable) return false;
-  if (route.kind === 'safe' && record.hasPartialResponse) return false;
-  return record.possibleRunCount < route.maxAttempts;
+  if (!isRetryable) return 'may-have-run';
+  if (route.kind === 'safe' && record.hasPartialResponse) {
+    return 'may-have-run';
+  }
+  return record.possibleRunCount < route.maxAttempts ? undefined : 'attempts';
 }
--- a/src/core/serving/send_attempt.ts
+++ b/src/core/serving/send_attempt.ts
@@ -1,5 +1,10 @@
 import type {AttemptId} from '../ids/index.js';
-import type {Placement, RequestRecord, ServingStep} from './types.js';
+import type {
+  Placement,
+  RequestRecord,
+  RetryUsage,
+  ServingStep,
+} from './types.js';
 import {count} from './count.js';
 import {logDecision} from './log_decision.js';
 import {makeId} from '../ids/index.js';
@@ -32,9 +37,8 @@
   };
   load.inFlight += 1;
   load.unreadTokens += request.promptTokens;
-  if (record.dispatchCount > 0) {
-    retryBudget.recordRetry(state, record.service, nowMs);
-  }
+  const isRetry = record.dispatchCount > 0;
+  if (isRetry) retryBudget.recordRetry(state, record.service, nowMs);
   record.dispatchCount += 1;
   record.verdict = 'may-have-run';
   record.possibleRunCount += 1;
@@ -56,6 +60,9 @@
     waitedMs: Math.round(nowMs - request.arrivedAtMs),
     expectedFirstMs: Math.round(placement.firstEventMs),
     inFlight: placement.inFlight,
+    retries: isRetry
+      ? describeUsage(retryBudget.usage(state, record.service, nowMs))
+      : undefined,
     configVersion: state.config?.version,
     fleetRevision: state.fleetRevision,
   });
@@ -72,3 +79,7 @@
     isStream: route.kind === 'streaming',
   });
 }
+
+function describeUsage({used, allowed, nodeCount}: RetryUsage): string {
+  return `${used} of ${Math.floor(allowed)}, ${nodeCount} nodes`;
+}
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -149,6 +149,22 @@
   second: number;
 }
 
+/** Why a request is not retried: no time or dispatches are left, the retry budget is used up, or another run could do harm. */
+export type RetryDenial =
+  | 'deadline'
+  | 'dispatches'
+  | 'budget'
+  | 'crash-suspect'
+  | 'may-have-run'
+  | 'attempts';
+
+/** Retries of a service in this node's window, the number that its part of the budget allows, and the number of nodes that the constant allowance is divided by. */
+export interface RetryUsage {
+  readonly used: number;
+  readonly allowed: number;
+  readonly nodeCount: number;
+}
+
 /** Limits taken from the deployment's settings. */
 export interface ServingBounds {
   /** Requests are refused when the proof that the configuration is current is older; undefined: no limit. */
--- a/src/metrics/metric_definitions.ts
+++ b/src/metrics/metric_definitions.ts
@@ -131,7 +131,7 @@
   },
   repeats: {
     kind: 'gauge',
-    help: 'Repeats of the last seconds at this node against what the shared budget allows, by service.',
+    help: 'Repeats of the last seconds at this node, the number that its part of the shared budget allows, and the number of nodes that share it, by service.',
     labels: ['service', 'of'],
   },
   unlisted: {
--- a/src/serving/update_gauges.ts
+++ b/src/serving/update_gauges.ts
@@ -34,8 +34,9 @@
   });
   metrics.count('beliefVersion', fleetRevision, {belief: 'engines'});
   for (const service of state.retryWindows.keys()) {
-    const {used, allowed} = retryBudget.usage(state, service, nowMs);
+    const {used, allowed, nodeCount} = retryBudget.usage(state, service, nowMs);
     metrics.count('repeats', used, {service, of: 'used'});
     metrics.count('repeats', allowed, {service, of: 'allowed'});
+    metrics.count('repeats', nodeCount, {service, of: 'nodes'});
   }
 }
