--- a/src/replay/serving/serving_world.ts
+++ b/src/replay/serving/serving_world.ts
@@ -47,6 +47,8 @@
 const LEASE_RENEWAL_MS = 300;
 /** Speeds up weight loads before the first request, to shorten the simulated start-up. */
 const INITIAL_LOAD_FACTOR = 0.1;
+/** Interval at which nodes read the registry of nodes, as the runtime does. */
+const REGISTRY_READ_INTERVAL_MS = 30_000;
 const NODE_RESTART_MS = 2500;
 const ENGINE_RESTART_MS = 3000;
 /** Spread of the start times of processes that start together. */
@@ -130,12 +132,20 @@
     for (let at = 0; at < options.domainCount * options.domainSize; at++) {
       this.addEngine(`d${Math.floor(at / options.domainSize)}`);
     }
-    for (let at = 0; at < options.nodeCount; at++) {
-      const node = {state: this.createState(at), isUp: true};
-      this.nodes.push(node);
-      this.exchange.add(node);
+    for (let at = 0; at < options.nodeCount; at++) this.createNode();
+    for (const [at, node] of this.nodes.entries()) {
+      this.startNode(node);
+      this.startTimers(node, at / this.nodes.length);
     }
-    this.startNodes();
+    this.electSteward();
+  }
+
+  /** Adds a node that starts now, and registers it. */
+  addNode(): WorldNode {
+    const node = this.createNode();
+    this.startNode(node);
+    this.startTimers(node, this.random.next());
+    return node;
   }
 
   /** Violations of the invariants on replicas and weight loads, as seen by the engines. */
@@ -301,6 +311,14 @@
     return this.callers.outcomes;
   }
 
+  /** When callers' requests reached nodes. */
+  get requestTimesMs(): readonly number[] {
+    return this.callers.sentAtMs;
+  }
+
+  /** Whether callers use a node; tests replace it. */
+  acceptsCallers: (node: WorldNode) => boolean = () => true;
+
   /** Sends a caller's request to a random node. */
   send(request: WorldRequest): void {
     this.hasTraffic = true;
@@ -374,18 +392,31 @@
     });
   }
 
-  private startNodes(): void {
-    for (const [at, node] of this.nodes.entries()) {
-      this.startNode(node);
-      const offset = (at * TICK_INTERVAL_MS) / this.nodes.length;
-      this.runPeriodically(TICK_INTERVAL_MS, offset, () =>
-        this.dispatch(node, {type: 'tick'}),
-      );
-      this.runPeriodically(DIGEST_INTERVAL_MS, offset, () =>
-        this.dispatch(node, {type: 'digestDue', isUrgent: false}),
-      );
-    }
-    this.electSteward();
+  private createNode(): WorldNode {
+    const node = {state: this.createState(this.nodes.length), isUp: true};
+    this.nodes.push(node);
+    this.exchange.add(node);
+    return node;
+  }
+
+  /** Starts a node's periodic events; `phase`, 0 to 1, shifts them against those of other nodes. */
+  private startTimers(node: WorldNode, phase: number): void {
+    const offset = phase * TICK_INTERVAL_MS;
+    this.runPeriodically(TICK_INTERVAL_MS, offset, () =>
+      this.dispatch(node, {type: 'tick'}),
+    );
+    this.runPeriodically(DIGEST_INTERVAL_MS, offset, () =>
+      this.dispatch(node, {type: 'digestDue', isUrgent: false}),
+    );
+    this.runPeriodically(
+      REGISTRY_READ_INTERVAL_MS,
+      REGISTRY_READ_INTERVAL_MS + offset,
+      () =>
+        this.dispatch(node, {
+          type: 'peersRegistered',
+          nodes: this.exchange.list(),
+        }),
+    );
   }
 
   private runPeriodically(
@@ -450,7 +481,9 @@
 
   /** Returns false if no node is running. */
   private dispatchToRandomNode(request: ServingRequest): boolean {
-    const nodes = this.nodes.filter(({isUp}) => isUp);
+    const nodes = this.nodes.filter(
+      node => node.isUp && this.acceptsCallers(node),
+    );
     const node = nodes[this.random.nextInt(nodes.length)];
     if (!node) return false;
     this.dispatch(node, {type: 'requestArrived', request});
--- a/src/replay/serving/simulated_callers.ts
+++ b/src/replay/serving/simulated_callers.ts
@@ -32,6 +32,8 @@
 /** Simulated callers: they send requests, retry once after a refusal, and record the outcomes. */
 export class SimulatedCallers {
   readonly outcomes: CallerOutcome[] = [];
+  /** When requests reached nodes, the callers' own retries included. */
+  readonly sentAtMs: number[] = [];
   private readonly openCalls = new Map<RequestId, CallerCallState>();
   private requestCount = 0;
 
@@ -112,7 +114,10 @@
       requestId,
       arrivedAtMs: this.world.time.nowMs,
     });
-    if (hasArrived) return;
+    if (hasArrived) {
+      this.sentAtMs.push(this.world.time.nowMs);
+      return;
+    }
     this.openCalls.delete(requestId);
     call.attemptCount -= 1;
     this.world.time.after(RECONNECT_DELAY_MS, () => this.arrive(call));
--- a/src/replay/serving/simulated_network.ts
+++ b/src/replay/serving/simulated_network.ts
@@ -9,7 +9,7 @@
 import type {ServingEffect, ServingEvent} from '../../core/serving/types.js';
 import type {ServingEngine} from './serving_engine.js';
 import type {SimulatedCallers} from './simulated_callers.js';
-import type {CrashingPartEvent, WorldNode} from './types.js';
+import type {AttemptArrival, CrashingPartEvent, WorldNode} from './types.js';
 
 const NETWORK_LATENCY_MS = 1;
 const CONNECT_TIMEOUT_MS = 300;
@@ -38,6 +38,10 @@
   readonly crashingArrivals: CrashingPartEvent[] = [];
   /** Whether a node can reach an engine; tests replace it to simulate partitions. */
   isReachable: (node: NodeId, vmId: VmId) => boolean = () => true;
+  /** Share of the requests, 0 to 1, that an engine refuses without running them; tests replace it. */
+  refusalShareOf: (vmId: VmId) => number = () => 0;
+  /** Attempts that reached an engine, those that it refused included. */
+  readonly arrivals: AttemptArrival[] = [];
   private readonly attempts = new Map<AttemptId, VmId>();
 
   constructor(private readonly options: NetworkOptions) {}
@@ -46,7 +50,7 @@
     node: WorldNode,
     effect: Extract<ServingEffect, {type: 'startAttempt'}>,
   ): void {
-    const {callers, engines, after, dispatch} = this.options;
+    const {callers, engines, random, nowMs, after, dispatch} = this.options;
     const {attemptId, requestId, vmId} = effect;
     const call = callers.find(requestId);
     const engine = engines.get(vmId);
@@ -72,10 +76,15 @@
       this.crashingPartIds.has(partId),
     );
     if (crashingPartId !== undefined) {
-      const atMs = this.options.nowMs();
-      this.crashingArrivals.push({atMs, partId: crashingPartId});
+      this.crashingArrivals.push({atMs: nowMs(), partId: crashingPartId});
     }
-    after(NETWORK_LATENCY_MS, () =>
+    after(NETWORK_LATENCY_MS, () => {
+      this.arrivals.push({atMs: nowMs(), requestId, vmId});
+      const refusalShare = this.refusalShareOf(vmId);
+      if (refusalShare > 0 && random.next() < refusalShare) {
+        report({type: 'attemptFailed', attemptId, fault: 'turned-away'});
+        return;
+      }
       engine.submit({
         crashingPartId,
         attemptId,
@@ -92,8 +101,8 @@
           after(2 * NETWORK_LATENCY_MS, () => callers.end(requestId, 'whole'));
         },
         onFail: fault => report({type: 'attemptFailed', attemptId, fault}),
-      }),
-    );
+      });
+    });
   }
 
   cancelAttempt(attemptId: AttemptId): void {
--- a/src/replay/serving/simulated_peer_exchange.ts
+++ b/src/replay/serving/simulated_peer_exchange.ts
@@ -20,6 +20,8 @@
   digestCount = 0;
   /** Number of loads and changes in all digests sent, which determines their size. */
   rowCount = 0;
+  /** Whether digests reach one node from another, by their peer addresses; tests replace it to simulate partitions. */
+  isConnected: (from: string, to: string) => boolean = () => true;
   private readonly nodes = new Map<string, WorldNode>();
 
   constructor(private readonly options: ExchangeOptions) {}
@@ -44,7 +46,7 @@
     const {after, dispatch} = this.options;
     for (const {address, countedSentAtMs} of to) {
       const peer = this.nodes.get(address);
-      if (!peer) continue;
+      if (!peer || !this.isConnected(digest.peerAddress, address)) continue;
       const sentDigest =
         countedSentAtMs === undefined ? digest : {...digest, countedSentAtMs};
       this.digestCount += 1;
--- a/src/replay/serving/types.ts
+++ b/src/replay/serving/types.ts
@@ -1,7 +1,12 @@
 import type {AttemptFault} from '../../core/serving/types.js';
 import type {EngineCosts, EngineRecord} from '../../core/fleet/types.js';
 import type {EngineOrder} from '../../core/steward/types.js';
-import type {ModelName, PromptPartId, VmId} from '../../core/ids/index.js';
+import type {
+  ModelName,
+  PromptPartId,
+  RequestId,
+  VmId,
+} from '../../core/ids/index.js';
 import type {ServingRequest, ServingState} from '../../core/serving/types.js';
 
 /** A request at a simulated engine. */
@@ -60,6 +65,14 @@
   readonly partId: PromptPartId;
 }
 
+/** Arrival of an attempt at an engine. */
+export interface AttemptArrival {
+  readonly atMs: number;
+  /** Id of the request at its node; a caller's own retry is a new request. */
+  readonly requestId: RequestId;
+  readonly vmId: VmId;
+}
+
 /** Outcome of a caller's request, over all attempts of the caller. */
 export interface CallerOutcome {
   /** Kind of request, such as `chat`. */
