Keep the fleet's retries within the budget whatever nodes hear of each other, and across restarts

Cause, twice the same class: a fleet-wide limit that each node derives from what it sees at the moment. The constant allowance was divided by the nodes heard, so both sides of a partition took more than their part (all 114 retries at 12 s were made for a count of 6 nodes instead of 12). And the window of retries ended with the process, so a restarted node had its part again.

Now the allowance is divided by all nodes that may be serving: heard or registered, as a maximum over one to two minutes that does not fall while a registered node is silent. Digests carry a node's retries in the window; its peers tell a restarted node those of its earlier process. If they can't (all nodes killed, or a silence of over 3 s, in which it may have served behind a partition) it takes its part for used for one window. Requests are counted over whole seconds inside the window; the oldest one counts for retries only.

--- a/src/core/serving/admit_request.ts
+++ b/src/core/serving/admit_request.ts
@@ -11,7 +11,7 @@
 import {matchRoute, selectShare} from '../access/index.js';
 import {queueRequest} from './queue_request.js';
 import {poolKey} from './pool_key.js';
-import {retryBudget} from './retry_budget.js';
+import {retryBudget} from './retries/index.js';
 
 /** Expected time until a node without a configuration proof has one again: one store call and its time-out. */
 const PROOF_RETRY_MS = 500;
--- a/src/core/serving/apply_digest.ts
+++ b/src/core/serving/apply_digest.ts
@@ -5,6 +5,8 @@
 import {applyCrashEvidence} from './crashes/index.js';
 import {applyFleet} from './apply_fleet.js';
 import {logDecision} from './log_decision.js';
+import {applyPredecessors} from './retries/index.js';
+import {recordFleetSize} from './fleet_size/index.js';
 import {applyLeavingReports} from './announcements/index.js';
 import {recordDigestSender} from './relays/record_digest_sender.js';
 import {recordStoreContact} from './record_store_contact.js';
@@ -51,8 +53,10 @@
     rosterAtMs: hasRoster ? nowMs : (peer?.rosterAtMs ?? -Infinity),
   };
   state.peers.set(key, view);
+  if (!peer) recordFleetSize(step);
   if (!isOutdated && !isRestoring(state, nowMs)) adoptConfigProof(state, view);
   applyCrashEvidence(step, digest);
+  applyPredecessors(step, digest.predecessors);
   applyLost(step, digest);
   applyDeparted(step, digest);
   applyLeavingReports(step, digest.from, digest.leavingEngines);
--- a/src/core/serving/create_digest.ts
+++ b/src/core/serving/create_digest.ts
@@ -4,6 +4,7 @@
 import {toAgeMs} from './to_age_ms.js';
 import {listLeavingReports} from './announcements/index.js';
 import {isReady} from './is_ready.js';
+import {listPredecessors, listRetryCounts} from './retries/index.js';
 import {listRecentChanges} from './list_recent_changes.js';
 
 /** A target without requests is still included for this long after its last event, so that peers see its progress. */
@@ -86,6 +87,8 @@
     revisionSum: state.revisionSum,
     fleetProofAgeMs: toAgeMs(state.fleetReadAtMs, nowMs),
     loads,
+    retries: listRetryCounts(state, nowMs),
+    predecessors: listPredecessors(state, nowMs),
     ...listCrashEvidence(state, hasNewPeer(state, nowMs), nowMs),
     lostEngines,
     leavingEngines: listLeavingReports(state, nowMs),
--- a/src/core/serving/create_serving_state.ts
+++ b/src/core/serving/create_serving_state.ts
@@ -3,7 +3,9 @@
 import {createAnnouncementState} from './announcements/index.js';
 import {createCrashState} from './crashes/index.js';
 import {createExchangeState} from './relays/create_exchange_state.js';
+import {createFleetSizeState} from './fleet_size/index.js';
 import {createRandom} from '../random/index.js';
+import {createRetryState} from './retries/index.js';
 import {createRestoreState} from './restore/index.js';
 import {createStewardState} from '../steward/create_steward_state.js';
 
@@ -35,6 +37,8 @@
     peerAddress: options.peerAddress ?? '',
     coreCount: options.coreCount ?? 1,
     exchange: createExchangeState(),
+    fleetSize: createFleetSizeState(),
+    isFirstStart: options.isFirstStart ?? false,
     bounds,
     restore: createRestoreState(),
     random: createRandom(seed),
@@ -73,7 +77,7 @@
     requests: new Map(),
     requestsByAttempt: new Map(),
     waitingByPool: new Map(),
-    retryWindows: new Map(),
+    retries: createRetryState(),
     crashes: createCrashState(),
     hasExited: false,
     steward: createStewardState(!(options.isFirstStart ?? false)),
--- a/src/core/serving/expire_state.ts
+++ b/src/core/serving/expire_state.ts
@@ -10,6 +10,8 @@
 import {crashDetection, expireCrashes} from './crashes/index.js';
 import {markTargetsStale} from './mark_targets_stale.js';
 import {relistAfterRestore} from './restore/index.js';
+import {recordFleetSize} from './fleet_size/index.js';
+import {expireRetries} from './retries/index.js';
 import {refuseRequest} from './refuse_request.js';
 
 /** A peer without a digest for this long is treated as stopped: its loads no longer count, and callers are not sent to it. */
@@ -31,6 +33,8 @@
   }
   for (const pool of state.waitingByPool.keys()) dispatchWaiting(step, pool);
   expirePeers(step);
+  recordFleetSize(step);
+  expireRetries(state, nowMs);
   crashDetection.expire(step);
   expireCrashes(state, nowMs);
   expireAnnouncements(state, nowMs);
--- a/src/core/serving/index.ts
+++ b/src/core/serving/index.ts
@@ -9,7 +9,7 @@
 export type * from './types.js';
 export {refreshTargets} from './refresh_targets.js';
 export {isIdle} from './is_idle.js';
-export {retryBudget} from './retry_budget.js';
+export {retryBudget} from './retries/index.js';
 export {isRegistrationNeeded} from './relays/is_registration_needed.js';
 export {selectUpstream} from './relays/select_upstream.js';
 export {isFleetStale} from './relays/is_fleet_stale.js';
--- a/src/core/serving/move_stalled_streams.ts
+++ b/src/core/serving/move_stalled_streams.ts
@@ -1,7 +1,7 @@
 import type {RequestRecord, ServingStep, TargetLoad} from './types.js';
 import {endAttempt} from './end_attempt.js';
 import {logDecision} from './log_decision.js';
-import {retryBudget} from './retry_budget.js';
+import {retryBudget} from './retries/index.js';
 import {selectTarget} from './select_target.js';
 import {sendAttempt} from './send_attempt.js';
 import {markTargetSuspect} from './mark_target_suspect.js';
--- a/src/core/serving/peers/types.ts
+++ b/src/core/serving/peers/types.ts
@@ -1,6 +1,7 @@
 import type {EngineChange} from '../../fleet/types.js';
 import type {LeavingReport} from '../announcements/types.js';
 import type {NodeId, VmId, ZoneId} from '../../ids/index.js';
+import type {PredecessorEntry, RetryCount} from '../retries/types.js';
 import type {
   CrashReportEntry,
   CrashSuspectEntry,
@@ -85,6 +86,10 @@
   /** Age of the read of the engines from the store; -1 for none. */
   readonly fleetProofAgeMs: number;
   readonly loads: readonly DigestLoad[];
+  /** The sender's retries in the window of the retry budget; undefined while its earlier process may have made others. */
+  readonly retries?: readonly RetryCount[];
+  /** Replaced processes of other nodes, for the processes that replaced them. */
+  readonly predecessors: readonly PredecessorEntry[];
   /** Number of nodes whose requests the digest counts. */
   readonly nodeCount: number;
   /** Nodes known to a relay; empty in most digests, since it changes rarely. */
--- a/src/core/serving/refuse_request.ts
+++ b/src/core/serving/refuse_request.ts
@@ -1,5 +1,6 @@
 import type {RefusalReason} from './effects.js';
-import type {RequestRecord, RetryDenial, ServingStep} from './types.js';
+import type {RequestRecord, ServingStep} from './types.js';
+import type {RetryDenial} from './retries/types.js';
 import {count} from './count.js';
 import {removeRequest} from './remove_request.js';
 import {logDecision} from './log_decision.js';
--- a/src/core/serving/relays/record_digest_sender.ts
+++ b/src/core/serving/relays/record_digest_sender.ts
@@ -1,4 +1,5 @@
 import type {LoadDigest, PeerLink, ServingStep} from '../types.js';
+import {recordReportedRetries} from '../retries/index.js';
 import {updatePeerLink} from '../update_peer_link.js';
 import {setRelayMode} from './set_relay_mode.js';
 
@@ -10,6 +11,7 @@
   const {state, nowMs} = step;
   // A node that starts while many are lost may have mistaken a large fleet for a small one.
   if (digest.scope !== 'node') setRelayMode(step, true, 'digest from a relay');
+  recordReportedRetries(step, digest);
   const {contacts, unansweredSinceMs, links} = state.exchange;
   const {from, isLeaving, peerAddress, roster} = digest;
   contacts.set(from, {atMs: nowMs, isLeaving, peerAddress});
--- a/src/core/serving/relays/update_registered_nodes.ts
+++ b/src/core/serving/relays/update_registered_nodes.ts
@@ -1,5 +1,6 @@
 import type {RegisteredNode, ServingStep} from '../types.js';
 import {MAX_DIRECT_ZONE_SIZE} from './max_direct_zone_size.js';
+import {recordFleetSize} from '../fleet_size/index.js';
 import {setRelayMode} from './set_relay_mode.js';
 
 /** Replaces the registered nodes by those that the store lists, and decides whether digests go through relays. */
@@ -24,4 +25,5 @@
     : MAX_DIRECT_ZONE_SIZE;
   const largest = Math.max(0, ...sizes.values());
   setRelayMode(step, largest > limit, 'registry read');
+  recordFleetSize(step);
 }
--- a/src/core/serving/retry_budget.ts
+++ b/src/core/serving/retries/retry_budget.ts
@@ -1,10 +1,12 @@
-import type {RetryUsage, RetryWindow, ServingState} from './types.js';
-import type {ServiceName} from '../ids/index.js';
-import {countActiveNodes} from './count_active_nodes.js';
+import type {RetryUsage, RetryWindow} from './types.js';
+import type {ServiceName} from '../../ids/index.js';
+import type {ServingState} from '../types.js';
+import {hasKnownWindow} from './has_known_window.js';
+import {resolveFleetSize} from '../fleet_size/index.js';
 
 const MS_PER_S = 1000;
-/** Share of the fleet's budget that is used; the rest covers windows that are not aligned between nodes. */
-const USABLE_SHARE = 0.7;
+/** Share of the budget that is used. The rest covers nodes that others don't know yet, and callers that move between nodes within a window. */
+const USABLE_SHARE = 0.85;
 
 /**
  * Counts arrivals and retries of a service, and decides whether one more retry
@@ -12,7 +14,10 @@
  *
  * Each node may use the ratio of its own requests and an equal part of the
  * constant allowance, so that the fleet's total stays within the bound without
- * coordination for each retry.
+ * coordination for each retry. The parts add up to the budget whatever the
+ * nodes hear of each other: the allowance is divided by all nodes that may be
+ * serving, and what a restarted node's earlier process used is counted. Where
+ * that is unknown, the whole part counts as used.
  */
 export const retryBudget = {
   /** Counts an arrived request. */
@@ -34,26 +39,48 @@
   /** Whether one more retry is allowed now. */
   hasRoom(state: ServingState, service: ServiceName, nowMs: number): boolean {
     const {used, allowed} = retryBudget.usage(state, service, nowMs);
-    return used + 1 <= USABLE_SHARE * allowed;
+    return used + 1 <= allowed;
   },
 
   usage(state: ServingState, service: ServiceName, nowMs: number): RetryUsage {
     const window = currentWindow(state, service, nowMs);
     const {repeatRatio, repeatSlack} = state.bounds;
-    const nodeCount = countActiveNodes(state, nowMs);
-    const allowed =
-      repeatRatio * sum(window.requests) + repeatSlack / nodeCount;
-    return {used: sum(window.repeats), allowed, nodeCount};
+    const earned = repeatRatio * countRequests(window);
+    const used = sum(window.repeats) + countInherited(state, service, nowMs);
+    const nodeCount = resolveFleetSize(state);
+    if (!hasKnownWindow(state, nowMs) || nodeCount === undefined) {
+      return {used, allowed: (1 - USABLE_SHARE) * earned, nodeCount: 0};
+    }
+    const allowed = USABLE_SHARE * (earned + repeatSlack / nodeCount);
+    return {used, allowed, nodeCount};
   },
 };
 
+/** Returns the retries of this node's earlier process that may still be in the window. */
+function countInherited(
+  {retries, bounds}: ServingState,
+  service: ServiceName,
+  nowMs: number,
+): number {
+  const {inherited} = retries;
+  if (!inherited) return 0;
+  if (nowMs - inherited.heardAtMs > bounds.repeatWindowMs) return 0;
+  return inherited.counts.get(service) ?? 0;
+}
+
+/** Sums the requests without the oldest second, which lies partly before the window; retries are summed with it. */
+function countRequests({requests, second}: RetryWindow): number {
+  const oldest = requests[(second + 1) % requests.length]!;
+  return sum(requests) - oldest;
+}
+
 function currentWindow(
   state: ServingState,
   service: ServiceName,
   nowMs: number,
 ): RetryWindow {
   const second = Math.floor(nowMs / MS_PER_S);
-  let window = state.retryWindows.get(service);
+  let window = state.retries.windows.get(service);
   if (!window) {
     const length = Math.ceil(state.bounds.repeatWindowMs / MS_PER_S) + 1;
     window = {
@@ -61,7 +88,7 @@
       repeats: new Array<number>(length).fill(0),
       second,
     };
-    state.retryWindows.set(service, window);
+    state.retries.windows.set(service, window);
   }
   const {length} = window.requests;
   const elapsed = Math.min(second - window.second, length);
--- a/src/core/serving/retry_request.ts
+++ b/src/core/serving/retry_request.ts
@@ -1,8 +1,9 @@
-import type {RequestRecord, RetryDenial, ServingStep} from './types.js';
+import type {RequestRecord, ServingStep} from './types.js';
+import type {RetryDenial} from './retries/types.js';
 import {isCrashSuspect} from './crashes/index.js';
 import {queueRequest} from './queue_request.js';
 import {refuseRequest} from './refuse_request.js';
-import {retryBudget} from './retry_budget.js';
+import {retryBudget} from './retries/index.js';
 import {retryAfterMs} from './retry_after_ms.js';
 
 /** Limit on the dispatches of one request, including those that a target refused without running it. */
--- a/src/core/serving/send_attempt.ts
+++ b/src/core/serving/send_attempt.ts
@@ -1,14 +1,10 @@
 import type {AttemptId} from '../ids/index.js';
-import type {
-  Placement,
-  RequestRecord,
-  RetryUsage,
-  ServingStep,
-} from './types.js';
+import type {Placement, RequestRecord, ServingStep} from './types.js';
+import type {RetryUsage} from './retries/types.js';
 import {count} from './count.js';
 import {logDecision} from './log_decision.js';
 import {makeId} from '../ids/index.js';
-import {retryBudget} from './retry_budget.js';
+import {retryBudget} from './retries/index.js';
 import {resolveTargetLoad} from './resolve_target_load.js';
 import {resolveUrgency} from './resolve_urgency.js';
 
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -1,5 +1,6 @@
 import type {AnnouncementState} from './announcements/types.js';
 import type {CrashState} from './crashes/types.js';
+import type {FleetSizeState} from './fleet_size/types.js';
 import type {ExchangeState, PeerView, PeerLoad} from './peers/types.js';
 import type {AccessConfig, Route} from '../access/types.js';
 import type {
@@ -21,6 +22,7 @@
   ZoneId,
 } from '../ids/index.js';
 import type {Random} from '../random/index.js';
+import type {RetryState} from './retries/types.js';
 import type {RestoreState} from './restore/types.js';
 import type {StewardState} from '../steward/types.js';
 import type {Verdict} from '../verdict/index.js';
@@ -139,32 +141,6 @@
   gapCount: number;
 }
 
-/** Arrivals and retries of one service over the retry budget's window. */
-export interface RetryWindow {
-  /** Arrivals in a ring of one-second buckets, indexed by `second % length`. */
-  readonly requests: number[];
-  /** Retries in buckets of the same layout. */
-  readonly repeats: number[];
-  /** Second of the newest bucket. */
-  second: number;
-}
-
-/** Why a request is not retried: no time or dispatches are left, the retry budget is used up, or another run could do harm. */
-export type RetryDenial =
-  | 'deadline'
-  | 'dispatches'
-  | 'budget'
-  | 'crash-suspect'
-  | 'may-have-run'
-  | 'attempts';
-
-/** Retries of a service in this node's window, the number that its part of the budget allows, and the number of nodes that the constant allowance is divided by. */
-export interface RetryUsage {
-  readonly used: number;
-  readonly allowed: number;
-  readonly nodeCount: number;
-}
-
 /** Limits taken from the deployment's settings. */
 export interface ServingBounds {
   /** Requests are refused when the proof that the configuration is current is older; undefined: no limit. */
@@ -199,6 +175,9 @@
   /** Processor capacity of this VM, in cores. */
   readonly coreCount: number;
   readonly exchange: ExchangeState;
+  readonly fleetSize: FleetSizeState;
+  /** The whole system was started for the first time, so there was no traffic before this process. */
+  readonly isFirstStart: boolean;
   readonly bounds: ServingBounds;
   /** Tracks restores of the store from a backup. */
   readonly restore: RestoreState;
@@ -276,7 +255,7 @@
   readonly requestsByAttempt: Map<AttemptId, RequestRecord>;
   /** Requests without a target, by pool. */
   readonly waitingByPool: Map<string, RequestRecord[]>;
-  readonly retryWindows: Map<ServiceName, RetryWindow>;
+  readonly retries: RetryState;
   /** Evidence of crashes that requests cause. */
   readonly crashes: CrashState;
   /** When the shutdown was requested; undefined while the node serves normally. */
--- a/src/serving/digest_codec.ts
+++ b/src/serving/digest_codec.ts
@@ -13,6 +13,7 @@
   LoadDigest,
   RosterNode,
 } from '../core/serving/types.js';
+import {retryRows} from './retry_rows.js';
 
 /** Version of the datagram format; datagrams of other versions are dropped. */
 const FORMAT_VERSION = 6;
@@ -62,7 +63,7 @@
 type RosterRow = readonly [string, string, string, number, number, number];
 
 /** The JSON body of a datagram; keys are single letters to keep it small. */
-interface Datagram {
+interface Datagram extends ReturnType<typeof retryRows.encode> {
   /** Format version. */
   readonly v: number;
   /** Index of the digest's scope. */
@@ -172,6 +173,7 @@
       ]),
       x: digest.lostEngines.map(toReportRow),
       h: digest.leavingEngines.map(toReportRow),
+      ...retryRows.encode(digest),
     };
     const bytes = Buffer.from(JSON.stringify(datagram));
     const isCompressed = bytes.length > COMPRESS_ABOVE_BYTES;
@@ -293,6 +295,7 @@
       })),
       lostEngines: datagram.x.map(toReport),
       leavingEngines: datagram.h.map(toReport),
+      ...retryRows.decode(datagram),
     };
   },
 };
--- a/src/serving/update_gauges.ts
+++ b/src/serving/update_gauges.ts
@@ -33,7 +33,7 @@
     belief: 'configuration',
   });
   metrics.count('beliefVersion', fleetRevision, {belief: 'engines'});
-  for (const service of state.retryWindows.keys()) {
+  for (const service of state.retries.windows.keys()) {
     const {used, allowed, nodeCount} = retryBudget.usage(state, service, nowMs);
     metrics.count('repeats', used, {service, of: 'used'});
     metrics.count('repeats', allowed, {service, of: 'allowed'});
--- a/test/support/serving_node_harness.ts
+++ b/test/support/serving_node_harness.ts
@@ -48,6 +48,7 @@
         nodeId: makeId<NodeId>('n0'),
         zone: makeId<ZoneId>('zone'),
         callerAddress: '10.0.0.1:80',
+        isFirstStart: true,
       },
       {...SERVING_BOUNDS, ...bounds},
       seed,
@@ -61,6 +62,7 @@
       config: createTestConfig(1),
       provenAtMs: this.nowMs,
     });
+    this.dispatch({type: 'peersRegistered', nodes: []});
     this.dispatch({type: 'fleetProven', provenAtMs: this.nowMs});
     this.dispatch({
       type: 'fleetListed',
@@ -148,6 +150,7 @@
       revisionSum: 6,
       fleetProofAgeMs: -1,
       loads: [],
+      predecessors: [],
       departed: [],
       probeRequests: [],
       probeReports: [],
--- a/test/units/serving/digest_codec.test.ts
+++ b/test/units/serving/digest_codec.test.ts
@@ -9,6 +9,7 @@
 } from '../../../src/core/ids/index.js';
 import {ServingNodeHarness} from '../../support/serving_node_harness.js';
 import {digestCodec} from '../../../src/serving/digest_codec.js';
+import {retryRows} from '../../../src/serving/retry_rows.js';
 import {makeId} from '../../../src/core/ids/index.js';
 
 /** Largest payload of a UDP datagram over IPv4. */
@@ -63,6 +64,15 @@
       })),
     })),
     survivals: [{marker: makeId<Fingerprint>('f2'), ageMs: 12}],
+    retries: [{service: makeId('rhubarb-pool'), count: 17}],
+    predecessors: [
+      {
+        nodeId: makeId('edge-zone-a-3'),
+        successor: 1_234_567,
+        ageMs: 900,
+        retries: [{service: makeId('rhubarb-pool'), count: 3}],
+      },
+    ],
   });
 }
 
@@ -89,6 +99,24 @@
     assert.equal(digestCodec.decode(digestCodec.encode(huge)), undefined);
   });
 
+  it('takes retries that cannot be read for unknown, not for none', () => {
+    for (const rows of [
+      7,
+      {},
+      [7],
+      [['pool']],
+      [['pool', -1]],
+      [['pool', '3']],
+    ]) {
+      const {retries, predecessors} = retryRows.decode({
+        R: rows as never,
+        P: [['n1', 5, 900, rows as never], 'row' as never],
+      });
+      assert.equal(retries, undefined);
+      assert.deepEqual(predecessors, []);
+    }
+  });
+
   it('refuses truncated datagrams', () => {
     const bytes = digestCodec.encode(createLargeSummary());
     for (let length = 0; length < bytes.length; length += 97) {
--- a/test/units/serving/retry_budget.test.ts
+++ b/test/units/serving/retry_budget.test.ts
@@ -1,9 +1,13 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import type {ServiceName} from '../../../src/core/ids/index.js';
 import {ServingWorld, sendLoad} from '../../../src/replay/serving/index.js';
 import {createRandom} from '../../../src/core/random/index.js';
+import {makeId} from '../../../src/core/ids/index.js';
+import {retryBudget} from '../../../src/core/serving/index.js';
 import {findBusiestRetryWindow} from '../../support/retry_excess.js';
 
+const SERVICE = makeId<ServiceName>('pool');
 const ASSEMBLY_MS = 8000;
 const LOAD_MS = 30_000;
 /** From here on engines refuse most requests. */
@@ -16,6 +20,7 @@
   readonly nodeCount?: number;
   readonly refusalShare?: number;
   readonly requestsPerS?: number;
+  readonly loadMs?: number;
   /** Runs when the refusals begin. */
   readonly fault?: (world: ServingWorld) => void;
 }
@@ -23,6 +28,7 @@
 /** Simulates a fleet whose engines refuse most requests, so that each node retries as often as it may. */
 function simulate(scenario: RetryScenario): ServingWorld {
   const {seed, nodeCount = 12, refusalShare = 0.9} = scenario;
+  const {loadMs = LOAD_MS} = scenario;
   const world = new ServingWorld({
     seed,
     nodeCount,
@@ -31,14 +37,14 @@
   });
   world.runFor(ASSEMBLY_MS);
   sendLoad(world, createRandom(seed), {
-    durationMs: LOAD_MS,
+    durationMs: loadMs,
     requestsPerS: () => scenario.requestsPerS ?? 60,
   });
   world.after(REFUSALS_AT_MS, () => {
     world.network.refusalShareOf = () => refusalShare;
     scenario.fault?.(world);
   });
-  world.runFor(LOAD_MS);
+  world.runFor(loadMs);
   return world;
 }
 
@@ -101,6 +107,19 @@
     }
   });
 
+  it('stay within the budget when all nodes are killed right after they have used it', () => {
+    for (const seed of [1, 2, 3]) {
+      const world = simulate({
+        seed,
+        fault: one =>
+          one.after(1500, () => {
+            for (let at = 0; at < 12; at++) one.restartNode(at, 300);
+          }),
+      });
+      assertWithinBudget(world, `seed ${seed}`);
+    }
+  });
+
   it('stay within the budget when the nodes restart one after the other', () => {
     for (const seed of [1, 2, 3]) {
       const world = simulate({
@@ -186,6 +205,21 @@
     }
   });
 
+  it('are allowed to a restarted node as before when its peers know what it used', () => {
+    for (const seed of [1, 2, 3]) {
+      const world = simulate({
+        seed,
+        refusalShare: 0.05,
+        loadMs: REFUSALS_AT_MS + 5500,
+        fault: one => one.after(4000, () => one.restartNode(3, 500)),
+      });
+      const {state} = world.nodes[3]!;
+      const usage = retryBudget.usage(state, SERVICE, world.nowMs);
+      assert.equal(usage.nodeCount, 12);
+      assert.ok(usage.used + 1 <= usage.allowed);
+    }
+  });
+
   it('use most of the budget in a calm fleet whose engines refuse nearly everything', () => {
     for (const seed of [1, 2, 3]) {
       const world = simulate({seed, refusalShare: 0.97, requestsPerS: 90});
