Read and log the limits that engines name, without heeding them yet

No line said which engine names a limit, when it changes and when it ends. Server-Limit is read in platform/ (digits with or without a fraction; any other text is neither a limit nor its end), recorded with the engine's incarnation, and logged when it changes ('engine names a limit', 'limit not understood'). Placement does not use it yet.

--- a/src/core/serving/announcements/apply_announcement.ts
+++ b/src/core/serving/announcements/apply_announcement.ts
@@ -1,5 +1,6 @@
 import type {ServingEvent} from '../events.js';
 import type {ServingStep} from '../types.js';
+import {applyLimit} from '../rate_limits/index.js';
 import {count} from '../count.js';
 import {logDecision} from '../log_decision.js';
 import {markTargetsStale} from '../mark_targets_stale.js';
@@ -10,10 +11,13 @@
 const BACKOFF_JITTER = 0.2;
 const MAX_BACKOFF_JITTER_MS = 500;
 
-/** Applies an engine's announcement that it is leaving, or that it accepts no requests for a time. */
+/** Applies what an engine announces: that it is leaving, accepts no requests for a time, or limits the requests that it takes. */
 export function applyAnnouncement(step: ServingStep, event: Announced): void {
   if (event.isLeaving) markLeaving(step, event);
   if (event.backoffMs !== undefined) applyBackoff(step, event, event.backoffMs);
+  if (event.limitPerS !== undefined || event.isLimitOver) {
+    recordLimit(step, event);
+  }
 }
 
 /** Records the engine as leaving until it restarts: the announcement is never withdrawn. */
@@ -36,6 +40,14 @@
   });
 }
 
+function recordLimit(step: ServingStep, {vmId, limitPerS}: Announced): void {
+  const {state, nowMs} = step;
+  const engine = state.engines.get(vmId) ?? state.departedEngines.get(vmId);
+  if (!engine) return;
+  const {bornAtMs} = engine;
+  applyLimit(step, vmId, {bornAtMs, perS: limitPerS, atMs: nowMs}, 'engine');
+}
+
 function applyBackoff(
   step: ServingStep,
   {vmId}: Announced,
--- a/src/core/serving/create_serving_state.ts
+++ b/src/core/serving/create_serving_state.ts
@@ -6,6 +6,7 @@
 import {createFleetSizeState} from './fleet_size/index.js';
 import {createRandom} from '../random/index.js';
 import {createRetryState} from './retries/index.js';
+import {createRateLimitState} from './rate_limits/index.js';
 import {createRestoreState} from './restore/index.js';
 import {createStewardState} from '../steward/create_steward_state.js';
 
@@ -69,6 +70,7 @@
     targets: new Map(),
     lostEngines: new Map(),
     announcements: createAnnouncementState(),
+    rateLimits: createRateLimitState(),
     targetLoads: new Map(),
     peers: new Map(),
     peerLoads: new Map(),
--- a/src/core/serving/events.ts
+++ b/src/core/serving/events.ts
@@ -143,6 +143,10 @@
   readonly isLeaving: boolean;
   /** Time for which this node must send the engine no requests; undefined: it accepts requests. */
   readonly backoffMs?: number;
+  /** Requests per second that the engine takes from all nodes together; undefined: it names no limit. */
+  readonly limitPerS?: number;
+  /** A limit that the engine named before has ended. */
+  readonly isLimitOver?: boolean;
 }
 
 interface LeaveRequested {
--- a/src/core/serving/expire_state.ts
+++ b/src/core/serving/expire_state.ts
@@ -8,6 +8,7 @@
 import {hasStoppedAccepting} from './has_stopped_accepting.js';
 import {logDecision} from './log_decision.js';
 import {crashDetection, expireCrashes} from './crashes/index.js';
+import {expireLimits} from './rate_limits/index.js';
 import {markTargetsStale} from './mark_targets_stale.js';
 import {relistAfterRestore} from './restore/index.js';
 import {recordFleetSize} from './fleet_size/index.js';
@@ -38,6 +39,7 @@
   crashDetection.expire(step);
   expireCrashes(state, nowMs);
   expireAnnouncements(state, nowMs);
+  expireLimits(state);
   for (const [vmId, {atMs}] of state.departedEngines) {
     if (nowMs - atMs > DEPARTED_RETENTION_MS)
       state.departedEngines.delete(vmId);
--- a/src/core/serving/index.ts
+++ b/src/core/serving/index.ts
@@ -9,6 +9,7 @@
 export type * from './types.js';
 export {refreshTargets} from './refresh_targets.js';
 export {isIdle} from './is_idle.js';
+export {findLimitPerS} from './rate_limits/index.js';
 export {retryBudget} from './retries/index.js';
 export {isRegistrationNeeded} from './relays/is_registration_needed.js';
 export {selectUpstream} from './relays/select_upstream.js';
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -23,6 +23,7 @@
 } from '../ids/index.js';
 import type {Random} from '../random/index.js';
 import type {RetryState} from './retries/types.js';
+import type {RateLimitState} from './rate_limits/types.js';
 import type {RestoreState} from './restore/types.js';
 import type {StewardState} from '../steward/types.js';
 import type {Verdict} from '../verdict/index.js';
@@ -239,6 +240,8 @@
   readonly lostEngines: Map<VmId, {bornAtMs: number; atMs: number}>;
   /** State that engines announce in the headers of their responses. */
   readonly announcements: AnnouncementState;
+  /** Limits on requests that engines name in their responses. */
+  readonly rateLimits: RateLimitState;
   /** Load and health of targets, as measured by this node's own requests. */
   readonly targetLoads: Map<VmId, TargetLoad>;
   /** The last digest of each node, zone or the fleet. */
--- a/src/serving/order_client.ts
+++ b/src/serving/order_client.ts
@@ -116,7 +116,12 @@
       );
       outgoing.on('response', response => {
         const status = response.statusCode ?? 0;
-        dispatchAnnouncement(this.context, vmId, status, response.headers);
+        dispatchAnnouncement(
+          this.context,
+          {vmId, hasRun: false},
+          status,
+          response.headers,
+        );
         let body = '';
         response.setEncoding('utf8');
         response.on('data', (text: string) => {
--- a/src/serving/running_attempt.ts
+++ b/src/serving/running_attempt.ts
@@ -107,7 +107,12 @@
     response.on('close', () => this.failConnection('connection closed'));
     const isForThisCall = head.hasNotRun || head.callerId === call.callerId;
     if (isForThisCall)
-      dispatchAnnouncement(context, effect.vmId, status, response.headers);
+      dispatchAnnouncement(
+        context,
+        {vmId: effect.vmId, hasRun: !head.hasNotRun},
+        status,
+        response.headers,
+      );
     this.limit?.reset(MAX_BYTES_WITHOUT_PROGRESS);
     if (head.hasNotRun) {
       this.drainRefusal(response);
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -67,6 +67,10 @@
   readonly isLeaving: boolean;
   /** Time for which the engine requests that this node sends it none; undefined if it accepts requests. */
   readonly backoffMs?: number;
+  /** Requests per second that the engine takes from all nodes together; undefined if it names no limit. */
+  readonly limitPerS?: number;
+  /** A limit is named that can't be read. */
+  readonly hasUnreadableLimit?: boolean;
 }
 
 /** Maps the headers of callers and targets to fields and back. Contains no decisions. */
