--- a/src/replay/serving/serving_engine.ts
+++ b/src/replay/serving/serving_engine.ts
@@ -235,7 +235,10 @@
         this.world.crashByPart(this.record.vmId, job.crashingPartId);
         return;
       }
-      if (!job.hasStarted) this.world.recordRequestStart(this.record.vmId);
+      if (!job.hasStarted) {
+        this.world.recordRequestStart(this.record.vmId);
+        job.onStart();
+      }
       job.hasStarted = true;
       job.eventsLeft -= 1;
       job.onEvent();
--- a/src/replay/serving/simulated_network.ts
+++ b/src/replay/serving/simulated_network.ts
@@ -9,6 +9,7 @@
 import type {ServingEffect, ServingEvent} from '../../core/serving/types.js';
 import type {ServingEngine} from './serving_engine.js';
 import type {SimulatedCallers} from './simulated_callers.js';
+import {findLimitPerS} from '../../core/serving/index.js';
 import type {AttemptArrival, CrashingPartEvent, WorldNode} from './types.js';
 
 const NETWORK_LATENCY_MS = 1;
@@ -40,6 +41,8 @@
   isReachable: (node: NodeId, vmId: VmId) => boolean = () => true;
   /** Share of the requests, 0 to 1, that an engine refuses without running them; tests replace it. */
   refusalShareOf: (vmId: VmId) => number = () => 0;
+  /** Requests per second that an engine asks for in its responses; undefined: no limit. Tests replace it. */
+  limitPerSOf: (vmId: VmId) => number | undefined = () => undefined;
   /** Attempts that reached an engine, those that it refused included. */
   readonly arrivals: AttemptArrival[] = [];
   private readonly attempts = new Map<AttemptId, VmId>();
@@ -92,6 +95,20 @@
         unreadTokens: call.request.promptTokens,
         eventsLeft: call.events - call.eventsReceived,
         hasStarted: false,
+        onStart: () => {
+          const limitPerS = this.limitPerSOf(vmId);
+          const isLimitOver =
+            limitPerS === undefined &&
+            findLimitPerS(node.state, vmId) !== undefined;
+          if (limitPerS === undefined && !isLimitOver) return;
+          report({
+            type: 'engineAnnounced',
+            vmId,
+            isLeaving: false,
+            limitPerS,
+            isLimitOver,
+          });
+        },
         onEvent: () => {
           report({type: 'attemptProgress', attemptId, eventCount: 1});
           after(2 * NETWORK_LATENCY_MS, () => callers.receiveEvent(requestId));
--- a/src/replay/serving/types.ts
+++ b/src/replay/serving/types.ts
@@ -20,6 +20,8 @@
   hasStarted: boolean;
   /** Part of the prompt that ends the engine's process when it would send the first event; undefined for a sound request. */
   readonly crashingPartId?: PromptPartId;
+  /** The engine sends the head of its response. */
+  readonly onStart: () => void;
   readonly onEvent: () => void;
   readonly onEnd: () => void;
   readonly onFail: (fault: AttemptFault) => void;
--- a/test/support/retry_excess.ts
+++ b/test/support/find_busiest_retry_window.ts
@@ -1,4 +1,5 @@
 import type {ServingWorld} from '../../src/replay/serving/index.js';
+import {countBetween} from './count_between.js';
 import {SERVING_BOUNDS} from '../../src/replay/serving/index.js';
 
 /** Retries in one window, and the number that is allowed there. */
@@ -40,23 +41,3 @@
     })
     .map(({atMs}) => atMs);
 }
-
-/** Counts the times in a half-open interval; `timesMs` is sorted. */
-function countBetween(
-  timesMs: readonly number[],
-  fromMs: number,
-  untilMs: number,
-): number {
-  return findFirstFrom(timesMs, untilMs) - findFirstFrom(timesMs, fromMs);
-}
-
-function findFirstFrom(timesMs: readonly number[], fromMs: number): number {
-  let low = 0;
-  let high = timesMs.length;
-  while (low < high) {
-    const middle = (low + high) >> 1;
-    if (timesMs[middle]! < fromMs) low = middle + 1;
-    else high = middle;
-  }
-  return low;
-}
--- a/test/units/serving/retry_budget.test.ts
+++ b/test/units/serving/retry_budget.test.ts
@@ -5,7 +5,7 @@
 import {createRandom} from '../../../src/core/random/index.js';
 import {makeId} from '../../../src/core/ids/index.js';
 import {retryBudget} from '../../../src/core/serving/index.js';
-import {findBusiestRetryWindow} from '../../support/retry_excess.js';
+import {findBusiestRetryWindow} from '../../support/find_busiest_retry_window.js';
 
 const SERVICE = makeId<ServiceName>('pool');
 const ASSEMBLY_MS = 8000;
