Keep the requests of all nodes to an engine within the limit that it names

Cause: the header was not read, and the load that nodes tell each other is a number of requests in flight; no node knew how many requests all of them had sent in the last seconds. A limited engine answers fast and looks free.

Now digests carry the limits, by the latest word of the engine's process, and the recent sends to limited engines as counts with an exponential decay, which add up over nodes. A node decides once in 50 ms by chance whether the engine is open to it, from the capacity that is left, so that nodes don't all use the same free place before they hear of each other. Nodes that are not heard keep their part. A limit of 0 gets a request in 10 s. Where all targets are limited, as many requests wait as the targets take; the rest is refused at once.

A fixed set of nodes for each engine was ruled out before trying: with few engines a third of the nodes would have none.

Before, eight of nine tests of engine_limits failed; all nine pass.

--- a/src/core/serving/apply_digest.ts
+++ b/src/core/serving/apply_digest.ts
@@ -5,6 +5,7 @@
 import {applyCrashEvidence} from './crashes/index.js';
 import {applyFleet} from './apply_fleet.js';
 import {logDecision} from './log_decision.js';
+import {applyLimitReports, recordPeerSends} from './rate_limits/index.js';
 import {applyPredecessors} from './retries/index.js';
 import {recordFleetSize} from './fleet_size/index.js';
 import {applyLeavingReports} from './announcements/index.js';
@@ -28,7 +29,7 @@
   if (received.from === state.nodeId) return;
   const link = recordDigestSender(step, received);
   if (!acceptsDigest(state, received)) return;
-  const digest = subtractOwnLoads(state, received);
+  const digest = subtractOwnLoads(state, received, nowMs);
   if (digest.storeEra > 0) applyStoreEra(step, digest.storeEra, digest.from);
   const isOutdated = digest.storeEra < (state.restore.era ?? 0);
   const key = peerKey(digest);
@@ -44,6 +45,7 @@
   }
   addPeerLoads(state, digest.loads, 1);
   applyTargetProgress(state, digest, nowMs);
+  recordPeerSends(state, key, digest.loads, nowMs);
   const hasRoster = digest.roster.length > 0;
   const view: PeerView = {
     digest,
@@ -56,6 +58,7 @@
   if (!peer) recordFleetSize(step);
   if (!isOutdated && !isRestoring(state, nowMs)) adoptConfigProof(state, view);
   applyCrashEvidence(step, digest);
+  applyLimitReports(step, digest.from, digest.limits);
   applyPredecessors(step, digest.predecessors);
   applyLost(step, digest);
   applyDeparted(step, digest);
--- a/src/core/serving/create_digest.ts
+++ b/src/core/serving/create_digest.ts
@@ -1,9 +1,15 @@
 import type {DigestLoad, LoadDigest, ServingState} from './types.js';
+import type {VmId} from '../ids/index.js';
 import {listCrashEvidence} from './crashes/index.js';
 import {isSlow} from './is_slow.js';
 import {toAgeMs} from './to_age_ms.js';
 import {listLeavingReports} from './announcements/index.js';
 import {isReady} from './is_ready.js';
+import {
+  countRecent,
+  findLimitPerS,
+  listLimitReports,
+} from './rate_limits/index.js';
 import {listPredecessors, listRetryCounts} from './retries/index.js';
 import {listRecentChanges} from './list_recent_changes.js';
 
@@ -14,6 +20,8 @@
 const NEW_PEER_PERIOD_MS = 2000;
 /** Limit on lost engines, and on probe results, in one datagram; the newest are kept. */
 const MAX_ENGINE_REPORTS = 60;
+/** Digits of a count of recent sends; an error of a hundredth is far below one request. */
+const SEND_DIGITS = 3;
 
 function hasNewPeer(state: ServingState, nowMs: number): boolean {
   return nowMs - state.lastNewPeerAtMs < NEW_PEER_PERIOD_MS;
@@ -23,15 +31,26 @@
   return state.steward.term !== undefined;
 }
 
+/** Returns the recent sends to a limited engine, rounded; undefined if it names no limit. */
+function reportRecentSends(
+  state: ServingState,
+  vmId: VmId,
+  nowMs: number,
+): number | undefined {
+  if (findLimitPerS(state, vmId) === undefined) return undefined;
+  const count = countRecent(state.rateLimits.ownSends.get(vmId), nowMs);
+  return Number(count.toPrecision(SEND_DIGITS));
+}
+
 /** Creates the digest of this node's own state and loads, which is sent to peers. */
 export function createDigest(state: ServingState, nowMs: number): LoadDigest {
   const loads: DigestLoad[] = [];
   for (const [vmId, load] of state.targetLoads) {
     const ageMs = nowMs - load.progressAtMs;
     const isSuspect = load.suspectUntilMs > nowMs;
-    if (load.inFlight === 0 && !isSuspect && ageMs > PROGRESS_REPORT_MS) {
-      continue;
-    }
+    const recentSends = reportRecentSends(state, vmId, nowMs);
+    const isQuiet = load.inFlight === 0 && ageMs > PROGRESS_REPORT_MS;
+    if (isQuiet && !isSuspect && !recentSends) continue;
     loads.push({
       vmId,
       inFlight: load.inFlight,
@@ -39,6 +58,7 @@
       progressAgeMs: toAgeMs(load.progressAtMs, nowMs),
       isSuspect,
       isSlow: isSlow(load) && ageMs < PROGRESS_REPORT_MS,
+      ...(recentSends === undefined ? {} : {recentSends}),
     });
   }
   const lostEngines = [...state.lostEngines]
@@ -88,6 +108,7 @@
     fleetProofAgeMs: toAgeMs(state.fleetReadAtMs, nowMs),
     loads,
     retries: listRetryCounts(state, nowMs),
+    limits: listLimitReports(state, nowMs),
     predecessors: listPredecessors(state, nowMs),
     ...listCrashEvidence(state, hasNewPeer(state, nowMs), nowMs),
     lostEngines,
--- a/src/core/serving/dispatch_waiting.ts
+++ b/src/core/serving/dispatch_waiting.ts
@@ -1,6 +1,7 @@
 import type {Placement, RequestRecord, ServingStep} from './types.js';
 import {resolvePoolBackoffMs} from './announcements/index.js';
 import {findCrashSuspect} from './crashes/index.js';
+import {canWaitForLimit, resolvePoolRatePerS} from './rate_limits/index.js';
 import {refuseRequest} from './refuse_request.js';
 import {retryAfterMs} from './retry_after_ms.js';
 import {selectTarget} from './select_target.js';
@@ -40,15 +41,21 @@
       continue;
     }
     const placement = selectTarget(step, record);
+    const ratePerS = placement
+      ? undefined
+      : resolvePoolRatePerS(state, record, nowMs);
     if (placement && canDispatch(record, placement, nowMs)) {
       waiting.splice(waiting.indexOf(record), 1);
       sendAttempt(step, record, placement);
     } else if (
       nowMs >= record.waitDeadlineAtMs ||
-      isWaitUseless(step, record, placement)
+      (ratePerS === undefined
+        ? isWaitUseless(step, record, placement)
+        : !canWaitForLimit(step, record, ratePerS, waiting.indexOf(record)))
     ) {
+      const hasTarget = placement !== undefined || ratePerS !== undefined;
       refuseRequest(step, record, {
-        reason: placement ? 'overloaded' : 'no-target',
+        reason: hasTarget ? 'overloaded' : 'no-target',
         retryAfterMs: retryAfterMs(step, record, placement),
       });
     }
--- a/src/core/serving/expire_state.ts
+++ b/src/core/serving/expire_state.ts
@@ -39,7 +39,7 @@
   crashDetection.expire(step);
   expireCrashes(state, nowMs);
   expireAnnouncements(state, nowMs);
-  expireLimits(state);
+  expireLimits(state, nowMs);
   for (const [vmId, {atMs}] of state.departedEngines) {
     if (nowMs - atMs > DEPARTED_RETENTION_MS)
       state.departedEngines.delete(vmId);
--- a/src/core/serving/peers/types.ts
+++ b/src/core/serving/peers/types.ts
@@ -1,6 +1,7 @@
 import type {EngineChange} from '../../fleet/types.js';
 import type {LeavingReport} from '../announcements/types.js';
 import type {NodeId, VmId, ZoneId} from '../../ids/index.js';
+import type {LimitReport} from '../rate_limits/types.js';
 import type {PredecessorEntry, RetryCount} from '../retries/types.js';
 import type {
   CrashReportEntry,
@@ -20,6 +21,8 @@
   readonly isSuspect: boolean;
   /** Its streams are much slower than the published costs predict. */
   readonly isSlow: boolean;
+  /** Recent sends to a target that names a limit, weighted by age; undefined if it names none. */
+  readonly recentSends?: number;
 }
 
 /** An engine that the store no longer lists; `ageMs` is the time since then. */
@@ -88,6 +91,8 @@
   readonly loads: readonly DigestLoad[];
   /** The sender's retries in the window of the retry budget; undefined while its earlier process may have made others. */
   readonly retries?: readonly RetryCount[];
+  /** Limits that engines name, or have ceased to name. */
+  readonly limits: readonly LimitReport[];
   /** Replaced processes of other nodes, for the processes that replaced them. */
   readonly predecessors: readonly PredecessorEntry[];
   /** Number of nodes whose requests the digest counts. */
--- a/src/core/serving/rate_limits/index.ts
+++ b/src/core/serving/rate_limits/index.ts
@@ -1,5 +1,14 @@
 export {applyLimit} from './apply_limit.js';
+export {canWaitForLimit} from './can_wait_for_limit.js';
+export {applyLimitReports} from './apply_limit_reports.js';
+export {countRecent} from './count_recent.js';
 export {createRateLimitState} from './create_rate_limit_state.js';
+export {decayCount} from './decay_count.js';
 export {expireLimits} from './expire_limits.js';
 export {findLimitPerS} from './find_limit_per_s.js';
+export {isLimitReached} from './is_limit_reached.js';
+export {listLimitReports} from './list_limit_reports.js';
+export {recordPeerSends} from './record_peer_sends.js';
+export {recordSend} from './record_send.js';
+export {resolvePoolRatePerS} from './resolve_pool_rate_per_s.js';
 export type * from './types.js';
--- a/src/core/serving/relays/create_summary.ts
+++ b/src/core/serving/relays/create_summary.ts
@@ -10,6 +10,7 @@
 import {findSteward} from '../find_steward.js';
 import {listPeerNodes} from './list_peer_nodes.js';
 import {listRecentChanges} from '../list_recent_changes.js';
+import {decayCount} from '../rate_limits/index.js';
 import {resolveProofAtMs} from '../resolve_proof_at_ms.js';
 import {rankRoster} from './rank_roster.js';
 import {sumLoads} from './sum_loads.js';
@@ -91,11 +92,16 @@
   nowMs: number,
 ): DigestLoad[] {
   const sinceMs = Math.max(0, Math.round(nowMs - atMs));
-  return digest.loads.map(load =>
-    load.progressAgeMs < 0
-      ? load
-      : {...load, progressAgeMs: load.progressAgeMs + sinceMs},
-  );
+  return digest.loads.map(load => ({
+    ...load,
+    progressAgeMs:
+      load.progressAgeMs < 0
+        ? load.progressAgeMs
+        : load.progressAgeMs + sinceMs,
+    ...(load.recentSends === undefined
+      ? {}
+      : {recentSends: decayCount(load.recentSends, sinceMs)}),
+  }));
 }
 
 function createRoster(
--- a/src/core/serving/relays/sum_loads.ts
+++ b/src/core/serving/relays/sum_loads.ts
@@ -21,9 +21,18 @@
     progressAgeMs: minAge(a.progressAgeMs, b.progressAgeMs),
     isSuspect: a.isSuspect || b.isSuspect,
     isSlow: a.isSlow || b.isSlow,
+    ...addRecentSends(a, b),
   };
 }
 
+function addRecentSends(
+  {recentSends: a}: DigestLoad,
+  {recentSends: b}: DigestLoad,
+): Pick<DigestLoad, 'recentSends'> {
+  if (a === undefined && b === undefined) return {};
+  return {recentSends: (a ?? 0) + (b ?? 0)};
+}
+
 /** Returns the lower of two ages; -1 stands for none. */
 function minAge(a: number, b: number): number {
   if (a < 0 || b < 0) return Math.max(a, b);
--- a/src/core/serving/select_target.ts
+++ b/src/core/serving/select_target.ts
@@ -1,6 +1,7 @@
 import type {Placement, RequestRecord, ServingStep} from './types.js';
 import {estimateFirstEventMs} from './estimate_first_event_ms.js';
 import {isBackoffActive} from './announcements/index.js';
+import {isLimitReached} from './rate_limits/index.js';
 import {refreshTargets} from './refresh_targets.js';
 import {isSuspectTarget} from './is_suspect_target.js';
 
@@ -30,6 +31,7 @@
   for (const target of state.targetsByPool.get(record.pool) ?? []) {
     if (record.triedTargets.has(target.vmId)) continue;
     if (isBackoffActive(state, target.vmId, nowMs)) continue;
+    if (isLimitReached(state, target.vmId, nowMs)) continue;
     const estimate = estimateFirstEventMs(state, target, promptTokens, nowMs);
     const isSuspect = isSuspectTarget(state, target.vmId, nowMs);
     const costMs =
--- a/src/core/serving/send_attempt.ts
+++ b/src/core/serving/send_attempt.ts
@@ -4,6 +4,7 @@
 import {count} from './count.js';
 import {logDecision} from './log_decision.js';
 import {makeId} from '../ids/index.js';
+import {findLimitPerS, recordSend} from './rate_limits/index.js';
 import {retryBudget} from './retries/index.js';
 import {resolveTargetLoad} from './resolve_target_load.js';
 import {resolveUrgency} from './resolve_urgency.js';
@@ -32,6 +33,7 @@
     progressAtMs: nowMs,
   };
   load.inFlight += 1;
+  recordSend(state, target.vmId, nowMs);
   load.unreadTokens += request.promptTokens;
   const isRetry = record.dispatchCount > 0;
   if (isRetry) retryBudget.recordRetry(state, record.service, nowMs);
@@ -56,6 +58,7 @@
     waitedMs: Math.round(nowMs - request.arrivedAtMs),
     expectedFirstMs: Math.round(placement.firstEventMs),
     inFlight: placement.inFlight,
+    limitPerS: findLimitPerS(state, target.vmId),
     retries: isRetry
       ? describeUsage(retryBudget.usage(state, record.service, nowMs))
       : undefined,
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -81,6 +81,8 @@
   readonly deadlineAtMs: number;
   /** A request that is still waiting for a target is refused at this time. */
   waitDeadlineAtMs: number;
+  /** Random number, 0 to 1, that decides whether it may wait for targets that limit their requests; drawn when first needed. */
+  waitDraw?: number;
   /** When it last joined this node's queue. */
   waitingSinceMs: number;
   /** Targets that it was sent to; it is not sent to one of them twice. */
--- a/src/serving/digest_codec.ts
+++ b/src/serving/digest_codec.ts
@@ -9,17 +9,19 @@
 import type {CrashReportEntry} from '../core/serving/crashes/types.js';
 import type {EngineChange} from '../core/fleet/types.js';
 import type {
+  DigestLoad,
   DigestScope,
   LoadDigest,
   RosterNode,
 } from '../core/serving/types.js';
+import {limitRows} from './limit_rows.js';
 import {retryRows} from './retry_rows.js';
 
 /** Version of the datagram format; datagrams of other versions are dropped. */
 const FORMAT_VERSION = 6;
 
-/** VM id, requests in flight, unread prompt tokens, age of the last event in ms (-1: none), and flags. */
-type LoadRow = readonly [string, number, number, number, number];
+/** VM id, requests in flight, unread prompt tokens, age of the last event in ms (-1: none), flags, and recent sends to a limited target. */
+type LoadRow = readonly [string, number, number, number, number, number?];
 
 /** Report on one engine process: VM id, start time, and age of the report in ms. */
 type EngineReportRow = readonly [string, number, number];
@@ -63,7 +65,10 @@
 type RosterRow = readonly [string, string, string, number, number, number];
 
 /** The JSON body of a datagram; keys are single letters to keep it small. */
-interface Datagram extends ReturnType<typeof retryRows.encode> {
+interface Datagram
+  extends
+    ReturnType<typeof retryRows.encode>,
+    ReturnType<typeof limitRows.encode> {
   /** Format version. */
   readonly v: number;
   /** Index of the digest's scope. */
@@ -139,13 +144,7 @@
         digest.fleetProofAgeMs,
         digest.storeEra,
       ],
-      t: digest.loads.map(load => [
-        load.vmId,
-        load.inFlight,
-        load.unreadTokens,
-        load.progressAgeMs,
-        (load.isSuspect ? SUSPECT_BIT : 0) | (load.isSlow ? SLOW_BIT : 0),
-      ]),
+      t: digest.loads.map(toLoadRow),
       s: digest.suspects.map(one => [
         one.marker,
         one.losses,
@@ -174,6 +173,7 @@
       x: digest.lostEngines.map(toReportRow),
       h: digest.leavingEngines.map(toReportRow),
       ...retryRows.encode(digest),
+      ...limitRows.encode(digest.limits),
     };
     const bytes = Buffer.from(JSON.stringify(datagram));
     const isCompressed = bytes.length > COMPRESS_ABOVE_BYTES;
@@ -264,6 +264,7 @@
         progressAgeMs: Number(row[3]),
         isSuspect: (toCount(row[4]) & SUSPECT_BIT) !== 0,
         isSlow: (toCount(row[4]) & SLOW_BIT) !== 0,
+        ...(row[5] === undefined ? {} : {recentSends: toCount(row[5])}),
       })),
       suspects: datagram.s.map(row => ({
         marker: row[0] as Fingerprint,
@@ -296,6 +297,7 @@
       lostEngines: datagram.x.map(toReport),
       leavingEngines: datagram.h.map(toReport),
       ...retryRows.decode(datagram),
+      limits: limitRows.decode(datagram),
     };
   },
 };
@@ -306,6 +308,14 @@
   return inflateRawSync(body, {maxOutputLength: MAX_DECOMPRESSED_BYTES});
 }
 
+function toLoadRow(load: DigestLoad): LoadRow {
+  const {vmId, inFlight, unreadTokens, progressAgeMs, recentSends} = load;
+  const flags =
+    (load.isSuspect ? SUSPECT_BIT : 0) | (load.isSlow ? SLOW_BIT : 0);
+  const row = [vmId, inFlight, unreadTokens, progressAgeMs, flags] as const;
+  return recentSends === undefined ? row : [...row, recentSends];
+}
+
 function toCrashRow(report: CrashReportEntry): CrashRow {
   const {vmId, bornAtMs, pool, ageMs, runs} = report;
   return [
--- a/test/support/serving_node_harness.ts
+++ b/test/support/serving_node_harness.ts
@@ -53,6 +53,7 @@
       {...SERVING_BOUNDS, ...bounds},
       seed,
     );
+    this.state.steward.hasTraffic = true;
   }
 
   /** Dispatches the configuration and the engines that a node reads at its start. */
@@ -151,6 +152,7 @@
       fleetProofAgeMs: -1,
       loads: [],
       predecessors: [],
+      limits: [],
       departed: [],
       probeRequests: [],
       probeReports: [],
--- a/test/units/serving/digest_codec.test.ts
+++ b/test/units/serving/digest_codec.test.ts
@@ -9,6 +9,7 @@
 } from '../../../src/core/ids/index.js';
 import {ServingNodeHarness} from '../../support/serving_node_harness.js';
 import {digestCodec} from '../../../src/serving/digest_codec.js';
+import {limitRows} from '../../../src/serving/limit_rows.js';
 import {retryRows} from '../../../src/serving/retry_rows.js';
 import {makeId} from '../../../src/core/ids/index.js';
 
@@ -30,6 +31,7 @@
       progressAgeMs: at % 1000,
       isSuspect: at % 7 === 0,
       isSlow: at % 5 === 0,
+      ...(at % 3 === 0 ? {recentSends: 1.25} : {}),
     })),
     roster: Array.from({length: 140}, (_, at) => ({
       nodeId: makeId<NodeId>(`edge-zone-a-${at}`),
@@ -65,6 +67,10 @@
     })),
     survivals: [{marker: makeId<Fingerprint>('f2'), ageMs: 12}],
     retries: [{service: makeId('rhubarb-pool'), count: 17}],
+    limits: [
+      {vmId: makeId('i-3'), bornAtMs: 7, perS: 3.4, ageMs: 20},
+      {vmId: makeId('i-4'), bornAtMs: 7, ageMs: 20},
+    ],
     predecessors: [
       {
         nodeId: makeId('edge-zone-a-3'),
@@ -117,6 +123,12 @@
     }
   });
 
+  it('leaves out limits that are no numbers', () => {
+    const rows = [['i-1', 1, 20, -3], ['i-1', 1, 20, '3'], ['i-1'], 'i-1', [3]];
+    assert.deepEqual(limitRows.decode({L: rows as never}), []);
+    assert.deepEqual(limitRows.decode({L: 3 as never}), []);
+  });
+
   it('refuses truncated datagrams', () => {
     const bytes = digestCodec.encode(createLargeSummary());
     for (let length = 0; length < bytes.length; length += 97) {
