Accept no entry with an address that can't be called or with numbers out of range

Other operators: one odd entry among those of the engines (port out of range, numbers too large, deep nesting) ended the machines that read the list. Here a port of 70000 was taken for an engine's: the first call threw, which the node of the test harness did not survive; the program logs it, but the request or order hung. Slots of 1e300 or 2.5 and epochs of 1e300 were taken over too; an epoch near 2^53 left stewards no exact number above it.

Cause: addresses were checked by their shape at one of five places, numbers for being numbers. Now one function says what an address is, for engines' and nodes' entries, changes in digests, lists of peers, and addresses of stewards and probes; numbers are integers in range; entries of nodes are checked at all. Deep nesting (200,000) was survived before and is.

--- a/src/serving/digest_codec.ts
+++ b/src/serving/digest_codec.ts
@@ -14,6 +14,7 @@
   LoadDigest,
   RosterNode,
 } from '../core/serving/types.js';
+import {isAddress, isEngineChange} from '../core/fleet/index.js';
 import {limitRows} from './limit_rows.js';
 import {retryRows} from './retry_rows.js';
 
@@ -234,11 +235,12 @@
       storeEra,
     ] = proofs as [number, number, number, number, number];
     const [peerAddress, coreCount, stewardAddress] = datagram.w;
+    if (!isAddress(peerAddress)) return undefined;
     return {
       scope,
-      peerAddress: String(peerAddress),
+      peerAddress,
       coreCount: toCount(coreCount),
-      ...(stewardAddress ? {stewardAddress: String(stewardAddress)} : {}),
+      ...(isAddress(stewardAddress) ? {stewardAddress} : {}),
       nodeCount: toCount(datagram.u),
       roster: datagram.y.map(toRosterNode),
       ...(Number.isFinite(counted) ? {countedSentAtMs: counted} : {}),
@@ -250,7 +252,9 @@
       isReady: datagram.r === 1,
       isLeaving: datagram.l === 1,
       isSteward: datagram.g === 1,
-      changes: (Array.isArray(datagram.e) ? datagram.e : []).filter(isChange),
+      changes: (Array.isArray(datagram.e) ? datagram.e : []).filter(
+        isEngineChange,
+      ),
       configVersion: toCount(datagram.c),
       configProofAgeMs,
       engineCount,
@@ -284,11 +288,13 @@
         bornAtMs: Number(row[2]),
         ageMs: toCount(row[3]),
       })),
-      probeRequests: datagram.q.map(row => ({
-        vmId: row[0] as VmId,
-        address: String(row[1]),
-        peers: (Array.isArray(row[2]) ? row[2] : []) as NodeId[],
-      })),
+      probeRequests: datagram.q
+        .filter(row => isAddress(row[1]))
+        .map(row => ({
+          vmId: row[0] as VmId,
+          address: row[1],
+          peers: (Array.isArray(row[2]) ? row[2] : []) as NodeId[],
+        })),
       probeReports: datagram.o.map(row => ({
         vmId: row[0] as VmId,
         nodeId: row[1] as NodeId,
@@ -377,15 +383,6 @@
   };
 }
 
-function isChange(value: unknown): boolean {
-  const change = value as Partial<EngineChange> | null;
-  return (
-    typeof change?.vmId === 'string' &&
-    typeof change.revision === 'number' &&
-    (change.engine === undefined || typeof change.engine.address === 'string')
-  );
-}
-
 function isRows(value: unknown): boolean {
   return Array.isArray(value) && value.every(row => Array.isArray(row));
 }
--- a/src/serving/node_registry.ts
+++ b/src/serving/node_registry.ts
@@ -2,12 +2,15 @@
 import type {RegisteredNode} from '../core/serving/types.js';
 import type {ServingContext, ServingComponent} from './types.js';
 import type {StoreEntry} from '../core/store/types.js';
+import {isAddress} from '../core/fleet/index.js';
 import {isRegistrationNeeded} from '../core/serving/index.js';
 import {listEntries} from './list_entries.js';
 import {makeId} from '../core/ids/index.js';
 import {sleep} from './sleep.js';
 
 const KEY_PREFIX = 'rhubarbstile/nodes/';
+/** An entry with more is mistaken: it would make its node a relay. */
+const MAX_CORES = 4096;
 const LEASE_TTL_MS = 10_000;
 const RENEW_INTERVAL_MS = 3300;
 const STORE_TIMEOUT_MS = 800;
@@ -97,12 +100,17 @@
 
   private parseEntry({key, value}: StoreEntry): RegisteredNode | undefined {
     try {
-      const {address, zone, cores} = JSON.parse(value) as NodeEntry;
+      const {address, zone, cores} = JSON.parse(value) as Partial<NodeEntry>;
+      if (!isAddress(address)) throw new Error('no address');
+      if (typeof zone !== 'string') throw new Error('no zone');
+      if (typeof cores !== 'number' || !(cores > 0 && cores <= MAX_CORES)) {
+        throw new Error('no number of cores');
+      }
       return {
         nodeId: makeId<NodeId>(key.slice(KEY_PREFIX.length)),
-        peerAddress: String(address),
+        peerAddress: address,
         zone: makeId<ZoneId>(zone),
-        coreCount: Number(cores),
+        coreCount: cores,
       };
     } catch (error) {
       this.context.logger.write('warn', 'peers', 'entry not understood', {
--- a/src/serving/peer_sync.ts
+++ b/src/serving/peer_sync.ts
@@ -8,6 +8,7 @@
 import {applyConfigText} from './apply_config_text.js';
 import {resolveDocumentAddress} from './resolve_document_address.js';
 import {fetchDocument} from './fetch_document.js';
+import {isEngineChange} from '../core/fleet/index.js';
 import {sleep} from './sleep.js';
 import {
   isFleetStale,
@@ -156,6 +157,10 @@
     try {
       list = JSON.parse(text) as EngineList;
       if (!Array.isArray(list.changes)) throw new Error('no list of changes');
+      if (!list.changes.every(isEngineChange)) {
+        throw new Error('invalid change');
+      }
+      if (!Number.isSafeInteger(list.revision)) throw new Error('no revision');
     } catch (error) {
       this.engineFailures += 1;
       logger.write('warn', 'peers', 'invalid engine list from a peer', {
--- a/test/support/serving_node_harness.ts
+++ b/test/support/serving_node_harness.ts
@@ -48,6 +48,7 @@
         nodeId: makeId<NodeId>('n0'),
         zone: makeId<ZoneId>('zone'),
         callerAddress: '10.0.0.1:80',
+        peerAddress: '10.0.0.1:7340',
         isFirstStart: true,
       },
       {...SERVING_BOUNDS, ...bounds},
