Take a refusal for this request's only if it names this request

Now the id is compared first. Another request's refusal ends the connection, and the request may have run. A refusal without an id counts on a connection's first request only.

late_refusals, real sockets: 3 of 3 fail on the code before, pass now.

--- a/src/serving/running_attempt.ts
+++ b/src/serving/running_attempt.ts
@@ -2,7 +2,7 @@
 import type {Agent, ClientRequest, IncomingMessage} from 'node:http';
 import type {AttemptFault, ServingEffect} from '../core/serving/types.js';
 import type {CallerCall} from './caller_call.js';
-import type {ServingContext} from './types.js';
+import type {ServingContext, TargetHead} from './types.js';
 import {ResponseSizeLimit, splitAddress} from '../http/index.js';
 import {EventSplitter} from '../targets/event_splitter.js';
 import type {ResponseBufferBudget} from './response_buffer_budget.js';
@@ -105,21 +105,7 @@
     const head = context.wire.callers.readTarget(status, response.headers);
     response.on('error', error => this.failConnection(error.message));
     response.on('close', () => this.failConnection('connection closed'));
-    const isForThisCall = head.hasNotRun || head.callerId === call.callerId;
-    if (isForThisCall)
-      dispatchAnnouncement(
-        context,
-        {vmId: effect.vmId, hasRun: !head.hasNotRun},
-        status,
-        response.headers,
-      );
-    this.limit?.reset(MAX_BYTES_WITHOUT_PROGRESS);
-    if (head.hasNotRun) {
-      this.drainRefusal(response);
-      this.fail('turned-away', {status, faultyVmId: head.faultyVmId});
-      return;
-    }
-    if (head.callerId !== call.callerId) {
+    if (!this.isForThisCall(head)) {
       this.outgoing?.destroy();
       this.fail('garbled', {
         status,
@@ -127,6 +113,18 @@
       });
       return;
     }
+    dispatchAnnouncement(
+      context,
+      {vmId: effect.vmId, hasRun: !head.hasNotRun},
+      status,
+      response.headers,
+    );
+    this.limit?.reset(MAX_BYTES_WITHOUT_PROGRESS);
+    if (head.hasNotRun) {
+      this.drainRefusal(response);
+      this.fail('turned-away', {status, faultyVmId: head.faultyVmId});
+      return;
+    }
     if (!head.isSigned && isSuccess(status)) {
       this.outgoing?.destroy();
       this.fail('garbled', {
@@ -143,6 +141,12 @@
     this.forwardBuffered(response);
   }
 
+  /** Whether a response belongs to this request. On a connection that was used before, one without an id may be a late copy for an earlier request. */
+  private isForThisCall({callerId, hasNotRun}: TargetHead): boolean {
+    if (callerId !== undefined) return callerId === this.call.callerId;
+    return hasNotRun && this.outgoing?.reusedSocket !== true;
+  }
+
   private forwardStream(response: IncomingMessage): void {
     const {context, call, effect} = this;
     const splitter = new EventSplitter(MAX_EVENT_BYTES);
