--- a/src/core/serving/rate_limits/apply_limit.ts
+++ b/src/core/serving/rate_limits/apply_limit.ts
@@ -4,7 +4,7 @@
 import {count} from '../count.js';
 import {logDecision} from '../log_decision.js';
 
-/** Records the latest word of an engine on its limit. `source`: the engine itself, or the peer that reports it. */
+/** Records an engine's latest announcement of its limit. `source`: the engine itself, or the peer that reports it. */
 export function applyLimit(
   step: ServingStep,
   vmId: VmId,
--- a/src/core/serving/rate_limits/apply_limit_reports.ts
+++ b/src/core/serving/rate_limits/apply_limit_reports.ts
@@ -3,7 +3,7 @@
 import type {ServingStep} from '../types.js';
 import {applyLimit} from './apply_limit.js';
 
-/** Takes over the limits that a peer reports; the latest word of an engine counts. */
+/** Takes over the limits that a peer reports; an engine's latest announcement counts. */
 export function applyLimitReports(
   step: ServingStep,
   from: NodeId,
--- a/src/core/serving/rate_limits/can_wait_for_limit.ts
+++ b/src/core/serving/rate_limits/can_wait_for_limit.ts
@@ -9,8 +9,8 @@
  * Whether a request may wait for targets that all limit their requests.
  *
  * The requests that the targets take until it would be refused are shared by
- * all nodes. Where a node's part is a fraction, that fraction of the requests
- * waits, so that small parts are used too; the others are refused at once.
+ * all nodes. Where a node's share is below one, that fraction of its requests
+ * waits, so that small shares are used too; the others are refused at once.
  */
 export function canWaitForLimit(
   {state, nowMs}: ServingStep,
@@ -24,8 +24,8 @@
     hasPartialResponse ? MAX_STREAM_PAUSE_MS : Infinity,
   );
   if (nowMs >= waitingSinceMs + waitMs) return false;
-  const fleetPart = (ratePerS * waitMs) / MS_PER_S;
-  const part = fleetPart / countCurrentNodes(state, nowMs);
+  const fleetCount = (ratePerS * waitMs) / MS_PER_S;
+  const nodeShare = fleetCount / countCurrentNodes(state, nowMs);
   record.waitDraw ??= state.random.next();
-  return ahead + record.waitDraw < part;
+  return ahead + record.waitDraw < nodeShare;
 }
--- a/src/core/serving/rate_limits/is_limit_reached.ts
+++ b/src/core/serving/rate_limits/is_limit_reached.ts
@@ -51,9 +51,10 @@
 ): number {
   const {ownSends, peerSends} = state.rateLimits;
   const nodeCount = countCurrentNodes(state, nowMs);
-  // Nodes that are not heard use their own part.
-  const part = nodeCount / Math.max(nodeCount, resolveFleetSize(state) ?? 1);
-  const ratePerS = RATE_FACTOR * part * resolveRatePerS(limitPerS);
+  // Nodes that are not heard use their own share.
+  const heardShare =
+    nodeCount / Math.max(nodeCount, resolveFleetSize(state) ?? 1);
+  const ratePerS = RATE_FACTOR * heardShare * resolveRatePerS(limitPerS);
   const capacity = resolveCapacity(ratePerS);
   const sent =
     countRecent(ownSends.get(vmId), nowMs) +
--- a/src/core/serving/rate_limits/types.ts
+++ b/src/core/serving/rate_limits/types.ts
@@ -1,7 +1,7 @@
 import type {PeerKey} from '../types.js';
 import type {VmId} from '../../ids/index.js';
 
-/** The latest word of an engine on the requests that it takes from all nodes together. */
+/** An engine's latest announcement of the requests that it takes from all nodes together. */
 export interface EngineLimit {
   /** Identifies the incarnation that named it. */
   readonly bornAtMs: number;
--- a/src/core/serving/retries/retry_budget.ts
+++ b/src/core/serving/retries/retry_budget.ts
@@ -10,14 +10,14 @@
 
 /**
  * Counts arrivals and retries of a service, and decides whether one more retry
- * is within this node's part of the fleet's retry budget.
+ * is within this node's share of the fleet's retry budget.
  *
- * Each node may use the ratio of its own requests and an equal part of the
+ * Each node may use the ratio of its own requests and an equal share of the
  * constant allowance, so that the fleet's total stays within the bound without
- * coordination for each retry. The parts add up to the budget whatever the
+ * coordination for each retry. The shares add up to the budget whatever the
  * nodes hear of each other: the allowance is divided by all nodes that may be
  * serving, and what a restarted node's earlier process used is counted. Where
- * that is unknown, the whole part counts as used.
+ * that is unknown, the whole share counts as used.
  */
 export const retryBudget = {
   /** Counts an arrived request. */
--- a/src/serving/digest_codec.ts
+++ b/src/serving/digest_codec.ts
@@ -1,12 +1,5 @@
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
-import type {
-  Fingerprint,
-  NodeId,
-  PromptPartId,
-  VmId,
-  ZoneId,
-} from '../core/ids/index.js';
-import type {CrashReportEntry} from '../core/serving/crashes/types.js';
+import type {NodeId, VmId, ZoneId} from '../core/ids/index.js';
 import type {EngineChange} from '../core/fleet/types.js';
 import type {
   DigestLoad,
@@ -15,8 +8,11 @@
   RosterNode,
 } from '../core/serving/types.js';
 import {isAddress, isEngineChange} from '../core/fleet/index.js';
+import {crashRows} from './crash_rows.js';
+import {isRows} from './is_rows.js';
 import {limitRows} from './limit_rows.js';
 import {retryRows} from './retry_rows.js';
+import {toCount} from './to_count.js';
 
 /** Version of the datagram format; datagrams of other versions are dropped. */
 const FORMAT_VERSION = 6;
@@ -28,15 +24,6 @@
 type EngineReportRow = readonly [string, number, number];
 type EngineReport = LoadDigest['lostEngines'][number];
 
-/** VM id, start time, age in ms, for each request its fingerprint followed by the parts of its prompt, and the pool. */
-type CrashRow = readonly [
-  string,
-  number,
-  number,
-  readonly (readonly string[])[],
-  string,
-];
-
 /** Flags of a load row. */
 const SUSPECT_BIT = 1;
 const SLOW_BIT = 2;
@@ -68,6 +55,7 @@
 /** The JSON body of a datagram; keys are single letters to keep it small. */
 interface Datagram
   extends
+    ReturnType<typeof crashRows.encode>,
     ReturnType<typeof retryRows.encode>,
     ReturnType<typeof limitRows.encode> {
   /** Format version. */
@@ -101,12 +89,6 @@
   /** Age of the configuration's proof in ms, count of engines, sum of their revisions, age of their proof in ms, era of the store. */
   readonly p: readonly number[];
   readonly t: readonly LoadRow[];
-  /** Suspects of crashes: marker, losses, remaining time in ms, age of the last loss in ms, and whether it is a prompt part. */
-  readonly s: readonly (readonly [string, number, number, number, 0 | 1])[];
-  /** Crashes of engines. */
-  readonly f?: readonly CrashRow[];
-  /** Markers of runs that did not crash, with the age in ms. */
-  readonly i?: readonly (readonly [string, number])[];
   /** Engines that the store no longer lists: VM id, address, start time, age in ms. */
   readonly d: readonly (readonly [string, string, number, number])[];
   /** Engines that peers are to probe: VM id, address, ids of these peers. */
@@ -146,19 +128,6 @@
         digest.storeEra,
       ],
       t: digest.loads.map(toLoadRow),
-      s: digest.suspects.map(one => [
-        one.marker,
-        one.losses,
-        one.leftMs,
-        one.lastLossAgeMs,
-        one.kind === 'part' ? 1 : 0,
-      ]),
-      ...(digest.crashReports.length > 0 && {
-        f: digest.crashReports.map(toCrashRow),
-      }),
-      ...(digest.survivals.length > 0 && {
-        i: digest.survivals.map(({marker, ageMs}) => [marker, ageMs] as const),
-      }),
       d: digest.departed.map(one => [
         one.vmId,
         one.address,
@@ -173,6 +142,7 @@
       ]),
       x: digest.lostEngines.map(toReportRow),
       h: digest.leavingEngines.map(toReportRow),
+      ...crashRows.encode(digest),
       ...retryRows.encode(digest),
       ...limitRows.encode(digest.limits),
     };
@@ -209,17 +179,10 @@
     }
     const scope = SCOPES[datagram.k];
     if (!scope || !Array.isArray(datagram.w)) return undefined;
-    const tables = [
-      datagram.t,
-      datagram.s,
-      datagram.x,
-      datagram.d,
-      datagram.y,
-      datagram.h,
-      datagram.f ?? [],
-      datagram.i ?? [],
-    ];
+    const tables = [datagram.t, datagram.x, datagram.d, datagram.y, datagram.h];
     if (![...tables, datagram.q, datagram.o].every(isRows)) return undefined;
+    const crashFields = crashRows.decode(datagram);
+    if (!crashFields) return undefined;
     const {p: proofs, m: sentAtMs} = datagram;
     if (!Array.isArray(proofs) || !proofs.every(Number.isFinite)) {
       return undefined;
@@ -270,18 +233,6 @@
         isSlow: (toCount(row[4]) & SLOW_BIT) !== 0,
         ...(row[5] === undefined ? {} : {recentSends: toCount(row[5])}),
       })),
-      suspects: datagram.s.map(row => ({
-        marker: row[0] as Fingerprint,
-        losses: toCount(row[1]),
-        leftMs: toCount(row[2]),
-        lastLossAgeMs: toCount(row[3]),
-        kind: row[4] === 1 ? ('part' as const) : ('request' as const),
-      })),
-      crashReports: (datagram.f ?? []).map(toCrashReport),
-      survivals: (datagram.i ?? []).map(row => ({
-        marker: String(row[0]) as Fingerprint,
-        ageMs: toCount(row[1]),
-      })),
       departed: datagram.d.map(row => ({
         vmId: row[0] as VmId,
         address: String(row[1]),
@@ -302,6 +253,7 @@
       })),
       lostEngines: datagram.x.map(toReport),
       leavingEngines: datagram.h.map(toReport),
+      ...crashFields,
       ...retryRows.decode(datagram),
       limits: limitRows.decode(datagram),
     };
@@ -322,31 +274,6 @@
   return recentSends === undefined ? row : [...row, recentSends];
 }
 
-function toCrashRow(report: CrashReportEntry): CrashRow {
-  const {vmId, bornAtMs, pool, ageMs, runs} = report;
-  return [
-    vmId,
-    bornAtMs,
-    ageMs,
-    runs.map(({fingerprint, sharedPartIds}) => [fingerprint, ...sharedPartIds]),
-    pool,
-  ];
-}
-
-function toCrashReport(row: CrashRow): CrashReportEntry {
-  const runs = isRows(row[3]) ? row[3] : [];
-  return {
-    vmId: row[0] as VmId,
-    bornAtMs: Number(row[1]),
-    ageMs: toCount(row[2]),
-    pool: String(row[4]),
-    runs: runs.map(([fingerprint, ...partIds]) => ({
-      fingerprint: String(fingerprint) as Fingerprint,
-      sharedPartIds: partIds.map(partId => String(partId) as PromptPartId),
-    })),
-  };
-}
-
 function toReportRow({vmId, bornAtMs, ageMs}: EngineReport): EngineReportRow {
   return [vmId, bornAtMs, ageMs];
 }
@@ -382,13 +309,3 @@
     isLeaving: (bits & LEAVING_BIT) !== 0,
   };
 }
-
-function isRows(value: unknown): boolean {
-  return Array.isArray(value) && value.every(row => Array.isArray(row));
-}
-
-/** Converts to a number; 0 for anything that is not finite and positive. */
-function toCount(value: unknown): number {
-  const number = Number(value);
-  return Number.isFinite(number) && number > 0 ? number : 0;
-}
--- a/src/serving/limit_rows.ts
+++ b/src/serving/limit_rows.ts
@@ -1,5 +1,6 @@
 import type {LimitReport} from '../core/serving/rate_limits/types.js';
 import type {VmId} from '../core/ids/index.js';
+import {isAmount} from './is_amount.js';
 
 /** VM id, start time of the engine, age in ms, and requests per second; without the last: the limit has ended. */
 type LimitRow = readonly [string, number, number, number?];
@@ -39,7 +40,3 @@
     ? {vmId: vmId as VmId, bornAtMs, ageMs, perS}
     : undefined;
 }
-
-function isAmount(value: unknown): value is number {
-  return typeof value === 'number' && Number.isFinite(value) && value >= 0;
-}
--- a/src/serving/retry_rows.ts
+++ b/src/serving/retry_rows.ts
@@ -3,6 +3,7 @@
   PredecessorEntry,
   RetryCount,
 } from '../core/serving/retries/types.js';
+import {isAmount} from './is_amount.js';
 
 /** Service and retries. */
 type RetryRow = readonly [string, number];
@@ -62,7 +63,7 @@
   for (const row of rows as unknown[]) {
     if (!Array.isArray(row)) return undefined;
     const [service, count] = row as unknown[];
-    if (typeof service !== 'string' || !isCount(count)) return undefined;
+    if (typeof service !== 'string' || !isAmount(count)) return undefined;
     counts.push({service: service as ServiceName, count});
   }
   return counts;
@@ -73,10 +74,6 @@
   const [nodeId, successor, ageMs, rows] = row as unknown[];
   const retries = toCounts(rows);
   if (typeof nodeId !== 'string' || !retries) return undefined;
-  if (!isCount(successor) || !isCount(ageMs)) return undefined;
+  if (!isAmount(successor) || !isAmount(ageMs)) return undefined;
   return {nodeId: nodeId as NodeId, successor, ageMs, retries};
 }
-
-function isCount(value: unknown): value is number {
-  return typeof value === 'number' && Number.isFinite(value) && value >= 0;
-}
