Log a node's own network path to engines, without heeding it yet

The logs of the incident can't tell whether a node could have known that it is partitioned from all engines, and when.

New connections are the evidence, since established ones may outlive the path. Nothing is decided by it yet.

--- a/src/core/serving/attempt_handlers.ts
+++ b/src/core/serving/attempt_handlers.ts
@@ -9,6 +9,7 @@
 import {recordEventGap} from './record_event_gap.js';
 import {retryRequest} from './retry_request.js';
 import {crashDetection, recordAnswer, recordSurvival} from './crashes/index.js';
+import {recordUnreachable} from './reachability/index.js';
 import {markTargetSuspect} from './mark_target_suspect.js';
 import {resolveTargetLoad} from './resolve_target_load.js';
 
@@ -128,6 +129,7 @@
   load.consecutiveFailures += 1;
   switch (failure.fault) {
     case 'not-sent':
+      recordUnreachable(step, vmId, failure.detail ?? 'not sent');
       markTargetSuspect(step, vmId, UNREACHABLE_SUSPECT_MS, 'unreachable');
       break;
     case 'turned-away':
--- a/src/core/serving/create_serving_state.ts
+++ b/src/core/serving/create_serving_state.ts
@@ -7,6 +7,7 @@
 import {createRandom} from '../random/index.js';
 import {createRetryState} from './retries/index.js';
 import {createRateLimitState} from './rate_limits/index.js';
+import {createReachabilityState} from './reachability/index.js';
 import {createRestoreState} from './restore/index.js';
 import {createStewardState} from '../steward/create_steward_state.js';
 
@@ -71,6 +72,7 @@
     lostEngines: new Map(),
     announcements: createAnnouncementState(),
     rateLimits: createRateLimitState(),
+    reachability: createReachabilityState(),
     targetLoads: new Map(),
     peers: new Map(),
     peerLoads: new Map(),
--- a/src/core/serving/events.ts
+++ b/src/core/serving/events.ts
@@ -119,6 +119,13 @@
   readonly type: 'stewardLeaseLost';
 }
 
+/** A new connection to an engine was established, after `connectMs`. */
+interface EngineConnected {
+  readonly type: 'engineConnected';
+  readonly vmId: VmId;
+  readonly connectMs: number;
+}
+
 interface OrderAnswered {
   readonly type: 'orderAnswered';
   readonly vmId: VmId;
@@ -175,6 +182,7 @@
   | DigestReceived
   | StewardLeaseHeld
   | StewardLeaseLost
+  | EngineConnected
   | OrderAnswered
   | ProbeAnswered
   | EngineAnnounced
--- a/src/core/serving/reduce_serving.ts
+++ b/src/core/serving/reduce_serving.ts
@@ -12,6 +12,7 @@
 import {applyAnnouncement} from './announcements/index.js';
 import {attemptHandlers} from './attempt_handlers.js';
 import {crashDetection, refreshSuspects} from './crashes/index.js';
+import {recordReached, recordUnreachable} from './reachability/index.js';
 import {updateRegisteredNodes} from './relays/update_registered_nodes.js';
 import {recordStoreContact} from './record_store_contact.js';
 import {planDigests} from './relays/plan_digests.js';
@@ -90,7 +91,11 @@
     case 'digestReceived':
       applyDigest(step, event.digest);
       break;
+    case 'engineConnected':
+      recordReached(step, event.vmId, nowMs - event.connectMs);
+      break;
     case 'probeAnswered':
+      recordContact(step, event);
       recordProbeResult(step, event);
       crashDetection.probed(step, event);
       break;
@@ -144,6 +149,20 @@
     dispatchWaiting(step, pool);
 }
 
+/** Time after which an unanswered probe is given up, so that no answer is to an earlier one. */
+const PROBE_TIMEOUT_MS = 250;
+
+function recordContact(
+  step: ServingStep,
+  {vmId, outcome}: Extract<ServingEvent, {type: 'probeAnswered'}>,
+): void {
+  if (outcome === 'answered') {
+    recordReached(step, vmId, step.nowMs - PROBE_TIMEOUT_MS);
+  } else {
+    recordUnreachable(step, vmId, `probe ${outcome}`);
+  }
+}
+
 function recordProbeResult(
   {state, nowMs}: ServingStep,
   {vmId, outcome}: Extract<ServingEvent, {type: 'probeAnswered'}>,
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -24,6 +24,7 @@
 import type {Random} from '../random/index.js';
 import type {RetryState} from './retries/types.js';
 import type {RateLimitState} from './rate_limits/types.js';
+import type {ReachabilityState} from './reachability/types.js';
 import type {RestoreState} from './restore/types.js';
 import type {StewardState} from '../steward/types.js';
 import type {Verdict} from '../verdict/index.js';
@@ -244,6 +245,8 @@
   readonly announcements: AnnouncementState;
   /** Limits on requests that engines name in their responses. */
   readonly rateLimits: RateLimitState;
+  /** This node's own network paths to the engines. */
+  readonly reachability: ReachabilityState;
   /** Load and health of targets, as measured by this node's own requests. */
   readonly targetLoads: Map<VmId, TargetLoad>;
   /** The last digest of each node, zone or the fleet. */
--- a/src/serving/running_attempt.ts
+++ b/src/serving/running_attempt.ts
@@ -78,6 +78,7 @@
         this.isConnected = true;
         return;
       }
+      const startedAtMs = context.clock.nowMs();
       this.connectTimer = setTimeout(
         () => outgoing.destroy(new Error('connect timeout')),
         CONNECT_TIMEOUT_MS,
@@ -85,6 +86,10 @@
       socket.once('connect', () => {
         this.isConnected = true;
         clearTimeout(this.connectTimer);
+        if (this.isOver) return;
+        const connectMs = context.clock.nowMs() - startedAtMs;
+        const {vmId} = effect;
+        context.events.dispatch({type: 'engineConnected', vmId, connectMs});
       });
     });
     outgoing.on('response', response => this.handleResponse(response));
