--- a/src/replay/serving/serving_world.ts
+++ b/src/replay/serving/serving_world.ts
@@ -250,6 +250,11 @@
     this.after(downMs + START_SPREAD_MS, () => this.electSteward());
   }
 
+  /** The node that holds the steward's lease; undefined while there is none. */
+  get stewardNode(): WorldNode | undefined {
+    return this.steward;
+  }
+
   /** Cuts the steward off from the store; a new steward is elected when the lease has expired. */
   disconnectSteward(): void {
     if (!this.steward) return;
@@ -479,15 +484,15 @@
     }
   }
 
-  /** Returns false if no node is running. */
-  private dispatchToRandomNode(request: ServingRequest): boolean {
+  /** Returns the node; undefined if none is running. */
+  private dispatchToRandomNode(request: ServingRequest): NodeId | undefined {
     const nodes = this.nodes.filter(
       node => node.isUp && this.acceptsCallers(node),
     );
     const node = nodes[this.random.nextInt(nodes.length)];
-    if (!node) return false;
+    if (!node) return undefined;
     this.dispatch(node, {type: 'requestArrived', request});
-    return true;
+    return node.state.nodeId;
   }
 
   private notifyNodes(change: EngineChange): void {
--- a/src/replay/serving/simulated_callers.ts
+++ b/src/replay/serving/simulated_callers.ts
@@ -1,6 +1,6 @@
 import type {AccessConfig} from '../../core/access/types.js';
 import type {CallerOutcome, WorldRequest} from './types.js';
-import type {RequestId} from '../../core/ids/index.js';
+import type {NodeId, RequestId} from '../../core/ids/index.js';
 import type {ServingEffect, ServingRequest} from '../../core/serving/types.js';
 import type {VirtualTime} from '../virtual_time.js';
 import {makeId} from '../../core/ids/index.js';
@@ -25,8 +25,8 @@
 interface CallersOptions {
   readonly time: VirtualTime;
   readonly config: AccessConfig;
-  /** Returns false if no node is running. */
-  dispatchToRandomNode(request: ServingRequest): boolean;
+  /** Returns the node; undefined if none is running. */
+  dispatchToRandomNode(request: ServingRequest): NodeId | undefined;
 }
 
 /** Simulated callers: they send requests, retry once after a refusal, and record the outcomes. */
@@ -108,13 +108,14 @@
     const requestId = makeId<RequestId>(`r${this.requestCount}`);
     this.openCalls.set(requestId, call);
     call.attemptCount += 1;
-    const hasArrived = this.world.dispatchToRandomNode({
+    const nodeId = this.world.dispatchToRandomNode({
       ...call.request,
       callerTimeoutMs: remainingMs,
       requestId,
       arrivedAtMs: this.world.time.nowMs,
     });
-    if (hasArrived) {
+    if (nodeId !== undefined) {
+      call.outcome.nodeId ??= nodeId;
       this.sentAtMs.push(this.world.time.nowMs);
       return;
     }
--- a/src/replay/serving/simulated_network.ts
+++ b/src/replay/serving/simulated_network.ts
@@ -10,16 +10,29 @@
 import type {ServingEngine} from './serving_engine.js';
 import type {SimulatedCallers} from './simulated_callers.js';
 import {findLimitPerS} from '../../core/serving/index.js';
-import type {AttemptArrival, CrashingPartEvent, WorldNode} from './types.js';
+import type {
+  AttemptArrival,
+  CrashingPartEvent,
+  PathFault,
+  WorldNode,
+} from './types.js';
 
 const NETWORK_LATENCY_MS = 1;
 const CONNECT_TIMEOUT_MS = 300;
 const PROBE_TIMEOUT_MS = 250;
 const ORDER_TIMEOUT_MS = 600;
+/** Idle connections to engines are kept open for this long, as by the runtime. */
+const KEPT_CONNECTION_MS = 4000;
 /** Minimum delay of an order that is executed late, and the range of the random delay added to it. */
 const MIN_LATE_ORDER_DELAY_MS = 2000;
 const LATE_ORDER_JITTER_MS = 10_000;
 
+/** An attempt that an engine has, or that is lost on the way. */
+interface RunningAttempt {
+  readonly node: WorldNode;
+  readonly vmId: VmId;
+}
+
 interface NetworkOptions {
   readonly engines: ReadonlyMap<VmId, ServingEngine>;
   readonly callers: SimulatedCallers;
@@ -37,7 +50,7 @@
   readonly crashingPartIds = new Set<PromptPartId>();
   /** When requests with such a part arrived at engines. */
   readonly crashingArrivals: CrashingPartEvent[] = [];
-  /** Whether a node can reach an engine; tests replace it to simulate partitions. */
+  /** Whether a node can reach an engine; tests replace it to cut off single engines, which then don't respond. */
   isReachable: (node: NodeId, vmId: VmId) => boolean = () => true;
   /** Share of the requests, 0 to 1, that an engine refuses without running them; tests replace it. */
   refusalShareOf: (vmId: VmId) => number = () => 0;
@@ -45,10 +58,49 @@
   limitPerSOf: (vmId: VmId) => number | undefined = () => undefined;
   /** Attempts that reached an engine, those that it refused included. */
   readonly arrivals: AttemptArrival[] = [];
-  private readonly attempts = new Map<AttemptId, VmId>();
+  private readonly attempts = new Map<AttemptId, RunningAttempt>();
+  private readonly pathFaults = new Map<NodeId, PathFault>();
+  /** When each node last had a complete response from each engine, by `node/engine`: its connection is kept for a while. */
+  private readonly keptSinceMs = new Map<string, number>();
 
   constructor(private readonly options: NetworkOptions) {}
 
+  /** Partitions nodes from all engines, until `heal`. */
+  partition(nodes: readonly WorldNode[], fault: PathFault): void {
+    for (const {state} of nodes) this.pathFaults.set(state.nodeId, fault);
+    if (fault !== 'refused') return;
+    for (const [attemptId, {node}] of [...this.attempts]) {
+      if (!nodes.includes(node)) continue;
+      this.cancelAttempt(attemptId);
+      this.options.dispatch(node, {
+        type: 'attemptFailed',
+        attemptId,
+        fault: 'broken',
+      });
+    }
+  }
+
+  heal(nodes: readonly WorldNode[]): void {
+    for (const {state} of nodes) this.pathFaults.delete(state.nodeId);
+  }
+
+  /** What keeps a node from opening a connection to an engine; undefined: nothing. */
+  private findFault(node: WorldNode, vmId: VmId): PathFault | undefined {
+    const {nodeId} = node.state;
+    const engine = this.options.engines.get(vmId);
+    if (!engine?.isUp) return engine?.refusesConnections ? 'refused' : 'silent';
+    if (!this.isReachable(nodeId, vmId)) return 'silent';
+    return this.pathFaults.get(nodeId);
+  }
+
+  private hasKeptConnection(node: WorldNode, vmId: VmId): boolean {
+    const sinceMs = this.keptSinceMs.get(`${node.state.nodeId}/${vmId}`);
+    if (sinceMs === undefined || !this.options.engines.get(vmId)?.isUp) {
+      return false;
+    }
+    return this.options.nowMs() - sinceMs < KEPT_CONNECTION_MS;
+  }
+
   startAttempt(
     node: WorldNode,
     effect: Extract<ServingEffect, {type: 'startAttempt'}>,
@@ -58,12 +110,11 @@
     const call = callers.find(requestId);
     const engine = engines.get(vmId);
     if (!call || !engine) return;
-    this.attempts.set(attemptId, vmId);
-    if (!engine.isUp || !this.isReachable(node.state.nodeId, vmId)) {
-      const {refusesConnections} = engine;
-      const delayMs = refusesConnections
-        ? 2 * NETWORK_LATENCY_MS
-        : CONNECT_TIMEOUT_MS;
+    const fault = this.findFault(node, vmId);
+    const isKept = this.hasKeptConnection(node, vmId);
+    if (fault !== undefined && !isKept) {
+      const delayMs =
+        fault === 'silent' ? CONNECT_TIMEOUT_MS : 2 * NETWORK_LATENCY_MS;
       after(delayMs, () =>
         dispatch(node, {
           type: 'attemptFailed',
@@ -73,8 +124,29 @@
       );
       return;
     }
-    const report = (event: ServingEvent) =>
+    this.attempts.set(attemptId, {node, vmId});
+    if (fault === 'silent') return;
+    if (fault === 'refused') {
+      after(NETWORK_LATENCY_MS, () =>
+        dispatch(node, {type: 'attemptFailed', attemptId, fault: 'broken'}),
+      );
+      return;
+    }
+    if (!isKept) {
+      after(2 * NETWORK_LATENCY_MS, () =>
+        dispatch(node, {
+          type: 'engineConnected',
+          vmId,
+          connectMs: 2 * NETWORK_LATENCY_MS,
+        }),
+      );
+    }
+    const {nodeId} = node.state;
+    const isCut = () => this.pathFaults.get(nodeId) === 'silent';
+    const report = (event: ServingEvent) => {
+      if (isCut()) return;
       after(NETWORK_LATENCY_MS, () => dispatch(node, event));
+    };
     const crashingPartId = call.request.sharedPartIds.find(partId =>
       this.crashingPartIds.has(partId),
     );
@@ -111,21 +183,27 @@
         },
         onEvent: () => {
           report({type: 'attemptProgress', attemptId, eventCount: 1});
+          if (isCut()) return;
           after(2 * NETWORK_LATENCY_MS, () => callers.receiveEvent(requestId));
         },
         onEnd: () => {
+          this.attempts.delete(attemptId);
           report({type: 'attemptEnded', attemptId, status: 200});
+          if (isCut()) return;
+          this.keptSinceMs.set(`${nodeId}/${vmId}`, nowMs());
           after(2 * NETWORK_LATENCY_MS, () => callers.end(requestId, 'whole'));
         },
-        onFail: fault => report({type: 'attemptFailed', attemptId, fault}),
+        onFail: cause =>
+          report({type: 'attemptFailed', attemptId, fault: cause}),
       });
     });
   }
 
   cancelAttempt(attemptId: AttemptId): void {
     const {engines, after} = this.options;
-    const vmId = this.attempts.get(attemptId);
+    const vmId = this.attempts.get(attemptId)?.vmId;
     if (vmId === undefined) return;
+    this.attempts.delete(attemptId);
     after(NETWORK_LATENCY_MS, () => engines.get(vmId)?.cancel(attemptId));
   }
 
@@ -135,10 +213,15 @@
       outcome: Extract<ServingEvent, {type: 'orderAnswered'}>['outcome'],
     ) => dispatch(node, {type: 'orderAnswered', vmId, order, outcome});
     const engine = engines.get(vmId);
-    if (!engine?.isUp || !this.isReachable(node.state.nodeId, vmId)) {
+    const fault = this.findFault(node, vmId);
+    if (fault === 'silent' || !engine?.isUp) {
       after(ORDER_TIMEOUT_MS, () => reportOutcome('unknown'));
       return;
     }
+    if (fault !== undefined) {
+      after(2 * NETWORK_LATENCY_MS, () => reportOutcome('refused'));
+      return;
+    }
     if (random.next() < this.lateOrderShare) {
       const delayMs =
         MIN_LATE_ORDER_DELAY_MS + random.nextInt(LATE_ORDER_JITTER_MS);
@@ -159,11 +242,11 @@
   probe(node: WorldNode, vmId: VmId): void {
     const {engines, after, dispatch} = this.options;
     const engine = engines.get(vmId);
-    const isResponding =
-      engine?.isUp === true && this.isReachable(node.state.nodeId, vmId);
-    const isRefused = engine?.refusesConnections === true;
-    const isAnswered = isResponding || isRefused;
-    after(isAnswered ? 2 * NETWORK_LATENCY_MS : PROBE_TIMEOUT_MS, () => {
+    const fault = this.findFault(node, vmId);
+    const isResponding = engine !== undefined && fault === undefined;
+    const isRefused = fault !== undefined && fault !== 'silent';
+    const isSilent = !isResponding && !isRefused;
+    after(isSilent ? PROBE_TIMEOUT_MS : 2 * NETWORK_LATENCY_MS, () => {
       if (isResponding && engine.announcesLeaving) {
         dispatch(node, {type: 'engineAnnounced', vmId, isLeaving: true});
       }
--- a/src/replay/serving/types.ts
+++ b/src/replay/serving/types.ts
@@ -3,6 +3,7 @@
 import type {EngineOrder} from '../../core/steward/types.js';
 import type {
   ModelName,
+  NodeId,
   PromptPartId,
   RequestId,
   VmId,
@@ -67,6 +68,13 @@
   readonly partId: PromptPartId;
 }
 
+/**
+ * How the path from a node to engines is cut. `silent`: nothing gets through.
+ * `refused`: all connections are reset. `established-only`: open connections
+ * live on, new ones are refused.
+ */
+export type PathFault = 'silent' | 'refused' | 'established-only';
+
 /** Arrival of an attempt at an engine. */
 export interface AttemptArrival {
   readonly atMs: number;
@@ -83,6 +91,8 @@
   readonly sharedPartIds: readonly PromptPartId[];
   readonly promptTokens: number;
   readonly arrivedAtMs: number;
+  /** The node that got the caller's first attempt; undefined before. */
+  nodeId?: NodeId;
   readonly goalMs: number;
   readonly gapGoalMs: number;
   /** Time from `arrivedAtMs` to the first event. */
