Take engines for lost only while the node's own path to them is proven

Callers: while the steward was partitioned from the engines, requests failed at all nodes, not only at the partitioned ones, and for seconds after the partition had ended.

Cause: what a node learns of its own path was reported, and taken, as the state of the engine: losses (probes, refused orders, broken connections), suspects and probe reports in digests. The steward declared 36 engines lost 1.1 s after the recorded partition began, and kept its role.

Now evidence counts from a proof of the path. A failed new connection puts the path to the service in doubt, and one or two engines that others reach, of other fabric domains, are probed. If one answers, losses take effect, a round trip later than before. If three engines are unreachable, two of them by such probes, the path is down: pending losses and crash checks are dropped, digests name the service, and what was observed meanwhile is dropped when the path returns. A steward whose path is down gives its lease up while another candidate reaches all engines; relays that reach them come first. A replica whose head refused an order is released by the same proof.

Ruled out: asking peers before each loss, which costs a digest interval for real crashes; a limit on losses at once, which a lost domain would meet.

The checks of retries and leaving_head now answer the probe that proves the path, and assert that nothing is released before it.

--- a/src/core/serving/attempt_handlers.ts
+++ b/src/core/serving/attempt_handlers.ts
@@ -129,7 +129,12 @@
   load.consecutiveFailures += 1;
   switch (failure.fault) {
     case 'not-sent':
-      recordUnreachable(step, vmId, failure.detail ?? 'not sent');
+      recordUnreachable(
+        step,
+        step.state.engines.get(vmId)?.service,
+        vmId,
+        failure.detail ?? 'not sent',
+      );
       markTargetSuspect(step, vmId, UNREACHABLE_SUSPECT_MS, 'unreachable');
       break;
     case 'turned-away':
--- a/src/core/serving/crashes/crash_detection.ts
+++ b/src/core/serving/crashes/crash_detection.ts
@@ -1,10 +1,15 @@
-import type {AttemptRecord, RequestRecord, ServingStep} from '../types.js';
+import type {
+  AttemptRecord,
+  RequestRecord,
+  ServingState,
+  ServingStep,
+} from '../types.js';
 import type {CrashCheck} from './types.js';
-import type {VmId} from '../../ids/index.js';
+import type {ServiceName, VmId} from '../../ids/index.js';
 import type {ServingEvent} from '../events.js';
 import {addCrashReport} from './add_crash_report.js';
 import {logDecision} from '../log_decision.js';
-import {markEngineLost} from '../../steward/mark_engine_lost.js';
+import {reportLoss} from '../reachability/index.js';
 
 /** A target's process end is attributed to a broken connection within this time. */
 const CRASH_CHECK_TTL_MS = 5000;
@@ -69,9 +74,27 @@
       });
       return;
     }
-    state.crashes.checks.delete(vmId);
-    markEngineLost(step, vmId, 'connection refused after a connection broke');
-    reportCrash(step, vmId, check);
+    reportLoss(step, vmId, state.engines.get(vmId)?.service, {
+      bornAtMs: check.bornAtMs,
+      proof: 'connection refused after a connection broke',
+      hasEnded: true,
+    });
+  },
+
+  /** Reports the crash of a target whose process is known to have ended. */
+  confirm(step: ServingStep, vmId: VmId): void {
+    const {checks} = step.state.crashes;
+    const check = checks.get(vmId);
+    if (check?.bornAtMs !== step.state.engines.get(vmId)?.bornAtMs) return;
+    checks.delete(vmId);
+    if (check) reportCrash(step, vmId, check);
+  },
+
+  /** Drops the checks of a service's targets, whose connections broke because this node's path did. */
+  drop({engines, crashes}: ServingState, service: ServiceName): void {
+    for (const vmId of crashes.checks.keys()) {
+      if (engines.get(vmId)?.service === service) crashes.checks.delete(vmId);
+    }
   },
 
   /** Drops checks of targets whose end was not confirmed in time. */
--- a/src/core/serving/create_digest.ts
+++ b/src/core/serving/create_digest.ts
@@ -10,6 +10,10 @@
   findLimitPerS,
   listLimitReports,
 } from './rate_limits/index.js';
+import {
+  isEvidenceSound,
+  listUnreachableServices,
+} from './reachability/index.js';
 import {listPredecessors, listRetryCounts} from './retries/index.js';
 import {listRecentChanges} from './list_recent_changes.js';
 
@@ -47,7 +51,8 @@
   const loads: DigestLoad[] = [];
   for (const [vmId, load] of state.targetLoads) {
     const ageMs = nowMs - load.progressAtMs;
-    const isSuspect = load.suspectUntilMs > nowMs;
+    const isSuspect =
+      load.suspectUntilMs > nowMs && isEvidenceSound(state, vmId);
     const recentSends = reportRecentSends(state, vmId, nowMs);
     const isQuiet = load.inFlight === 0 && ageMs > PROGRESS_REPORT_MS;
     if (isQuiet && !isSuspect && !recentSends) continue;
@@ -77,6 +82,7 @@
       }))
     : [];
   const probeReports = [...state.probeResults]
+    .filter(([vmId]) => isEvidenceSound(state, vmId))
     .slice(-MAX_ENGINE_REPORTS)
     .map(([vmId, {isSilent}]) => ({vmId, nodeId: state.nodeId, isSilent}));
   return {
@@ -99,6 +105,7 @@
     callerAddress: state.callerAddress,
     isReady: isReady(state, nowMs),
     isLeaving: state.leavingSinceMs !== undefined,
+    unreachableServices: listUnreachableServices(state),
     isSteward: isSteward(state),
     changes: isSteward(state) ? listRecentChanges(state, nowMs) : [],
     configVersion: state.config?.version ?? 0,
--- a/src/core/serving/index.ts
+++ b/src/core/serving/index.ts
@@ -16,3 +16,4 @@
 export {isFleetStale} from './relays/is_fleet_stale.js';
 export {latestConfigVersion} from './relays/latest_config_version.js';
 export {stewardRank} from './relays/steward_rank.js';
+export {mustYieldStewardship} from '../steward/must_yield_stewardship.js';
--- a/src/core/serving/is_idle.ts
+++ b/src/core/serving/is_idle.ts
@@ -1,15 +1,12 @@
 import type {ServingState} from './types.js';
+import {isPathInDoubt} from './reachability/index.js';
 
 /** Whether a node of a large fleet has no work in progress, so that its timer may run less often. */
-export function isIdle({
-  requests,
-  steward,
-  exchange,
-  isFleetKnown,
-  config,
-  leavingSinceMs,
-}: ServingState): boolean {
+export function isIdle(state: ServingState): boolean {
+  const {requests, steward, exchange, isFleetKnown, config, leavingSinceMs} =
+    state;
   return (
+    !isPathInDoubt(state) &&
     exchange.isRelayed &&
     exchange.relayRank < 0 &&
     requests.size === 0 &&
--- a/src/core/serving/peers/types.ts
+++ b/src/core/serving/peers/types.ts
@@ -1,6 +1,6 @@
 import type {EngineChange} from '../../fleet/types.js';
 import type {LeavingReport} from '../announcements/types.js';
-import type {NodeId, VmId, ZoneId} from '../../ids/index.js';
+import type {NodeId, ServiceName, VmId, ZoneId} from '../../ids/index.js';
 import type {LimitReport} from '../rate_limits/types.js';
 import type {PredecessorEntry, RetryCount} from '../retries/types.js';
 import type {
@@ -53,6 +53,8 @@
   readonly isLeaving: boolean;
   /** Time since its relay received a digest from it. */
   readonly ageMs: number;
+  /** Services whose engines the node can't reach. */
+  readonly unreachableServices: readonly ServiceName[];
 }
 
 /** Whose requests a digest counts: those of the sender, of the sender's zone, or of all nodes. */
@@ -72,6 +74,8 @@
   readonly coreCount: number;
   readonly isReady: boolean;
   readonly isLeaving: boolean;
+  /** Services whose engines the sender can't reach. */
+  readonly unreachableServices: readonly ServiceName[];
   /** The sender is the steward, or a relay that forwards the steward's data. */
   readonly isSteward: boolean;
   /** Peer address of the steward; undefined if unknown. */
@@ -157,6 +161,8 @@
 export interface NodeContact {
   readonly atMs: number;
   readonly isLeaving: boolean;
+  /** It can't reach the engines of some service. */
+  readonly isPartitioned: boolean;
   /** Undefined if known from rosters only. */
   readonly peerAddress?: string;
 }
--- a/src/core/serving/reachability/resolve_path.ts
+++ b/src/core/serving/reachability/resolve_path.ts
@@ -9,7 +9,14 @@
 ): ServicePath {
   let path = reachability.paths.get(service);
   if (!path) {
-    path = {unreachable: new Set()};
+    path = {
+      unreachable: new Set(),
+      progressAtMs: -Infinity,
+      probes: new Map(),
+      failedProbeCount: 0,
+      probedAtMs: -Infinity,
+      pendingLosses: new Map(),
+    };
     reachability.paths.set(service, path);
   }
   return path;
--- a/src/core/serving/reachability/types.ts
+++ b/src/core/serving/reachability/types.ts
@@ -1,5 +1,15 @@
 import type {ServiceName, VmId} from '../../ids/index.js';
 
+/** An engine that this node takes for lost, until its own path to the engines is proven. */
+export interface PendingLoss {
+  /** Identifies the incarnation; undefined if the engine's record is not known. */
+  readonly bornAtMs?: number;
+  readonly proof: string;
+  /** The engine's host refused the connection, so its process has ended. */
+  readonly hasEnded: boolean;
+  readonly atMs: number;
+}
+
 /**
  * What this node knows of its network path to the engines of one service. New
  * connections are the evidence: established ones may outlive the path.
@@ -11,6 +21,16 @@
   doubtedSinceMs?: number;
   /** Since when the path counts as down: too many engines are unreachable for each to be at fault. */
   downSinceMs?: number;
+  /** Last event or response of any request to the service; -Infinity for none. */
+  progressAtMs: number;
+  /** Probes in flight that test the path: engine and time of sending. */
+  readonly probes: Map<VmId, number>;
+  /** Such probes that failed since the path was last proven. */
+  failedProbeCount: number;
+  /** When the path was last probed; -Infinity if it never was. */
+  probedAtMs: number;
+  /** Losses that count once the path is proven to have worked at their time. */
+  readonly pendingLosses: Map<VmId, PendingLoss>;
 }
 
 /** This node's network paths, by service. */
--- a/src/core/serving/reduce_serving.ts
+++ b/src/core/serving/reduce_serving.ts
@@ -12,7 +12,7 @@
 import {applyAnnouncement} from './announcements/index.js';
 import {attemptHandlers} from './attempt_handlers.js';
 import {crashDetection, refreshSuspects} from './crashes/index.js';
-import {recordReached, recordUnreachable} from './reachability/index.js';
+import {checkPaths, handleProbe, recordReached} from './reachability/index.js';
 import {updateRegisteredNodes} from './relays/update_registered_nodes.js';
 import {recordStoreContact} from './record_store_contact.js';
 import {planDigests} from './relays/plan_digests.js';
@@ -95,7 +95,7 @@
       recordReached(step, event.vmId, nowMs - event.connectMs);
       break;
     case 'probeAnswered':
-      recordContact(step, event);
+      handleProbe(step, event);
       recordProbeResult(step, event);
       crashDetection.probed(step, event);
       break;
@@ -111,6 +111,7 @@
       });
       break;
     case 'tick':
+      checkPaths(step);
       moveStalledStreams(step);
       expireState(step);
       break;
@@ -149,20 +150,6 @@
     dispatchWaiting(step, pool);
 }
 
-/** Time after which an unanswered probe is given up, so that no answer is to an earlier one. */
-const PROBE_TIMEOUT_MS = 250;
-
-function recordContact(
-  step: ServingStep,
-  {vmId, outcome}: Extract<ServingEvent, {type: 'probeAnswered'}>,
-): void {
-  if (outcome === 'answered') {
-    recordReached(step, vmId, step.nowMs - PROBE_TIMEOUT_MS);
-  } else {
-    recordUnreachable(step, vmId, `probe ${outcome}`);
-  }
-}
-
 function recordProbeResult(
   {state, nowMs}: ServingStep,
   {vmId, outcome}: Extract<ServingEvent, {type: 'probeAnswered'}>,
--- a/src/core/serving/relays/create_summary.ts
+++ b/src/core/serving/relays/create_summary.ts
@@ -119,6 +119,7 @@
     isReady,
     isLeaving,
     ageMs: 0,
+    unreachableServices: own.unreachableServices,
   };
   const all = [self, ...listPeerNodes(state, nowMs).values()].filter(
     ({ageMs}) => ageMs < ROSTER_MAX_AGE_MS,
--- a/src/core/serving/relays/list_peer_nodes.ts
+++ b/src/core/serving/relays/list_peer_nodes.ts
@@ -15,6 +15,7 @@
   };
   for (const {digest, atMs, roster, rosterAtMs} of state.peers.values()) {
     const {from, zone, callerAddress, coreCount, isReady, isLeaving} = digest;
+    const {unreachableServices} = digest;
     const ageMs = nowMs - atMs;
     add({
       nodeId: from,
@@ -24,6 +25,7 @@
       isReady,
       isLeaving,
       ageMs,
+      unreachableServices,
     });
     // Rosters are sent rarely; within that interval, a roster entry counts as up to date.
     for (const node of roster) {
--- a/src/core/serving/relays/record_digest_sender.ts
+++ b/src/core/serving/relays/record_digest_sender.ts
@@ -14,7 +14,8 @@
   recordReportedRetries(step, digest);
   const {contacts, unansweredSinceMs, links} = state.exchange;
   const {from, isLeaving, peerAddress, roster} = digest;
-  contacts.set(from, {atMs: nowMs, isLeaving, peerAddress});
+  const isPartitioned = digest.unreachableServices.length > 0;
+  contacts.set(from, {atMs: nowMs, isLeaving, isPartitioned, peerAddress});
   unansweredSinceMs.delete(from);
   for (const node of roster) {
     const atMs = nowMs - node.ageMs;
@@ -23,6 +24,7 @@
     contacts.set(node.nodeId, {
       atMs,
       isLeaving: node.isLeaving,
+      isPartitioned: node.unreachableServices.length > 0,
       peerAddress: contact?.peerAddress,
     });
   }
--- a/src/core/serving/relays/select_relays.ts
+++ b/src/core/serving/relays/select_relays.ts
@@ -1,6 +1,7 @@
 import type {RegisteredNode, ServingState} from '../types.js';
 import type {ZoneId} from '../../ids/index.js';
 import {isRelayEligible} from './is_relay_eligible.js';
+import {listUnreachableServices} from '../reachability/index.js';
 import {rankNodes} from './rank_nodes.js';
 
 /** Number of relays of a zone: the second one has the same data and takes over when the first is lost. */
@@ -16,9 +17,10 @@
   const ofZone = rankNodes(
     [...exchange.registeredNodes.values()].filter(node => node.zone === zone),
   );
-  const eligible = ofZone.filter(({nodeId}) =>
-    isRelayEligible(state, nodeId, nowMs),
-  );
+  // Relays are the candidates for steward, which has to reach the engines.
+  const eligible = ofZone
+    .filter(({nodeId}) => isRelayEligible(state, nodeId, nowMs))
+    .sort((a, b) => partitionRank(state, a) - partitionRank(state, b));
   const others = eligible.filter(({nodeId}) => nodeId !== state.nodeId);
   const isOnlyNode = ofZone.every(({nodeId}) => nodeId === state.nodeId);
   if (others.length > 0 || isOnlyNode) return eligible.slice(0, RELAY_COUNT);
@@ -29,3 +31,12 @@
   }
   return ofZone.slice(0, RELAY_COUNT);
 }
+
+/** 1 for a node that can't reach the engines of some service, else 0. */
+function partitionRank(state: ServingState, {nodeId}: RegisteredNode): number {
+  const isPartitioned =
+    nodeId === state.nodeId
+      ? listUnreachableServices(state).length > 0
+      : state.exchange.contacts.get(nodeId)?.isPartitioned;
+  return isPartitioned ? 1 : 0;
+}
--- a/src/core/serving/relays/steward_rank.ts
+++ b/src/core/serving/relays/steward_rank.ts
@@ -1,4 +1,5 @@
 import type {ServingState} from '../types.js';
+import {mustYieldStewardship} from '../../steward/must_yield_stewardship.js';
 import {rankNodes} from './rank_nodes.js';
 
 /**
@@ -6,12 +7,19 @@
  * if it is no candidate. In a large fleet the candidates are the relays, which
  * are the largest nodes and receive all changes of engines first.
  */
-export function stewardRank(state: ServingState): number | undefined {
+export function stewardRank(
+  state: ServingState,
+  nowMs: number,
+): number | undefined {
   const {exchange, peers, nodeId} = state;
+  if (mustYieldStewardship(state, nowMs)) return undefined;
   if (!exchange.isRelayed) {
     let rank = 0;
     for (const {digest} of peers.values()) {
-      const isCandidate = digest.isReady && !digest.isLeaving;
+      const isCandidate =
+        digest.isReady &&
+        !digest.isLeaving &&
+        digest.unreachableServices.length === 0;
       if (isCandidate && digest.from < nodeId) rank += 1;
     }
     return rank;
--- a/src/core/serving/resolve_entries.ts
+++ b/src/core/serving/resolve_entries.ts
@@ -1,6 +1,7 @@
 import type {RosterNode, ServingState} from './types.js';
 import type {ZoneId} from '../ids/index.js';
 import {isReady} from './is_ready.js';
+import {listUnreachableServices} from './reachability/index.js';
 import {listPeerNodes} from './relays/list_peer_nodes.js';
 import {rankRoster} from './relays/rank_roster.js';
 
@@ -91,6 +92,7 @@
     isReady: true,
     isLeaving: false,
     ageMs: 0,
+    unreachableServices: listUnreachableServices(state),
   };
 }
 
--- a/src/core/steward/create_steward_state.ts
+++ b/src/core/steward/create_steward_state.ts
@@ -14,7 +14,6 @@
     probes: new Map(),
     slowEngines: new Map(),
     probeRequests: new Map(),
-    engineAnsweredAtMs: -Infinity,
     weightLoadEndsMs: new Map(),
     reservedDomains: new Map(),
     weightLoadStartsMs: [],
--- a/src/core/steward/handle_order_result.ts
+++ b/src/core/steward/handle_order_result.ts
@@ -1,7 +1,7 @@
 import type {ServingEvent} from '../serving/events.js';
 import type {ServingStep} from '../serving/types.js';
 import {logDecision} from '../serving/log_decision.js';
-import {markEngineLost} from './mark_engine_lost.js';
+import {reportLoss} from '../serving/reachability/index.js';
 import {releaseReplica} from './release_replica.js';
 import {replicaKey} from '../fleet/index.js';
 
@@ -22,19 +22,17 @@
     outcome,
     ...order,
   });
-  if (outcome !== 'unknown' && outcome !== 'refused') {
-    steward.engineAnsweredAtMs = step.nowMs;
-  }
   const track =
     order.kind === 'stage'
       ? undefined
       : steward.tracks.get(replicaKey(order.replicaId, order.epoch));
   if (outcome === 'refused') {
-    markEngineLost(step, vmId, 'connection refused');
-    const isEnded = track && (track.isClosed || !track.isHeadLeaving);
-    if (isEnded && track.phase === 'leaving' && track.members[0] === vmId) {
-      releaseReplica(step, track, 'the head process has ended');
-    }
+    const engine = step.state.engines.get(vmId);
+    reportLoss(step, vmId, engine?.service ?? track?.service, {
+      bornAtMs: engine?.bornAtMs ?? track?.bornAtMs.get(vmId),
+      proof: 'connection refused',
+      hasEnded: true,
+    });
     return;
   }
   if (!track) return;
--- a/src/core/steward/handle_probe_result.ts
+++ b/src/core/steward/handle_probe_result.ts
@@ -2,7 +2,8 @@
 import type {ServingStep} from '../serving/types.js';
 import type {VmId} from '../ids/index.js';
 import {logDecision} from '../serving/log_decision.js';
-import {markEngineLost} from './mark_engine_lost.js';
+import {isLostEngine} from '../serving/is_lost_engine.js';
+import {reportLoss} from '../serving/reachability/index.js';
 
 /** Pace factor from which replacing the engine by a spare speeds its replica up. */
 const SLOW_PACE = 1.8;
@@ -10,8 +11,6 @@
 const MAX_TIMEOUTS = 2;
 /** Maximum age of another member's response that shows that the network path works and only one engine is unresponsive. */
 const RECENT_MS = 600;
-/** A steward without any sign of life from any engine for this long is itself partitioned, and marks none as lost. */
-const PARTITIONED_MS = 1500;
 
 type ProbeAnswered = Extract<ServingEvent, {type: 'probeAnswered'}>;
 
@@ -24,7 +23,6 @@
   const {steward} = state;
   const probe = steward.probes.get(event.vmId);
   if (event.outcome === 'answered') {
-    steward.engineAnsweredAtMs = nowMs;
     recordPace(step, event);
     if (probe) {
       probe.consecutiveTimeouts = 0;
@@ -33,22 +31,29 @@
     return;
   }
   if (event.outcome === 'refused') {
-    markEngineLost(step, event.vmId, 'connection refused');
+    report(step, event.vmId, 'connection refused', true);
     return;
   }
   if (!probe) return;
   probe.consecutiveTimeouts += 1;
-  let lastContactAtMs = steward.engineAnsweredAtMs;
-  for (const {progressAtMs} of state.targetLoads.values()) {
-    lastContactAtMs = Math.max(lastContactAtMs, progressAtMs);
-  }
-  if (nowMs - lastContactAtMs > PARTITIONED_MS) return;
   const limit = hasLiveNeighbour(step, event.vmId) ? 1 : MAX_TIMEOUTS;
   if (probe.consecutiveTimeouts >= limit) {
-    markEngineLost(step, event.vmId, 'probes timed out');
+    report(step, event.vmId, 'probes timed out', false);
   }
 }
 
+function report(
+  step: ServingStep,
+  vmId: VmId,
+  proof: string,
+  hasEnded: boolean,
+): void {
+  const engine = step.state.engines.get(vmId);
+  if (!engine || isLostEngine(step.state, engine)) return;
+  const {service, bornAtMs} = engine;
+  reportLoss(step, vmId, service, {bornAtMs, proof, hasEnded});
+}
+
 function recordPace(step: ServingStep, {vmId, pace}: ProbeAnswered): void {
   const {slowEngines} = step.state.steward;
   if (pace === undefined || pace < SLOW_PACE) {
--- a/src/core/steward/is_head_unreachable.ts
+++ b/src/core/steward/is_head_unreachable.ts
@@ -1,6 +1,7 @@
 import type {NodeId, VmId} from '../ids/index.js';
 import type {ReplicaTrack} from './types.js';
 import type {ServingState, ServingStep} from '../serving/types.js';
+import {isEvidenceSound} from '../serving/reachability/index.js';
 import {listPeerNodes} from '../serving/relays/list_peer_nodes.js';
 
 /** Peers that are requested to probe a head, and how many of them must find it unresponsive. */
@@ -28,6 +29,7 @@
     const peers = selectPeers(step, PROBING_PEERS);
     steward.probeRequests.set(vmId, {vmId, address, peers});
   }
+  if (!isEvidenceSound(state, vmId)) return false;
   const own = steward.probes.get(vmId);
   if (!own || own.consecutiveTimeouts < MIN_UNANSWERED_PROBES) return false;
   const {silent, reached} = countProbeReports(state, vmId);
@@ -47,7 +49,9 @@
 }
 
 function selectPeers({state, nowMs}: ServingStep, count: number): NodeId[] {
-  const peers = [...listPeerNodes(state, nowMs).keys()];
+  const peers = [...listPeerNodes(state, nowMs).values()]
+    .filter(({unreachableServices}) => unreachableServices.length === 0)
+    .map(({nodeId}) => nodeId);
   const selected: NodeId[] = [];
   while (selected.length < count && peers.length > 0) {
     const at = state.random.nextInt(peers.length);
--- a/src/core/steward/reduce_steward.ts
+++ b/src/core/steward/reduce_steward.ts
@@ -7,6 +7,7 @@
 import {logDecision} from '../serving/log_decision.js';
 import {handleOrderResult} from './handle_order_result.js';
 import {handleProbeResult} from './handle_probe_result.js';
+import {mustYieldStewardship} from './must_yield_stewardship.js';
 import {planService} from './plan_service.js';
 
 type LeaseHeld = Extract<ServingEvent, {type: 'stewardLeaseHeld'}>;
@@ -55,6 +56,7 @@
   }
   if (!hasAuthority(steward, nowMs) || !hasReadEngines(step)) return;
   if (nowMs < steward.planningPausedUntilMs) return;
+  if (mustYieldStewardship(state, nowMs)) return;
   steward.plannedAtMs = nowMs;
   for (const {name, engine} of state.config?.services.values() ?? []) {
     if (engine && engine.models.length > 0) planService(step, name, engine);
--- a/src/core/steward/types.ts
+++ b/src/core/steward/types.ts
@@ -111,8 +111,6 @@
   readonly probeRequests: Map<VmId, LoadDigest['probeRequests'][number]>;
   /** Engines whose probe responses report a high pace factor, and when they did. */
   readonly slowEngines: Map<VmId, {pace: number; atMs: number}>;
-  /** Last response of any engine to this node's orders and probes; -Infinity for none. */
-  engineAnsweredAtMs: number;
   /** Expected end of each weight load in progress. */
   readonly weightLoadEndsMs: Map<VmId, number>;
   /** Domains whose free engines are reserved for a model. */
--- a/src/replay/serving/serving_world.ts
+++ b/src/replay/serving/serving_world.ts
@@ -31,7 +31,11 @@
 import {SimulatedEngineRegistry} from './simulated_engine_registry.js';
 import {SimulatedNetwork} from './simulated_network.js';
 import {VirtualTime} from '../virtual_time.js';
-import {createServingState, reduceServing} from '../../core/serving/index.js';
+import {
+  createServingState,
+  mustYieldStewardship,
+  reduceServing,
+} from '../../core/serving/index.js';
 import {storeVersion} from '../../core/store/index.js';
 import {createRandom} from '../../core/random/index.js';
 import {makeId} from '../../core/ids/index.js';
@@ -300,7 +304,9 @@
 
   private electSteward(): void {
     if (this.steward || this.registry.isUnavailable) return;
-    const candidates = this.nodes.filter(({isUp}) => isUp);
+    const candidates = this.nodes.filter(
+      ({isUp, state}) => isUp && !mustYieldStewardship(state, this.nowMs),
+    );
     const next = candidates[this.random.nextInt(candidates.length)];
     if (!next) return;
     this.steward = next;
@@ -515,6 +521,12 @@
   private renewLease(node: WorldNode, term: number, era: number): void {
     // Without a renewal, the node acts as steward until its lease expires.
     if (this.steward !== node || this.registry.isUnavailable) return;
+    if (mustYieldStewardship(node.state, this.nowMs)) {
+      this.steward = undefined;
+      this.dispatch(node, {type: 'stewardLeaseLost'});
+      this.after(LEASE_RENEWAL_MS, () => this.electSteward());
+      return;
+    }
     const untilMs = this.nowMs + LEASE_TTL_MS;
     this.dispatch(node, {type: 'stewardLeaseHeld', term, era, untilMs});
     this.after(LEASE_RENEWAL_MS, () => this.renewLease(node, term, era));
--- a/src/serving/digest_codec.ts
+++ b/src/serving/digest_codec.ts
@@ -1,5 +1,5 @@
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
-import type {NodeId, VmId, ZoneId} from '../core/ids/index.js';
+import type {NodeId, ServiceName, VmId, ZoneId} from '../core/ids/index.js';
 import type {EngineChange} from '../core/fleet/types.js';
 import type {
   DigestLoad,
@@ -49,8 +49,16 @@
 /** Datagrams that decompress to more are dropped; no digest is that large. */
 const MAX_DECOMPRESSED_BYTES = 1_000_000;
 
-/** Node id, zone, address for callers, cores, age in ms, and flags. */
-type RosterRow = readonly [string, string, string, number, number, number];
+/** Node id, zone, address for callers, cores, age in ms, flags, and the services that the node can't reach, if any. */
+type RosterRow = readonly [
+  string,
+  string,
+  string,
+  number,
+  number,
+  number,
+  (readonly string[])?,
+];
 
 /** The JSON body of a datagram; keys are single letters to keep it small. */
 interface Datagram
@@ -78,6 +86,8 @@
   readonly r: 0 | 1;
   readonly l: 0 | 1;
   readonly g: 0 | 1;
+  /** Services that the sender can't reach; undefined: none. */
+  readonly U?: readonly string[];
   /** Recent changes of engines. */
   readonly e: readonly EngineChange[];
   /** Version of the configuration. */
@@ -116,6 +126,9 @@
       r: digest.isReady ? 1 : 0,
       l: digest.isLeaving ? 1 : 0,
       g: digest.isSteward ? 1 : 0,
+      ...(digest.unreachableServices.length > 0
+        ? {U: digest.unreachableServices}
+        : {}),
       e: digest.changes,
       c: digest.configVersion,
       b: digest.incarnation,
@@ -215,6 +228,7 @@
       isReady: datagram.r === 1,
       isLeaving: datagram.l === 1,
       isSteward: datagram.g === 1,
+      unreachableServices: toServices(datagram.U),
       changes: (Array.isArray(datagram.e) ? datagram.e : []).filter(
         isEngineChange,
       ),
@@ -287,14 +301,21 @@
 }
 
 function toRosterRow(node: RosterNode): RosterRow {
-  return [
+  const row = [
     node.nodeId,
     node.zone,
     node.callerAddress,
     node.coreCount,
     Math.round(node.ageMs),
     (node.isReady ? READY_BIT : 0) | (node.isLeaving ? LEAVING_BIT : 0),
-  ];
+  ] as const;
+  const {unreachableServices} = node;
+  return unreachableServices.length > 0 ? [...row, unreachableServices] : row;
+}
+
+function toServices(names: unknown): ServiceName[] {
+  const list: readonly unknown[] = Array.isArray(names) ? names : [];
+  return list.filter((name): name is ServiceName => typeof name === 'string');
 }
 
 function toRosterNode(row: RosterRow): RosterNode {
@@ -307,5 +328,6 @@
     ageMs: toCount(row[4]),
     isReady: (bits & READY_BIT) !== 0,
     isLeaving: (bits & LEAVING_BIT) !== 0,
+    unreachableServices: toServices(row[6]),
   };
 }
--- a/src/serving/steward_lease.ts
+++ b/src/serving/steward_lease.ts
@@ -1,7 +1,11 @@
 import {randomBytes} from 'node:crypto';
 import type {LeaseId, NodeId} from '../core/ids/index.js';
 import type {ServingContext, ServingComponent} from './types.js';
-import {findSteward, stewardRank} from '../core/serving/index.js';
+import {
+  findSteward,
+  mustYieldStewardship,
+  stewardRank,
+} from '../core/serving/index.js';
 import {storeVersion} from '../core/store/index.js';
 import {sleep} from './sleep.js';
 
@@ -50,7 +54,7 @@
     await this.awaitPeers();
     await sleep(this.rankDelayMs());
     while (!this.isClosed) {
-      if (stewardRank(state) === undefined) {
+      if (stewardRank(state, clock.nowMs()) === undefined) {
         await this.context.sharedTimer.wait(STEWARD_CHECK_MS);
         continue;
       }
@@ -187,6 +191,14 @@
       await sleep(RENEW_INTERVAL_MS);
       if (this.isClosed) return;
       const startedAtMs = clock.nowMs();
+      if (mustYieldStewardship(state, startedAtMs)) {
+        logger.write('warn', 'steward', 'lease given up', {
+          term,
+          unreachable: [...state.reachability.paths.keys()],
+        });
+        void store.call({kind: 'revokeLease', leaseId}, STORE_TIMEOUT_MS);
+        break;
+      }
       const outcome = await store.call(
         {kind: 'keepAlive', leaseId},
         STORE_TIMEOUT_MS,
@@ -217,8 +229,8 @@
 
   /** Delay before contending. Ready nodes contend one after another, which saves most of the store calls. */
   private rankDelayMs(): number {
-    const {state} = this.context;
-    const rank = stewardRank(state) ?? 0;
+    const {state, clock} = this.context;
+    const rank = stewardRank(state, clock.nowMs()) ?? 0;
     if (state.peers.size === 0) return Math.random() * 4 * RANK_DELAY_MS;
     return rank * RANK_DELAY_MS + Math.random() * RANK_DELAY_MS * 0.5;
   }
--- a/test/support/serving_node_harness.ts
+++ b/test/support/serving_node_harness.ts
@@ -129,6 +129,14 @@
     return taken;
   }
 
+  /** Answers the pending probes of engines, except those of `silent` ones. */
+  answerProbes(silent: readonly VmId[] = []): void {
+    for (const {vmId} of this.takeEffects('probeEngine')) {
+      if (silent.includes(vmId)) continue;
+      this.dispatch({type: 'probeAnswered', vmId, outcome: 'answered'});
+    }
+  }
+
   createPeerDigest(overrides: Partial<LoadDigest> = {}): LoadDigest {
     return {
       scope: 'node',
@@ -144,6 +152,7 @@
       isReady: true,
       isLeaving: false,
       isSteward: false,
+      unreachableServices: [],
       changes: [],
       storeEra: 0,
       configVersion: 1,
--- a/test/units/serving/digest_codec.test.ts
+++ b/test/units/serving/digest_codec.test.ts
@@ -4,6 +4,7 @@
 import type {
   Fingerprint,
   NodeId,
+  ServiceName,
   VmId,
   ZoneId,
 } from '../../../src/core/ids/index.js';
@@ -23,6 +24,7 @@
     scope: 'fleet',
     stewardAddress: '10.0.0.9:7340',
     isSteward: true,
+    unreachableServices: [makeId<ServiceName>('rhubarb-pool')],
     nodeCount: 620,
     loads: Array.from({length: 600}, (_, at) => ({
       vmId: makeId<VmId>(`i-${at.toString(16).padStart(10, '0')}`),
@@ -40,6 +42,8 @@
       coreCount: 0.324,
       isReady: at % 3 > 0,
       isLeaving: at % 11 === 0,
+      unreachableServices:
+        at % 5 === 0 ? [makeId<ServiceName>('rhubarb-pool')] : [],
       ageMs: at,
     })),
     probeReports: [
--- a/test/units/serving/retries.test.ts
+++ b/test/units/serving/retries.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import {describe, it} from 'node:test';
 import type {AttemptFault} from '../../../src/core/serving/types.js';
-import type {Fingerprint, NodeId} from '../../../src/core/ids/index.js';
+import type {Fingerprint, NodeId, VmId} from '../../../src/core/ids/index.js';
 import {ServingNodeHarness} from '../../support/serving_node_harness.js';
 import {makeId} from '../../../src/core/ids/index.js';
 import {propertyOptions} from '../../support/property_options.js';
@@ -89,12 +89,15 @@
     const node = new ServingNodeHarness().start();
     const fingerprint = makeId<Fingerprint>('poison');
     node.submitRequest('safe', {fingerprint});
+    const ended: VmId[] = [];
     for (let lost = 0; lost < 2; lost++) {
       const [attempt] = node.takeEffects('startAttempt');
       assert.ok(attempt);
       const {attemptId, vmId} = attempt;
       node.dispatch({type: 'attemptFailed', attemptId, fault: 'broken'});
+      ended.push(vmId);
       node.dispatch({type: 'probeAnswered', vmId, outcome: 'refused'});
+      node.answerProbes(ended);
     }
     node.takeEffects('refuse');
     node.submitRequest('safe', {fingerprint});
--- a/test/units/steward/leaving_head.test.ts
+++ b/test/units/steward/leaving_head.test.ts
@@ -10,7 +10,7 @@
 import {ServingNodeHarness} from '../../support/serving_node_harness.js';
 import {makeId} from '../../../src/core/ids/index.js';
 
-/** Whether a steward still tracks a replica after its head e0 refused the connection of an order to leave. */
+/** Whether a steward still tracks a replica after its head e0 refused the connection of an order to leave, and another engine answered. */
 function isTrackedAfterRefusal(track: Partial<ReplicaTrack>) {
   const node = new ServingNodeHarness().start();
   const replicaId = makeId<ReplicaId>('e0~1');
@@ -37,7 +37,10 @@
     order: {kind: 'leave', replicaId, epoch: 1},
     outcome: 'refused',
   });
-  return node.state.steward.tracks.has('e0~1#1');
+  const isTracked = () => node.state.steward.tracks.has('e0~1#1');
+  assert.ok(isTracked(), 'released while the path may be at fault');
+  node.answerProbes([members[0]!]);
+  return isTracked();
 }
 
 describe('a head that refuses connections', () => {
