Pass requests on through a peer while the own path to the engines is down

Readiness can't help: callers keep an address for seconds, and a refused connection is a failure too.

Cause: a node had no way to serve a request other than its own path.

Now a node whose path to a service is down sends the request to another node that reaches the service, on a port of its own, and streams the answer back. The peer admits it like a caller's request: it checks the key, counts it, queues and retries it, and never passes it on again. Its answer says whether the request ran, may have run or has not; the last is told to the caller with the time to come back, or leads to another peer, at most three. Each forward is a new connection, so that a broken one says whether anything was sent. Requests that were sent over the lost path and may be sent again follow; a request counts in the retry budget of the node that passes it on. The directory leaves partitioned nodes out while the others hold 0.3 of the processor time.

Ruled out: leaving the directory alone (the rule's clients keep addresses); a second hop (loops, and nothing gained, since digests name who reaches what).

--- a/src/core/serving/admit_request.ts
+++ b/src/core/serving/admit_request.ts
@@ -9,6 +9,7 @@
 import {hasStoppedAccepting} from './has_stopped_accepting.js';
 import {logDecision} from './log_decision.js';
 import {matchRoute, selectShare} from '../access/index.js';
+import {refuseRequest} from './refuse_request.js';
 import {queueRequest} from './queue_request.js';
 import {poolKey} from './pool_key.js';
 import {retryBudget} from './retries/index.js';
@@ -66,6 +67,7 @@
     request.arrivedAtMs +
     Math.min(route.timeoutMs, request.callerTimeoutMs ?? Infinity);
   const goalAtMs = estimateFirstSentAtMs(state, route, request) + route.goalMs;
+  const priorRunCount = request.forwarded?.priorRunCount ?? 0;
   const record: RequestRecord = {
     request,
     route,
@@ -78,13 +80,19 @@
     waitDeadlineAtMs: nowMs,
     waitingSinceMs: nowMs,
     triedTargets: new Set(),
+    triedPeers: new Set(),
     verdict: 'not-run',
-    possibleRunCount: 0,
-    dispatchCount: 0,
+    possibleRunCount: priorRunCount,
+    dispatchCount: priorRunCount,
     hasPartialResponse: false,
   };
   state.requests.set(request.requestId, record);
-  retryBudget.recordRequest(state, service, nowMs);
+  if (priorRunCount === 0) {
+    retryBudget.recordRequest(state, service, nowMs);
+  } else if (!retryBudget.hasRoom(state, service, nowMs)) {
+    refuseRequest(step, record, {reason: 'overloaded', retryDenial: 'budget'});
+    return;
+  }
   queueRequest(step, record);
 }
 
--- a/src/core/serving/attempt_handlers.ts
+++ b/src/core/serving/attempt_handlers.ts
@@ -9,7 +9,7 @@
 import {recordEventGap} from './record_event_gap.js';
 import {retryRequest} from './retry_request.js';
 import {crashDetection, recordAnswer, recordSurvival} from './crashes/index.js';
-import {recordUnreachable} from './reachability/index.js';
+import {recordUnreachable, resolvePath} from './reachability/index.js';
 import {markTargetSuspect} from './mark_target_suspect.js';
 import {resolveTargetLoad} from './resolve_target_load.js';
 
@@ -44,6 +44,7 @@
       });
     }
     attempt.progressAtMs = step.nowMs;
+    resolvePath(step.state, record.service).progressAtMs = step.nowMs;
     load.progressAtMs = step.nowMs;
     load.suspectUntilMs = -Infinity;
     load.consecutiveFailures = 0;
@@ -68,6 +69,7 @@
     const load = resolveTargetLoad(state, attempt.vmId);
     load.consecutiveFailures = status >= 500 ? load.consecutiveFailures + 1 : 0;
     load.progressAtMs = nowMs;
+    resolvePath(state, record.service).progressAtMs = nowMs;
     const {requestId, callerId, arrivedAtMs} = record.request;
     logDecision(step, 'info', 'requests', 'request answered', {
       requestId,
--- a/src/core/serving/create_serving_state.ts
+++ b/src/core/serving/create_serving_state.ts
@@ -4,6 +4,7 @@
 import {createCrashState} from './crashes/index.js';
 import {createExchangeState} from './relays/create_exchange_state.js';
 import {createFleetSizeState} from './fleet_size/index.js';
+import {createForwardingState} from './forwarding/index.js';
 import {createRandom} from '../random/index.js';
 import {createRetryState} from './retries/index.js';
 import {createRateLimitState} from './rate_limits/index.js';
@@ -80,6 +81,7 @@
     longestTimeoutMsByRoute: new Map(),
     requests: new Map(),
     requestsByAttempt: new Map(),
+    forwarding: createForwardingState(),
     waitingByPool: new Map(),
     retries: createRetryState(),
     crashes: createCrashState(),
--- a/src/core/serving/dispatch_waiting.ts
+++ b/src/core/serving/dispatch_waiting.ts
@@ -1,5 +1,7 @@
 import type {Placement, RequestRecord, ServingStep} from './types.js';
 import {resolvePoolBackoffMs} from './announcements/index.js';
+import {forwardRequest} from './forwarding/index.js';
+import {isPathDown} from './reachability/index.js';
 import {findCrashSuspect} from './crashes/index.js';
 import {canWaitForLimit, resolvePoolRatePerS} from './rate_limits/index.js';
 import {refuseRequest} from './refuse_request.js';
@@ -40,6 +42,16 @@
       });
       continue;
     }
+    if (isPathDown(state, record.service)) {
+      if (forwardRequest(step, record)) {
+        waiting.splice(waiting.indexOf(record), 1);
+        continue;
+      }
+      if (record.request.forwarded) {
+        refuseRequest(step, record, {reason: 'unreachable'});
+        continue;
+      }
+    }
     const placement = selectTarget(step, record);
     const ratePerS = placement
       ? undefined
--- a/src/core/serving/effects.ts
+++ b/src/core/serving/effects.ts
@@ -1,4 +1,4 @@
-import type {AttemptId, RequestId, VmId} from '../ids/index.js';
+import type {AttemptId, NodeId, RequestId, VmId} from '../ids/index.js';
 import type {EngineOrder} from '../steward/types.js';
 import type {LoadDigest} from './peers/types.js';
 
@@ -9,6 +9,7 @@
   | 'unknown-route'
   | 'unknown-key'
   | 'no-target'
+  | 'unreachable'
   | 'overloaded'
   | 'crash-suspect'
   | 'leaving'
@@ -32,6 +33,21 @@
   readonly isStream: boolean;
 }
 
+/** Sends a request to another node, which passes it on to a target. */
+interface StartForward {
+  readonly type: 'startForward';
+  readonly requestId: RequestId;
+  readonly attemptId: AttemptId;
+  readonly nodeId: NodeId;
+  /** The other node's address for callers; requests of nodes go to another port there. */
+  readonly callerAddress: string;
+  /** Time left until the request's deadline. */
+  readonly timeoutMs: number;
+  /** Earlier attempts in which the request may have run. */
+  readonly priorRunCount: number;
+  readonly isStream: boolean;
+}
+
 interface CancelAttempt {
   readonly type: 'cancelAttempt';
   readonly attemptId: AttemptId;
@@ -108,6 +124,7 @@
 /** Side effects that the runtime carries out for the reducer. */
 export type ServingEffect =
   | StartAttempt
+  | StartForward
   | CancelAttempt
   | Refuse
   | CutAnswer
--- a/src/core/serving/events.ts
+++ b/src/core/serving/events.ts
@@ -1,5 +1,6 @@
 import type {AccessConfig} from '../access/types.js';
 import type {AttemptId, RequestId, VmId} from '../ids/index.js';
+import type {RefusalReason} from './effects.js';
 import type {EngineOrder} from '../steward/types.js';
 import type {EngineChange} from '../fleet/types.js';
 import type {RegisteredNode, LoadDigest, ServingRequest} from './types.js';
@@ -13,6 +14,12 @@
 export type AttemptFault =
   'not-sent' | 'turned-away' | 'broken' | 'garbled' | 'failed';
 
+/** Why another node did not pass a request on, and when the caller may come back. */
+export interface PeerRefusal {
+  readonly reason: RefusalReason;
+  readonly retryAfterMs?: number;
+}
+
 interface RequestArrived {
   readonly type: 'requestArrived';
   readonly request: ServingRequest;
@@ -45,6 +52,8 @@
   /** Replica member that the target reports as the cause. */
   readonly faultyVmId?: VmId;
   readonly detail?: string;
+  /** The refusal of the node that was to pass the request on. */
+  readonly refusal?: PeerRefusal;
 }
 
 /** The newest configuration in the store at `provenAtMs`. */
--- /dev/null
+++ b/src/core/serving/forwarding/forward_handlers.ts
@@ -0,0 +1,93 @@
+import type {AttemptFault, RequestRecord, ServingStep} from '../types.js';
+import type {PeerRefusal} from '../events.js';
+import type {RefusalReason} from '../effects.js';
+import {count} from '../count.js';
+import {dispatchWaiting} from '../dispatch_waiting.js';
+import {endForward} from './end_forward.js';
+import {logDecision} from '../log_decision.js';
+import {queueRequest} from '../queue_request.js';
+import {refuseRequest} from '../refuse_request.js';
+import {removeRequest} from '../remove_request.js';
+import {retryRequest} from '../retry_request.js';
+
+/** How long a peer is avoided that could not be reached, or that broke off. */
+const AVOID_PEER_MS = 1000;
+/** Refusals that hold for requests at any node: the caller is told when to come back. The other ones concern one node only. */
+const FLEET_REFUSALS: readonly RefusalReason[] = [
+  'overloaded',
+  'no-target',
+  'crash-suspect',
+];
+
+interface Failure {
+  readonly fault: AttemptFault;
+  readonly detail?: string;
+  readonly refusal?: PeerRefusal;
+}
+
+/** Handles the events of requests that other nodes pass on. */
+export const forwardHandlers = {
+  progress(step: ServingStep, record: RequestRecord): void {
+    const forward = record.forward!;
+    forward.progressAtMs = step.nowMs;
+    if (forward.startedAtMs !== undefined) return;
+    forward.startedAtMs = step.nowMs;
+    if (!record.hasPartialResponse) {
+      const firstMs = step.nowMs - record.request.arrivedAtMs;
+      count(step, 'firstTokenMs', firstMs, {service: record.service});
+    }
+    record.hasPartialResponse = true;
+  },
+
+  ended(step: ServingStep, record: RequestRecord, status: number): void {
+    const {request, service, forward} = record;
+    logDecision(step, 'info', 'requests', 'request answered', {
+      requestId: request.requestId,
+      callerId: request.callerId,
+      route: record.route.name,
+      peer: forward!.nodeId,
+      status,
+      ageMs: Math.round(step.nowMs - request.arrivedAtMs),
+    });
+    count(step, 'requests', 1, {service, verdict: 'ran'});
+    endForward(step.state, record);
+    removeRequest(step, record);
+  },
+
+  failed(step: ServingStep, record: RequestRecord, failure: Failure): void {
+    const {state, nowMs} = step;
+    const {fault, detail, refusal} = failure;
+    const {nodeId, sentAtMs, startedAtMs} = record.forward!;
+    logDecision(step, 'warn', 'requests', 'forward failed', {
+      requestId: record.request.requestId,
+      callerId: record.request.callerId,
+      peer: nodeId,
+      fault,
+      detail,
+      reason: refusal?.reason,
+      started: startedAtMs !== undefined,
+      afterMs: Math.round(nowMs - sentAtMs),
+    });
+    endForward(state, record);
+    const hasNotRun = fault === 'not-sent' || fault === 'turned-away';
+    if (hasNotRun) {
+      record.possibleRunCount -= 1;
+      if (record.possibleRunCount === 0) record.verdict = 'not-run';
+    }
+    if (refusal && FLEET_REFUSALS.includes(refusal.reason)) {
+      refuseRequest(step, record, refusal);
+      return;
+    }
+    if (fault !== 'failed') {
+      state.forwarding.avoidedUntilMs.set(nodeId, nowMs + AVOID_PEER_MS);
+    }
+    if (fault === 'failed') {
+      refuseRequest(step, record, {reason: 'target-failed'});
+    } else if (record.verdict === 'not-run' && nowMs < record.deadlineAtMs) {
+      queueRequest(step, record);
+    } else {
+      retryRequest(step, record);
+    }
+    dispatchWaiting(step, record.pool);
+  },
+};
--- a/src/core/serving/move_stalled_streams.ts
+++ b/src/core/serving/move_stalled_streams.ts
@@ -1,4 +1,12 @@
-import type {RequestRecord, ServingStep, TargetLoad} from './types.js';
+import type {
+  AttemptRecord,
+  RequestRecord,
+  ServingStep,
+  TargetLoad,
+} from './types.js';
+import {doubtPath, isPathDown, resolvePath} from './reachability/index.js';
+import {findRetryDenial} from './find_retry_denial.js';
+import {forwardRequest} from './forwarding/index.js';
 import {endAttempt} from './end_attempt.js';
 import {logDecision} from './log_decision.js';
 import {retryBudget} from './retries/index.js';
@@ -16,6 +24,8 @@
 /** Minimum wait for a first event, since a running pass may have to end first. */
 const MIN_FIRST_EVENT_WAIT_MS = 350;
 const STALL_SUSPECT_MS = 1000;
+/** A response that is not a stream is late after this time: targets take a few hundred ms, queues included. */
+const RESPONSE_LATE_MS = 1000;
 
 /**
  * Moves streams away from stalled targets.
@@ -28,7 +38,13 @@
   const {state} = step;
   for (const record of [...state.requestsByAttempt.values()]) {
     const {attempt} = record;
-    if (!attempt || record.route.kind !== 'streaming') continue;
+    if (!attempt) continue;
+    doubtSilentPath(step, record, attempt);
+    if (isPathDown(state, record.service)) {
+      forwardSilentRequest(step, record, attempt);
+      continue;
+    }
+    if (record.route.kind !== 'streaming') continue;
     const load = resolveTargetLoad(state, attempt.vmId);
     const stall = detectStall(step, record, load);
     if (stall === undefined) continue;
@@ -39,6 +55,40 @@
   }
 }
 
+/** Puts the path to a service in doubt when none of this node's requests there make progress. Single targets may be silent for other reasons. */
+function doubtSilentPath(
+  step: ServingStep,
+  {route, service}: RequestRecord,
+  attempt: AttemptRecord,
+): void {
+  const {state, nowMs} = step;
+  if (attempt.hasDoubtedPath) return;
+  const limitMs =
+    route.kind !== 'streaming'
+      ? RESPONSE_LATE_MS
+      : attempt.startedAtMs !== undefined
+        ? TARGET_STALL_MS
+        : firstEventLimitMs(attempt);
+  const path = resolvePath(state, service);
+  const silentSinceMs = Math.max(path.progressAtMs, attempt.progressAtMs);
+  if (nowMs - silentSinceMs <= limitMs) return;
+  attempt.hasDoubtedPath = true;
+  doubtPath(step, service, `${attempt.vmId}: no progress of any request`);
+}
+
+/** Takes a silent request from a target that this node can no longer reach, if it may be sent again by way of another node. */
+function forwardSilentRequest(
+  step: ServingStep,
+  record: RequestRecord,
+  {attemptId, progressAtMs}: AttemptRecord,
+): void {
+  if (step.nowMs - progressAtMs <= TARGET_STALL_MS) return;
+  if (findRetryDenial(step, record) !== undefined) return;
+  if (!forwardRequest(step, record)) return;
+  step.effects.push({type: 'cancelAttempt', attemptId});
+  endAttempt(step.state, record);
+}
+
 interface Stall {
   readonly silentMs: number;
   /** No stream of the target progresses. */
@@ -60,10 +110,7 @@
   const limitMs =
     attempt.startedAtMs !== undefined
       ? TARGET_STALL_MS
-      : Math.max(
-          MIN_FIRST_EVENT_WAIT_MS,
-          FIRST_EVENT_LATE_FACTOR * attempt.expectedFirstMs,
-        );
+      : firstEventLimitMs(attempt);
   if (silentMs > limitMs && targetSilentMs > TARGET_STALL_MS) {
     return {silentMs, isWholeTarget: true};
   }
@@ -73,6 +120,13 @@
   return undefined;
 }
 
+function firstEventLimitMs({expectedFirstMs}: AttemptRecord): number {
+  return Math.max(
+    MIN_FIRST_EVENT_WAIT_MS,
+    FIRST_EVENT_LATE_FACTOR * expectedFirstMs,
+  );
+}
+
 /** Moves a stream if another target can resume it before its deadline and the retry budget allows it. */
 function moveStream(
   step: ServingStep,
--- a/src/core/serving/reduce_serving.ts
+++ b/src/core/serving/reduce_serving.ts
@@ -13,6 +13,7 @@
 import {attemptHandlers} from './attempt_handlers.js';
 import {crashDetection, refreshSuspects} from './crashes/index.js';
 import {checkPaths, handleProbe, recordReached} from './reachability/index.js';
+import {checkForwards, forwardHandlers} from './forwarding/index.js';
 import {updateRegisteredNodes} from './relays/update_registered_nodes.js';
 import {recordStoreContact} from './record_store_contact.js';
 import {planDigests} from './relays/plan_digests.js';
@@ -42,6 +43,10 @@
 
 function applyEvent(step: ServingStep, event: ServingEvent): void {
   const {state, nowMs} = step;
+  const forwarded =
+    'attemptId' in event
+      ? state.forwarding.byAttempt.get(event.attemptId)
+      : undefined;
   switch (event.type) {
     case 'requestArrived':
       admitRequest(step, event.request);
@@ -50,13 +55,16 @@
       handleCallerGone(step, event.requestId);
       break;
     case 'attemptProgress':
-      attemptHandlers.progress(step, event.attemptId, event.eventCount);
+      if (forwarded) forwardHandlers.progress(step, forwarded);
+      else attemptHandlers.progress(step, event.attemptId, event.eventCount);
       break;
     case 'attemptEnded':
-      attemptHandlers.ended(step, event.attemptId, event.status);
+      if (forwarded) forwardHandlers.ended(step, forwarded, event.status);
+      else attemptHandlers.ended(step, event.attemptId, event.status);
       break;
     case 'attemptFailed':
-      attemptHandlers.failed(step, event.attemptId, event);
+      if (forwarded) forwardHandlers.failed(step, forwarded, event);
+      else attemptHandlers.failed(step, event.attemptId, event);
       break;
     case 'configRead':
       applyConfig(step, event);
@@ -113,6 +121,7 @@
     case 'tick':
       checkPaths(step);
       moveStalledStreams(step);
+      checkForwards(step);
       expireState(step);
       break;
     default:
@@ -167,7 +176,8 @@
   if (!record) return;
   // An unsafe request that may be running is not cancelled: after a cancellation
   // its outcome would be unknown.
-  if (record.route.kind === 'unsafe' && record.attempt) return;
+  const isSent = record.attempt ?? record.forward;
+  if (record.route.kind === 'unsafe' && isSent) return;
   logDecision(step, 'info', 'requests', 'caller gone', {
     requestId,
     callerId: record.request.callerId,
--- a/src/core/serving/resolve_entries.ts
+++ b/src/core/serving/resolve_entries.ts
@@ -19,6 +19,12 @@
 const ACTIVE_CORE_SHARE = 0.35;
 /** Minimum number of nodes that a zone's callers are spread over, so that the loss of one affects few of them. */
 const MIN_ACTIVE_NODES = 6;
+/**
+ * Share of the processor capacity that nodes which reach all services must have,
+ * so that callers are sent to them alone. With less they would be overloaded;
+ * the other nodes forward what these can take, and refuse the rest.
+ */
+const MIN_REACHABLE_SHARE = 0.3;
 
 /**
  * Returns the addresses of nodes that accept callers of a zone. Undefined when there
@@ -42,15 +48,26 @@
   state: ServingState,
   nowMs: number,
 ): string[] | undefined {
-  const entries = isReady(state, nowMs) ? [state.callerAddress] : [];
+  const nodes = isReady(state, nowMs) ? [describeSelf(state)] : [];
   let staleCount = 0;
   for (const {digest, atMs} of state.peers.values()) {
     if (nowMs - atMs > PEER_MAX_AGE_MS) staleCount += 1;
     else if (digest.isReady && !digest.isLeaving) {
-      entries.push(digest.callerAddress);
+      nodes.push({...digest, nodeId: digest.from, ageMs: nowMs - atMs});
     }
   }
-  return staleCount > state.peers.size / 2 ? undefined : entries;
+  if (staleCount > state.peers.size / 2) return undefined;
+  return preferReachable(nodes).map(({callerAddress}) => callerAddress);
+}
+
+/** Leaves out nodes that can't reach all services, unless the others would have to bear much more than they usually do. */
+function preferReachable(nodes: RosterNode[]): RosterNode[] {
+  const reachable = nodes.filter(
+    ({unreachableServices}) => unreachableServices.length === 0,
+  );
+  return sumCores(reachable) >= MIN_REACHABLE_SHARE * sumCores(nodes)
+    ? reachable
+    : nodes;
 }
 
 /** Selects the largest nodes of the caller's zone up to the capacity that it needs, and nodes of other zones if it has too few. */
@@ -64,7 +81,7 @@
       node.isReady && !node.isLeaving && node.ageMs < RELAYED_PEER_MAX_AGE_MS,
   );
   if (isReady(state, nowMs)) readyNodes.push(describeSelf(state));
-  const ranked = rankRoster(readyNodes);
+  const ranked = rankRoster(preferReachable(readyNodes));
   const inZone = ranked.filter(node => node.zone === zone);
   const neededCores = ACTIVE_CORE_SHARE * sumCores(inZone);
   const activeNodes: RosterNode[] = [];
--- a/src/core/serving/retries/retry_budget.ts
+++ b/src/core/serving/retries/retry_budget.ts
@@ -30,6 +30,17 @@
     window.requests[window.second % window.requests.length]! += 1;
   },
 
+  /** Takes back the count of a request that another node passes on, and counts. */
+  removeRequest(
+    state: ServingState,
+    service: ServiceName,
+    nowMs: number,
+  ): void {
+    const {requests, second} = currentWindow(state, service, nowMs);
+    const at = second % requests.length;
+    requests[at] = Math.max(0, requests[at]! - 1);
+  },
+
   /** Counts a retry. */
   recordRetry(state: ServingState, service: ServiceName, nowMs: number): void {
     const window = currentWindow(state, service, nowMs);
--- a/src/core/serving/send_attempt.ts
+++ b/src/core/serving/send_attempt.ts
@@ -31,6 +31,7 @@
     promptTokens: request.promptTokens,
     hasSurvived: false,
     progressAtMs: nowMs,
+    hasDoubtedPath: false,
   };
   load.inFlight += 1;
   recordSend(state, target.vmId, nowMs);
@@ -50,6 +51,7 @@
   logDecision(step, 'info', 'requests', 'request sent', {
     requestId: request.requestId,
     callerId: request.callerId,
+    forwardedBy: request.forwarded?.nodeId,
     route: route.name,
     target: target.vmId,
     replica: target.replica?.replicaId,
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -23,6 +23,11 @@
 } from '../ids/index.js';
 import type {Random} from '../random/index.js';
 import type {RetryState} from './retries/types.js';
+import type {
+  ForwardRecord,
+  ForwardSource,
+  ForwardingState,
+} from './forwarding/types.js';
 import type {RateLimitState} from './rate_limits/types.js';
 import type {ReachabilityState} from './reachability/types.js';
 import type {RestoreState} from './restore/types.js';
@@ -47,6 +52,8 @@
   readonly sharedPartIds: readonly PromptPartId[];
   /** Identifies the request's content, so that one that crashes targets is recognised when it is sent again. */
   readonly fingerprint: Fingerprint;
+  /** The node that passed the request on, if the caller did not send it to this one. */
+  readonly forwarded?: ForwardSource;
 }
 
 /** One dispatch of a request to a target, until its response ends or it fails. */
@@ -64,6 +71,8 @@
   hasSurvived: boolean;
   /** Time of the last event; of the dispatch before the first one. */
   progressAtMs: number;
+  /** Its silence has put the path to the target in doubt. */
+  hasDoubtedPath: boolean;
 }
 
 /** State of a request from its arrival to its final response. */
@@ -91,6 +100,10 @@
   /** Whether it may have run at a target so far. */
   verdict: Verdict;
   attempt?: AttemptRecord;
+  /** Another node passes the request on; there is no attempt of this node then. */
+  forward?: ForwardRecord;
+  /** Nodes that it was sent to, to be passed on. */
+  readonly triedPeers: Set<NodeId>;
   /** Attempts in which the request may have run. */
   possibleRunCount: number;
   /** All dispatches, including those that a target refused without running the request. */
@@ -261,6 +274,7 @@
   readonly longestTimeoutMsByRoute: Map<string, number>;
   readonly requests: Map<RequestId, RequestRecord>;
   readonly requestsByAttempt: Map<AttemptId, RequestRecord>;
+  readonly forwarding: ForwardingState;
   /** Requests without a target, by pool. */
   readonly waitingByPool: Map<string, RequestRecord[]>;
   readonly retries: RetryState;
--- a/src/metrics/metric_definitions.ts
+++ b/src/metrics/metric_definitions.ts
@@ -88,6 +88,11 @@
     help: 'Dispatches of requests to targets, by service.',
     labels: ['service'],
   },
+  forwards: {
+    kind: 'counter',
+    help: 'Requests that another node was asked to pass on, since this one could not reach the targets, by service.',
+    labels: ['service'],
+  },
   attemptFaults: {
     kind: 'counter',
     help: 'Dispatches that ended without a whole answer, by service and fault.',
--- a/src/replay/serving/serving_world.ts
+++ b/src/replay/serving/serving_world.ts
@@ -29,6 +29,7 @@
 import {SimulatedCallers} from './simulated_callers.js';
 import {SimulatedPeerExchange} from './simulated_peer_exchange.js';
 import {SimulatedEngineRegistry} from './simulated_engine_registry.js';
+import {SimulatedForwards} from './simulated_forwards.js';
 import {SimulatedNetwork} from './simulated_network.js';
 import {VirtualTime} from '../virtual_time.js';
 import {
@@ -90,6 +91,8 @@
   private readonly checks: InvariantChecks;
   readonly logs: string[] = [];
   readonly network: SimulatedNetwork;
+  /** Requests that nodes pass on for others. */
+  readonly forwards: SimulatedForwards;
   /** Crashes of engines by prompt parts. */
   readonly crashesByParts: CrashingPartEvent[] = [];
   /** A caller has sent a request. */
@@ -124,9 +127,16 @@
       config: this.config,
       dispatchToRandomNode: request => this.dispatchToRandomNode(request),
     });
+    this.forwards = new SimulatedForwards({
+      callers: this.callers,
+      findNode: nodeId => this.nodes.find(({state}) => state.nodeId === nodeId),
+      nowMs: () => this.nowMs,
+      after: (delayMs, run) => this.after(delayMs, run),
+      dispatch: (node, event) => this.dispatch(node, event),
+    });
     this.network = new SimulatedNetwork({
       engines: this.engines,
-      callers: this.callers,
+      callers: this.forwards,
       random: this.random,
       nowMs: () => this.nowMs,
       after: (delayMs, run) => this.after(delayMs, run),
@@ -219,6 +229,7 @@
     const node = this.steward;
     if (!node) return;
     node.isUp = false;
+    this.forwards.disconnect(node);
     this.steward = undefined;
     this.after(LEASE_TTL_MS, () => this.electSteward());
     this.after(NODE_RESTART_MS, () => {
@@ -232,6 +243,7 @@
   restartNode(at: number, downMs: number): void {
     const node = this.nodes[at]!;
     node.isUp = false;
+    this.forwards.disconnect(node);
     this.after(downMs, () => {
       node.state = this.createState(at);
       node.isUp = true;
@@ -245,6 +257,7 @@
     this.callers.disconnectAll();
     for (const [at, node] of this.nodes.entries()) {
       node.isUp = false;
+      this.forwards.disconnect(node);
       this.after(downMs + this.random.nextInt(START_SPREAD_MS), () => {
         node.state = this.createState(at);
         node.isUp = true;
@@ -455,14 +468,19 @@
       case 'startAttempt':
         this.network.startAttempt(node, effect);
         break;
+      case 'startForward':
+        this.forwards.start(node, effect);
+        break;
       case 'cancelAttempt':
-        this.network.cancelAttempt(effect.attemptId);
+        if (!this.forwards.cancel(effect.attemptId)) {
+          this.network.cancelAttempt(effect.attemptId);
+        }
         break;
       case 'refuse':
-        this.callers.handleRefusal(effect);
+        this.forwards.refuse(effect);
         break;
       case 'cutAnswer':
-        this.callers.end(effect.requestId, 'cut');
+        this.forwards.end(effect.requestId, 'cut');
         break;
       case 'sendOrder':
         this.network.sendOrder(node, effect.vmId, effect.order);
--- a/src/replay/serving/simulated_callers.ts
+++ b/src/replay/serving/simulated_callers.ts
@@ -1,5 +1,5 @@
 import type {AccessConfig} from '../../core/access/types.js';
-import type {CallerOutcome, WorldRequest} from './types.js';
+import type {CallerCallState, CallerOutcome, WorldRequest} from './types.js';
 import type {NodeId, RequestId} from '../../core/ids/index.js';
 import type {ServingEffect, ServingRequest} from '../../core/serving/types.js';
 import type {VirtualTime} from '../virtual_time.js';
@@ -10,17 +10,6 @@
 /** Delay before a caller reconnects if no node is running. */
 const RECONNECT_DELAY_MS = 300;
 
-/** State of a caller's request over all its attempts. */
-interface CallerCallState {
-  readonly outcome: CallerOutcome;
-  readonly request: Omit<ServingRequest, 'requestId' | 'arrivedAtMs'>;
-  /** Number of events of the complete response. */
-  readonly events: number;
-  eventsReceived: number;
-  lastEventAtMs?: number;
-  attemptCount: number;
-}
-
 /** The callers' interface to the simulation. */
 interface CallersOptions {
   readonly time: VirtualTime;
--- a/src/replay/serving/simulated_network.ts
+++ b/src/replay/serving/simulated_network.ts
@@ -8,10 +8,10 @@
 import type {Random} from '../../core/random/index.js';
 import type {ServingEffect, ServingEvent} from '../../core/serving/types.js';
 import type {ServingEngine} from './serving_engine.js';
-import type {SimulatedCallers} from './simulated_callers.js';
 import {findLimitPerS} from '../../core/serving/index.js';
 import type {
   AttemptArrival,
+  CallerSide,
   CrashingPartEvent,
   PathFault,
   WorldNode,
@@ -35,7 +35,7 @@
 
 interface NetworkOptions {
   readonly engines: ReadonlyMap<VmId, ServingEngine>;
-  readonly callers: SimulatedCallers;
+  readonly callers: CallerSide;
   readonly random: Random;
   nowMs(): number;
   after(delayMs: number, run: () => void): void;
--- a/src/replay/serving/types.ts
+++ b/src/replay/serving/types.ts
@@ -117,6 +117,25 @@
   readonly apiKey?: string;
 }
 
+/** State of a caller's request over all its attempts. */
+export interface CallerCallState {
+  readonly outcome: CallerOutcome;
+  readonly request: Omit<ServingRequest, 'requestId' | 'arrivedAtMs'>;
+  /** Number of events of the complete response. */
+  readonly events: number;
+  eventsReceived: number;
+  lastEventAtMs?: number;
+  attemptCount: number;
+}
+
+/** Who gets a node's responses: a caller, or the node that it passes the request on for. */
+export interface CallerSide {
+  /** Returns a request that has no final response yet. */
+  find(requestId: RequestId): CallerCallState | undefined;
+  receiveEvent(requestId: RequestId): void;
+  end(requestId: RequestId, result: 'whole' | 'cut'): void;
+}
+
 /** A serving node of a simulation. */
 export interface WorldNode {
   state: ServingState;
--- a/src/serving/attempt_client.ts
+++ b/src/serving/attempt_client.ts
@@ -1,10 +1,14 @@
-import type {AttemptId, VmId} from '../core/ids/index.js';
+import type {Agent} from 'node:http';
+import type {AttemptId, RequestId, VmId} from '../core/ids/index.js';
 import type {EffectHandler} from '../runtime/types.js';
 import type {FrontServer} from './front_server.js';
 import type {ServingContext} from './types.js';
 import type {ServingEffect} from '../core/serving/types.js';
 import {ResponseBufferBudget} from './response_buffer_budget.js';
 import {KeepAliveAgent} from '../http/index.js';
+import type {Upstream} from './upstream.js';
+import {EngineUpstream} from './engine_upstream.js';
+import {PeerUpstream} from './peer_upstream.js';
 import {RunningAttempt} from './running_attempt.js';
 
 /** Idle connections kept per target; more than a node has requests in flight to one. */
@@ -14,7 +18,7 @@
 
 /** Sends requests to targets and forwards their responses to the callers. */
 export class AttemptClient implements EffectHandler<ServingEffect> {
-  readonly types = ['startAttempt', 'cancelAttempt'] as const;
+  readonly types = ['startAttempt', 'startForward', 'cancelAttempt'] as const;
   private readonly attempts = new Map<AttemptId, RunningAttempt>();
   private readonly bufferBudget = new ResponseBufferBudget();
   /** One agent per target rather than per address, so that a VM that takes over an address gets no connection to its predecessor. */
@@ -32,15 +36,28 @@
       attempt?.cancel();
       return;
     }
-    if (effect.type !== 'startAttempt') return;
-    const call = this.frontServer.findCall(effect.requestId);
+    if (effect.type === 'startAttempt') {
+      const {vmId, needsNewConnection} = effect;
+      this.start(
+        effect.requestId,
+        new EngineUpstream(this.context, effect),
+        needsNewConnection ? undefined : this.getAgent(vmId),
+      );
+    } else if (effect.type === 'startForward') {
+      this.start(effect.requestId, new PeerUpstream(this.context, effect));
+    }
+  }
+
+  private start(requestId: RequestId, upstream: Upstream, agent?: Agent): void {
+    const call = this.frontServer.findCall(requestId);
     if (!call) return;
-    const attempt = new RunningAttempt(this.context, call, effect, {
-      agent: effect.needsNewConnection ? undefined : this.getAgent(effect.vmId),
+    const {attemptId} = upstream;
+    const attempt = new RunningAttempt(this.context, call, upstream, {
+      agent,
       bufferBudget: this.bufferBudget,
-      onEnd: () => this.attempts.delete(effect.attemptId),
+      onEnd: () => this.attempts.delete(attemptId),
     });
-    this.attempts.set(effect.attemptId, attempt);
+    this.attempts.set(attemptId, attempt);
     attempt.start();
   }
 
--- a/src/serving/caller_call.ts
+++ b/src/serving/caller_call.ts
@@ -4,6 +4,8 @@
   ServerResponse,
 } from 'node:http';
 
+import {forwardHeaders} from './forward_headers.js';
+
 /** An open request of a caller, and the response to it. */
 export class CallerCall {
   /** Id of the last server-sent event that the caller has received; undefined when it has none. */
@@ -25,6 +27,8 @@
     readonly callerId: string,
     private readonly response: ServerResponse,
     private readonly isLeaving: () => boolean,
+    /** Another node sent the request, and reads headers of its own in the response. */
+    readonly isForwarded = false,
   ) {}
 
   get isHeadSent(): boolean {
@@ -113,6 +117,10 @@
 
   private withConnection(headers: OutgoingHttpHeaders): OutgoingHttpHeaders {
     const shouldClose = this.isDelimitedByClose || this.isLeaving();
-    return shouldClose ? {...headers, connection: 'close'} : headers;
+    return {
+      ...(this.isForwarded ? forwardHeaders.writeAnswer() : {}),
+      ...headers,
+      ...(shouldClose ? {connection: 'close'} : {}),
+    };
   }
 }
--- a/src/serving/front_server.ts
+++ b/src/serving/front_server.ts
@@ -5,6 +5,8 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {CallerHead, ServingContext} from './types.js';
 import type {ServingEffect} from '../core/serving/types.js';
+import type {ForwardSource} from '../core/serving/forwarding/types.js';
+import {forwardHeaders} from './forward_headers.js';
 import {CallerCall} from './caller_call.js';
 import {listenOn} from './listen_on.js';
 import {makeId} from '../core/ids/index.js';
@@ -22,29 +24,52 @@
 const HEADER_OVERHEAD_BYTES = 4;
 const FINGERPRINT_LENGTH = 16;
 
+const SERVER_OPTIONS = {
+  maxHeaderSize: MAX_HEADER_BYTES,
+  headersTimeout: DEFAULT_HEADERS_TIMEOUT_MS,
+  connectionsCheckingInterval: HEADERS_CHECK_INTERVAL_MS,
+  requestTimeout: 0,
+  keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
+  noDelay: true,
+};
+
+/** A request with its body fully received. */
+interface ReceivedRequest {
+  readonly head: CallerHead;
+  readonly body: Buffer;
+  readonly arrivedAtMs: number;
+  readonly forwarded?: ForwardSource;
+}
+
 /** HTTP server for callers: accepts their requests and sends the responses. */
 export class FrontServer implements EffectHandler<ServingEffect> {
   readonly types = ['refuse', 'cutAnswer'] as const;
   private readonly calls = new Map<RequestId, CallerCall>();
   private readonly server = createServer(
-    {
-      maxHeaderSize: MAX_HEADER_BYTES,
-      headersTimeout: DEFAULT_HEADERS_TIMEOUT_MS,
-      connectionsCheckingInterval: HEADERS_CHECK_INTERVAL_MS,
-      requestTimeout: 0,
-      keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
-      noDelay: true,
-    },
+    SERVER_OPTIONS,
     (request, response) => void this.handleRequest(request, response),
   );
+  /** For requests that other nodes pass on. */
+  private readonly forwardServer = createServer(
+    SERVER_OPTIONS,
+    (request, response) => {
+      const source = forwardHeaders.takeRequest(request.headers);
+      if (source) void this.handleRequest(request, response, source);
+      else response.writeHead(404, {connection: 'close'}).end();
+    },
+  );
   private count = 0;
   /** Part of every request id; distinguishes the ids of this process from those after a restart. */
   private readonly incarnation = randomBytes(3).toString('hex');
 
   constructor(private readonly context: ServingContext) {}
 
-  listen(): Promise<void> {
-    return listenOn(this.server, this.context.settings.listen.callers);
+  async listen(): Promise<void> {
+    const {callers, forwards} = this.context.settings.listen;
+    await Promise.all([
+      listenOn(this.server, callers),
+      listenOn(this.forwardServer, forwards),
+    ]);
   }
 
   /** Returns an open request; undefined once its response has ended. */
@@ -62,17 +87,21 @@
     if (!call) return;
     const {status, reason, retryAfterMs} = effect;
     if (reason === 'target-failed' && call.sendFailure()) return;
-    const headers = this.context.wire.callers.writeRefusal(
-      call.callerId,
-      retryAfterMs,
-    );
+    const headers = {
+      ...this.context.wire.callers.writeRefusal(call.callerId, retryAfterMs),
+      ...(call.isForwarded
+        ? forwardHeaders.writeRefusal(status, reason, retryAfterMs)
+        : {}),
+    };
     call.send(status, headers, Buffer.from(JSON.stringify({error: reason})));
   }
 
   /** Closes the listener and idle connections; connections with a request in progress stay open. */
   stopListening(): void {
-    this.server.close();
-    this.server.closeIdleConnections();
+    for (const server of [this.server, this.forwardServer]) {
+      server.close();
+      server.closeIdleConnections();
+    }
   }
 
   close(): Promise<void> {
@@ -82,6 +111,7 @@
     return new Promise(resolve =>
       setImmediate(() => {
         this.server.closeAllConnections();
+        this.forwardServer.closeAllConnections();
         resolve();
       }),
     );
@@ -94,6 +124,7 @@
   private async handleRequest(
     message: IncomingMessage,
     response: ServerResponse,
+    forwarded?: ForwardSource,
   ): Promise<void> {
     const {context} = this;
     const arrivedAtMs = context.clock.nowMs();
@@ -131,15 +162,13 @@
       response.destroy();
       return;
     }
-    this.open(message, response, head, body, arrivedAtMs);
+    this.open(message, response, {head, body, arrivedAtMs, forwarded});
   }
 
   private open(
     message: IncomingMessage,
     response: ServerResponse,
-    head: CallerHead,
-    body: Buffer,
-    arrivedAtMs: number,
+    {head, body, arrivedAtMs, forwarded}: ReceivedRequest,
   ): void {
     const {context} = this;
     this.count += 1;
@@ -156,6 +185,7 @@
       head.callerId,
       response,
       () => context.state.leavingSinceMs !== undefined,
+      forwarded !== undefined,
     );
     call.lastEventId = head.lastEventId;
     this.calls.set(requestId, call);
@@ -180,6 +210,7 @@
         promptTokens: head.promptTokens,
         sharedPartIds: head.sharedPartIds,
         fingerprint: fingerprintOf(path, head, body),
+        ...(forwarded ? {forwarded} : {}),
       },
     });
   }
--- a/src/serving/peer_sync.ts
+++ b/src/serving/peer_sync.ts
@@ -6,7 +6,7 @@
 } from './types.js';
 import type {StoreWatch} from './store_watch.js';
 import {applyConfigText} from './apply_config_text.js';
-import {resolveDocumentAddress} from './resolve_document_address.js';
+import {resolvePeerAddress} from './resolve_peer_address.js';
 import {fetchDocument} from './fetch_document.js';
 import {isEngineChange} from '../core/fleet/index.js';
 import {sleep} from './sleep.js';
@@ -135,7 +135,7 @@
     const from = upstream[failures % upstream.length]!;
     const result = await fetchDocument(
       clock,
-      resolveDocumentAddress(from, settings.listen.documents),
+      resolvePeerAddress(from, settings.listen.documents),
       path,
       FETCH_TIMEOUT_MS,
     );
--- a/src/serving/resolve_document_address.ts
+++ b/src/serving/resolve_peer_address.ts
@@ -1,7 +1,7 @@
 import {splitAddress} from '../http/index.js';
 
-/** Returns the address of a peer's document server: the peer's host with the document port, which is the same on all nodes. */
-export function resolveDocumentAddress(
+/** Returns the address of another listener of a peer: the peer's host with the listener's port, which is the same on all nodes. */
+export function resolvePeerAddress(
   peerAddress: string,
   ownAddress: string,
 ): string {
--- a/src/serving/running_attempt.ts
+++ b/src/serving/running_attempt.ts
@@ -1,12 +1,14 @@
 import {request} from 'node:http';
 import type {Agent, ClientRequest, IncomingMessage} from 'node:http';
-import type {AttemptFault, ServingEffect} from '../core/serving/types.js';
+import type {AttemptFault} from '../core/serving/types.js';
 import type {CallerCall} from './caller_call.js';
-import type {ServingContext, TargetHead} from './types.js';
+import type {ServingContext} from './types.js';
+import type {Upstream} from './upstream.js';
+import type {UpstreamFault} from './upstream_fault.js';
 import {ResponseSizeLimit, splitAddress} from '../http/index.js';
 import {EventSplitter} from '../targets/event_splitter.js';
 import type {ResponseBufferBudget} from './response_buffer_budget.js';
-import {dispatchAnnouncement} from './dispatch_announcement.js';
+import {isSuccess} from './is_success.js';
 import {findLastEventId} from './find_last_event_id.js';
 
 /** Timeout for connecting to a target; some hundred times the usual connect time. */
@@ -22,8 +24,6 @@
 const REFUSAL_TIMEOUT_MS = 250;
 const MIN_SERVER_ERROR_STATUS = 500;
 
-type StartAttempt = Extract<ServingEffect, {type: 'startAttempt'}>;
-
 interface AttemptOptions {
   /** Undefined for a new connection that is not reused. */
   readonly agent?: Agent;
@@ -32,7 +32,7 @@
   readonly onEnd: () => void;
 }
 
-/** One dispatch of a request to a target, from connecting to the end of the response. */
+/** One dispatch of a request to a target or another node, from connecting to the end of the response. */
 export class RunningAttempt {
   private outgoing?: ClientRequest;
   private isOver = false;
@@ -43,20 +43,14 @@
   constructor(
     private readonly context: ServingContext,
     private readonly call: CallerCall,
-    private readonly effect: StartAttempt,
+    private readonly upstream: Upstream,
     private readonly options: AttemptOptions,
   ) {}
 
   start(): void {
-    const {context, call, effect} = this;
-    const {host, port} = splitAddress(effect.address);
-    const headers = context.wire.callers.writeAttempt(call.headers, {
-      vmId: effect.vmId,
-      organisation: effect.organisation,
-      targetTimeoutMs: effect.targetTimeoutMs,
-      urgency: effect.urgency,
-      lastEventId: call.lastEventId,
-    });
+    const {context, call, upstream} = this;
+    const {host, port} = splitAddress(upstream.address);
+    const headers = upstream.createHeaders(call);
     if (call.body.length > 0 || call.method === 'POST') {
       headers['content-length'] = call.body.length;
     }
@@ -87,9 +81,7 @@
         this.isConnected = true;
         clearTimeout(this.connectTimer);
         if (this.isOver) return;
-        const connectMs = context.clock.nowMs() - startedAtMs;
-        const {vmId} = effect;
-        context.events.dispatch({type: 'engineConnected', vmId, connectMs});
+        upstream.handleConnect(context.clock.nowMs() - startedAtMs);
       });
     });
     outgoing.on('response', response => this.handleResponse(response));
@@ -105,61 +97,34 @@
   }
 
   private handleResponse(response: IncomingMessage): void {
-    const {context, call, effect} = this;
+    const {call, upstream} = this;
     const status = response.statusCode ?? 0;
-    const head = context.wire.callers.readTarget(status, response.headers);
     response.on('error', error => this.failConnection(error.message));
     response.on('close', () => this.failConnection('connection closed'));
-    if (!this.isForThisCall(head)) {
-      this.outgoing?.destroy();
-      this.fail('garbled', {
-        status,
-        detail: 'response belongs to another request',
-      });
+    const isReused = this.outgoing?.reusedSocket === true;
+    const found = upstream.checkHead(response, call, isReused);
+    if (found) {
+      const {fault, isDrained, ...more} = found;
+      if (isDrained) this.drainRefusal(response);
+      else this.outgoing?.destroy();
+      this.fail(fault, more);
       return;
     }
-    dispatchAnnouncement(
-      context,
-      {vmId: effect.vmId, hasRun: !head.hasNotRun},
-      status,
-      response.headers,
-    );
     this.limit?.reset(MAX_BYTES_WITHOUT_PROGRESS);
-    if (head.hasNotRun) {
-      this.drainRefusal(response);
-      this.fail('turned-away', {status, faultyVmId: head.faultyVmId});
-      return;
-    }
-    if (!head.isSigned && isSuccess(status)) {
-      this.outgoing?.destroy();
-      this.fail('garbled', {
-        status,
-        detail: "response lacks the target's signature",
-      });
-      return;
-    }
     if (!isFramed(response)) call.delimitByClose();
-    if (effect.isStream && isSuccess(status)) {
+    if (upstream.isStream && isSuccess(status)) {
       this.forwardStream(response);
       return;
     }
     this.forwardBuffered(response);
   }
 
-  /** Whether a response belongs to this request. On a connection that was used before, one without an id may be a late copy for an earlier request. */
-  private isForThisCall({callerId, hasNotRun}: TargetHead): boolean {
-    if (callerId !== undefined) return callerId === this.call.callerId;
-    return hasNotRun && this.outgoing?.reusedSocket !== true;
-  }
-
   private forwardStream(response: IncomingMessage): void {
-    const {context, call, effect} = this;
+    const {context, call, upstream} = this;
     const splitter = new EventSplitter(MAX_EVENT_BYTES);
     /** Comment events, buffered until an event with data arrives. */
     let pending: Buffer[] = [];
-    const headers = context.wire.callers.selectResponseHeaders(
-      response.headers,
-    );
+    const headers = upstream.selectHeaders(response.headers);
     const status = response.statusCode ?? 200;
     response.on('data', (chunk: Buffer) => {
       if (this.isOver) return;
@@ -181,7 +146,7 @@
       }
       context.events.dispatch({
         type: 'attemptProgress',
-        attemptId: effect.attemptId,
+        attemptId: upstream.attemptId,
         eventCount: count,
       });
     });
@@ -199,7 +164,7 @@
   }
 
   private forwardBuffered(response: IncomingMessage): void {
-    const {context, call, effect} = this;
+    const {call, upstream} = this;
     const status = response.statusCode ?? 0;
     const chunks: Buffer[] = [];
     const buffer = this.options.bufferBudget.open();
@@ -219,14 +184,11 @@
         this.failConnection('response ended early');
         return;
       }
-      const headers = context.wire.callers.selectResponseHeaders(
-        response.headers,
-      );
+      const headers = upstream.selectHeaders(response.headers);
       const body = Buffer.concat(chunks);
-      const isRetryable = !effect.needsNewConnection;
       if (
         call.isHeadSent ||
-        (status >= MIN_SERVER_ERROR_STATUS && isRetryable)
+        (status >= MIN_SERVER_ERROR_STATUS && upstream.keepsErrors)
       ) {
         call.storeFailure(status, headers, body);
         this.fail('failed', {status});
@@ -258,7 +220,7 @@
     if (this.isOver) return;
     this.isOver = true;
     this.options.onEnd();
-    const {attemptId} = this.effect;
+    const {attemptId} = this.upstream;
     this.context.events.dispatch({type: 'attemptEnded', attemptId, status});
   }
 
@@ -269,18 +231,14 @@
 
   private fail(
     fault: AttemptFault,
-    more: {
-      readonly status?: number;
-      readonly detail?: string;
-      readonly faultyVmId?: RunningAttempt['effect']['vmId'];
-    },
+    more: Omit<UpstreamFault, 'fault' | 'isDrained'>,
   ): void {
     if (this.isOver) return;
     this.isOver = true;
     clearTimeout(this.connectTimer);
     this.options.onEnd();
     if (fault !== 'turned-away') this.outgoing?.destroy();
-    const {attemptId} = this.effect;
+    const {attemptId} = this.upstream;
     this.context.events.dispatch({
       type: 'attemptFailed',
       attemptId,
@@ -290,10 +248,6 @@
   }
 }
 
-function isSuccess(status: number): boolean {
-  return status >= 200 && status < 300;
-}
-
 /** Whether the end of the body can be distinguished from a lost connection. */
 function isFramed({headers}: IncomingMessage): boolean {
   return (
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -80,6 +80,11 @@
     headers: IncomingHttpHeaders,
     attempt: AttemptHead,
   ): OutgoingHttpHeaders;
+  /** Returns the headers of a request to another node, which reads them like those of a caller. */
+  writeForward(
+    headers: IncomingHttpHeaders,
+    forward: {readonly timeoutMs: number; readonly lastEventId?: string},
+  ): OutgoingHttpHeaders;
   readTarget(status: number, headers: IncomingHttpHeaders): TargetHead;
   /** Returns the headers of a target's response that are forwarded to the caller. */
   selectResponseHeaders(headers: IncomingHttpHeaders): OutgoingHttpHeaders;
@@ -163,6 +168,8 @@
     readonly peers: string;
     /** HTTP, for documents that nodes fetch from each other; the same port on all nodes. */
     readonly documents: string;
+    /** HTTP, for requests that other nodes pass on; the same port on all nodes. */
+    readonly forwards: string;
     /** HTTP, for Prometheus scrapes; undefined to disable them. */
     readonly metrics?: string;
   };
--- a/test/support/adapter_node.ts
+++ b/test/support/adapter_node.ts
@@ -13,6 +13,15 @@
 
 const KEY = 'secret-key';
 
+interface AdapterOptions {
+  readonly nodeId?: string;
+  readonly host?: string;
+  /** Another node, on another host with the same ports, that this one learns of from the store. */
+  readonly peer?: AdapterNode;
+  /** The engines refuse connections, as behind a partition that resets them. */
+  readonly isPartitioned?: boolean;
+}
+
 /** A serving node with the platform adapter, an in-memory stand-in of the store, and engines that respond with given bytes. */
 export class AdapterNode {
   readonly store = new KvStandin();
@@ -26,11 +35,16 @@
   documents = '';
   node!: Awaited<ReturnType<typeof createServingNode>>;
 
+  /** UDP address for digests. */
+  peers = '';
+  ports: readonly number[] = [];
+
   static async start(
     responders: readonly RawResponder[],
+    options: AdapterOptions = {},
   ): Promise<AdapterNode> {
     const adapter = new AdapterNode();
-    await adapter.open(responders);
+    await adapter.open(responders, options);
     return adapter;
   }
 
@@ -95,7 +109,11 @@
     this.store.close();
   }
 
-  private async open(responders: readonly RawResponder[]): Promise<void> {
+  private async open(
+    responders: readonly RawResponder[],
+    options: AdapterOptions,
+  ): Promise<void> {
+    const {nodeId = 'edge-1', host = '127.0.0.1', peer} = options;
     const storeAddress = await this.store.listen();
     this.writeConfig(1);
     for (const [at, responder] of responders.entries()) {
@@ -103,6 +121,7 @@
       this.engines.push(engine);
       const address = await engine.listen();
       this.engineAddresses.push(address);
+      if (options.isPartitioned) engine.close();
       this.store.put(`servers/i-${at}`, {
         service: 'desk',
         address,
@@ -115,10 +134,17 @@
       });
     }
     this.store.put('servers/i-foreign', 'no JSON at all');
-    const ports = await findUnusedPorts(6);
-    const [front, ready, directory, peers, documents, metrics] = ports.map(
-      port => `127.0.0.1:${port}`,
-    );
+    this.ports = options.peer?.ports ?? (await findUnusedPorts(7));
+    const [front, ready, directory, peers, documents, metrics, forwards] =
+      this.ports.map(port => `${host}:${port}`);
+    this.peers = peers!;
+    if (peer) {
+      this.store.put(`rhubarbstile/nodes/${peer.node.state.nodeId}`, {
+        address: peer.peers,
+        zone: 'zone-a',
+        cores: 1,
+      });
+    }
     this.front = front!;
     this.ready = ready!;
     this.directory = directory!;
@@ -126,15 +152,16 @@
     this.documents = documents!;
     this.node = await createServingNode({
       settings: {
-        nodeId: makeId<NodeId>('edge-1'),
+        nodeId: makeId<NodeId>(nodeId),
         zone: makeId<ZoneId>('zone-a'),
         coreCount: 1,
         listen: {
           callers: this.front,
           ready: this.ready,
           directory: this.directory,
-          peers: peers!,
+          peers: this.peers,
           documents: this.documents,
+          forwards: forwards!,
           metrics: this.metrics,
         },
         isFirstStart: true,
--- a/test/units/platform_adapter/documents.test.ts
+++ b/test/units/platform_adapter/documents.test.ts
@@ -4,7 +4,7 @@
 import type {AddressInfo} from 'node:net';
 import type {EngineList} from '../../../src/serving/types.js';
 import {AdapterNode} from '../../support/adapter_node.js';
-import {resolveDocumentAddress} from '../../../src/serving/resolve_document_address.js';
+import {resolvePeerAddress} from '../../../src/serving/resolve_peer_address.js';
 import {fetchDocument} from '../../../src/serving/fetch_document.js';
 
 const TIMEOUT_MS = 500;
@@ -60,7 +60,7 @@
   });
 
   it('are requested at the same port of every node', () => {
-    const address = resolveDocumentAddress('10.2.0.9:7340', '10.1.0.1:7341');
+    const address = resolvePeerAddress('10.2.0.9:7340', '10.1.0.1:7341');
     assert.equal(address, '10.2.0.9:7341');
   });
 });
