Count an attempt that reached no target neither as a retry nor against the budget

Cause: each dispatch after the first counted as a retry, whether or not the earlier ones had reached a target. The bound counts arrivals at engines.

Now an attempt that was not sent is taken off again, and the next one needs an allowance only if an earlier one has arrived. The limit of dispatches per request stays. The new test in retries fails without the change (the second attempt is not made).

--- a/src/core/serving/admit_request.ts
+++ b/src/core/serving/admit_request.ts
@@ -84,6 +84,7 @@
     verdict: 'not-run',
     possibleRunCount: priorRunCount,
     dispatchCount: priorRunCount,
+    arrivalCount: priorRunCount,
     hasPartialResponse: false,
   };
   state.requests.set(request.requestId, record);
--- a/src/core/serving/attempt_handlers.ts
+++ b/src/core/serving/attempt_handlers.ts
@@ -7,6 +7,7 @@
 import {removeRequest} from './remove_request.js';
 import {logDecision} from './log_decision.js';
 import {recordEventGap} from './record_event_gap.js';
+import {retryBudget} from './retries/index.js';
 import {retryRequest} from './retry_request.js';
 import {crashDetection, recordAnswer, recordSurvival} from './crashes/index.js';
 import {recordUnreachable, resolvePath} from './reachability/index.js';
@@ -113,6 +114,12 @@
       record.possibleRunCount -= 1;
       if (record.possibleRunCount === 0) record.verdict = 'not-run';
     }
+    if (fault === 'not-sent') {
+      record.arrivalCount -= 1;
+      if (attempt.isRetry) {
+        retryBudget.removeRetry(state, record.service, nowMs);
+      }
+    }
     recordTargetFailure(step, vmId, failure);
     if (fault === 'broken') {
       crashDetection.broken(step, record, attempt);
--- a/src/core/serving/find_retry_denial.ts
+++ b/src/core/serving/find_retry_denial.ts
@@ -17,7 +17,10 @@
   const {route, verdict, request} = record;
   if (record.deadlineAtMs - nowMs < MIN_REMAINING_MS) return 'deadline';
   if (record.dispatchCount >= MAX_DISPATCHES) return 'dispatches';
-  if (!retryBudget.hasRoom(state, record.service, nowMs)) return 'budget';
+  const isRetry = record.arrivalCount > 0;
+  if (isRetry && !retryBudget.hasRoom(state, record.service, nowMs)) {
+    return 'budget';
+  }
   if (verdict === 'not-run') return undefined;
   if (isCrashSuspect(state, request)) return 'crash-suspect';
   const isRetryable =
--- a/src/core/serving/retries/retry_budget.ts
+++ b/src/core/serving/retries/retry_budget.ts
@@ -47,6 +47,13 @@
     window.repeats[window.second % window.repeats.length]! += 1;
   },
 
+  /** Takes back the count of a retry that reached no target. */
+  removeRetry(state: ServingState, service: ServiceName, nowMs: number): void {
+    const {repeats, second} = currentWindow(state, service, nowMs);
+    const at = second % repeats.length;
+    repeats[at] = Math.max(0, repeats[at]! - 1);
+  },
+
   /** Whether one more retry is allowed now. */
   hasRoom(state: ServingState, service: ServiceName, nowMs: number): boolean {
     const {used, allowed} = retryBudget.usage(state, service, nowMs);
--- a/src/core/serving/send_attempt.ts
+++ b/src/core/serving/send_attempt.ts
@@ -23,6 +23,7 @@
     `${request.requestId}.${state.idCounter.toString(36)}`,
   );
   const load = resolveTargetLoad(state, target.vmId);
+  const isRetry = record.arrivalCount > 0;
   record.attempt = {
     attemptId,
     vmId: target.vmId,
@@ -31,12 +32,13 @@
     promptTokens: request.promptTokens,
     hasSurvived: false,
     progressAtMs: nowMs,
+    isRetry,
     hasDoubtedPath: false,
   };
   load.inFlight += 1;
   recordSend(state, target.vmId, nowMs);
   load.unreadTokens += request.promptTokens;
-  const isRetry = record.dispatchCount > 0;
+  record.arrivalCount += 1;
   if (isRetry) retryBudget.recordRetry(state, record.service, nowMs);
   record.dispatchCount += 1;
   record.verdict = 'may-have-run';
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -71,6 +71,8 @@
   hasSurvived: boolean;
   /** Time of the last event; of the dispatch before the first one. */
   progressAtMs: number;
+  /** It counts as a retry. */
+  readonly isRetry: boolean;
   /** Its silence has put the path to the target in doubt. */
   hasDoubtedPath: boolean;
 }
@@ -108,6 +110,8 @@
   possibleRunCount: number;
   /** All dispatches, including those that a target refused without running the request. */
   dispatchCount: number;
+  /** Dispatches that reached a target, those of earlier nodes included; further ones are retries. */
+  arrivalCount: number;
   /** The caller has received at least one event of a stream. */
   hasPartialResponse: boolean;
 }
--- a/test/units/serving/retries.test.ts
+++ b/test/units/serving/retries.test.ts
@@ -2,9 +2,15 @@
 import fc from 'fast-check';
 import {describe, it} from 'node:test';
 import type {AttemptFault} from '../../../src/core/serving/types.js';
-import type {Fingerprint, NodeId, VmId} from '../../../src/core/ids/index.js';
+import type {
+  Fingerprint,
+  NodeId,
+  ServiceName,
+  VmId,
+} from '../../../src/core/ids/index.js';
 import {ServingNodeHarness} from '../../support/serving_node_harness.js';
 import {makeId} from '../../../src/core/ids/index.js';
+import {retryBudget} from '../../../src/core/serving/index.js';
 import {propertyOptions} from '../../support/property_options.js';
 
 const FAULTS: readonly AttemptFault[] = [
@@ -121,6 +127,31 @@
     assert.equal(peer.takeEffects('startAttempt').length, 0);
   });
 
+  it('sends a request that reached no target to the next one without an allowance', () => {
+    const node = new ServingNodeHarness({
+      repeatRatio: 0,
+      repeatSlack: 0,
+    }).start();
+    node.submitRequest('unsafe');
+    for (let tried = 0; tried < 2; tried++) {
+      const [attempt] = node.takeEffects('startAttempt');
+      assert.ok(attempt, `attempt ${tried}`);
+      const {attemptId} = attempt;
+      node.dispatch({type: 'attemptFailed', attemptId, fault: 'not-sent'});
+    }
+    const [last] = node.takeEffects('startAttempt');
+    assert.ok(last);
+    const {attemptId} = last;
+    node.dispatch({type: 'attemptFailed', attemptId, fault: 'turned-away'});
+    assert.equal(node.takeEffects('startAttempt').length, 0);
+    const usage = retryBudget.usage(
+      node.state,
+      makeId<ServiceName>('desk'),
+      node.nowMs,
+    );
+    assert.equal(usage.used, 0);
+  });
+
   it('does not suspect a request whose target still answers probes', () => {
     const node = new ServingNodeHarness().start();
     const fingerprint = makeId<Fingerprint>('innocent');
