Refuse requests late in the grace period that can't end before the exit

Cause: whether a request is taken depended on the time since SIGTERM only.

Now a node keeps for each route how long requests take at most (a maximum that decays), and while it shuts down refuses those that would end after the exit, as not run, with a retry at another node at once. Where it knows no duration it uses the request's deadline. Requests that still run at the exit get a final answer, 502 or 503, before the connections close; streams are cut as before.

--- a/src/core/serving/admit_request.ts
+++ b/src/core/serving/admit_request.ts
@@ -2,6 +2,7 @@
 import type {CrashMarker} from './crashes/types.js';
 import type {RefusalReason} from './effects.js';
 import type {RequestRecord, ServingRequest, ServingStep} from './types.js';
+import {canEndBeforeExit} from './can_end_before_exit.js';
 import {count} from './count.js';
 import {findCrashSuspect} from './crashes/index.js';
 import {estimateFirstSentAtMs} from './estimate_first_sent_at_ms.js';
@@ -66,6 +67,10 @@
   const deadlineAtMs =
     request.arrivedAtMs +
     Math.min(route.timeoutMs, request.callerTimeoutMs ?? Infinity);
+  if (!canEndBeforeExit(state, {route, deadlineAtMs}, nowMs)) {
+    refuseOnArrival(step, request, 503, 'leaving', LEAVING_RETRY_MS);
+    return;
+  }
   const goalAtMs = estimateFirstSentAtMs(state, route, request) + route.goalMs;
   const priorRunCount = request.forwarded?.priorRunCount ?? 0;
   const record: RequestRecord = {
--- a/src/core/serving/attempt_handlers.ts
+++ b/src/core/serving/attempt_handlers.ts
@@ -6,6 +6,7 @@
 import {endAttempt} from './end_attempt.js';
 import {removeRequest} from './remove_request.js';
 import {logDecision} from './log_decision.js';
+import {recordDuration} from './record_duration.js';
 import {recordEventGap} from './record_event_gap.js';
 import {retryBudget} from './retries/index.js';
 import {retryRequest} from './retry_request.js';
@@ -82,6 +83,7 @@
       ageMs: Math.round(nowMs - arrivedAtMs),
     });
     count(step, 'requests', 1, {service: record.service, verdict: 'ran'});
+    recordDuration(step, record);
     if (status < 500) recordAnswer(step, record, attempt);
     endAttempt(state, record);
     removeRequest(step, record);
--- a/src/core/serving/create_serving_state.ts
+++ b/src/core/serving/create_serving_state.ts
@@ -79,6 +79,7 @@
     peerLoads: new Map(),
     registeredPeerCount: 0,
     longestTimeoutMsByRoute: new Map(),
+    longDurationMsByRoute: new Map(),
     requests: new Map(),
     requestsByAttempt: new Map(),
     forwarding: createForwardingState(),
--- a/src/core/serving/expire_state.ts
+++ b/src/core/serving/expire_state.ts
@@ -1,5 +1,6 @@
 import type {ServingStep} from './types.js';
 import {LOST_ENGINE_TTL_MS} from './lost_engine_ttl_ms.js';
+import {EXIT_MARGIN_MS} from './exit_margin_ms.js';
 import {applyFleet} from './apply_fleet.js';
 import {dispatchWaiting} from './dispatch_waiting.js';
 import {expireAnnouncements} from './announcements/index.js';
@@ -21,8 +22,6 @@
 const DEPARTED_RETENTION_MS = 60_000;
 /** A probe result older than this is stale. */
 const PROBE_RESULT_TTL_MS = 2000;
-/** Time before SIGKILL at which a node that is shutting down exits, even with requests running. */
-const EXIT_MARGIN_MS = 500;
 
 /** Handles everything that times out: requests, peers, suspicions, deferred removals and the node's own shutdown. */
 export function expireState(step: ServingStep): void {
@@ -115,5 +114,8 @@
     afterMs: Math.round(nowMs - sinceMs),
     requests: state.requests.size,
   });
+  for (const record of [...state.requests.values()]) {
+    refuseRequest(step, record, {reason: 'leaving', retryAfterMs: 0});
+  }
   step.effects.push({type: 'exit'});
 }
--- a/src/core/serving/forwarding/forward_handlers.ts
+++ b/src/core/serving/forwarding/forward_handlers.ts
@@ -6,6 +6,7 @@
 import {endForward} from './end_forward.js';
 import {logDecision} from '../log_decision.js';
 import {queueRequest} from '../queue_request.js';
+import {recordDuration} from '../record_duration.js';
 import {refuseRequest} from '../refuse_request.js';
 import {removeRequest} from '../remove_request.js';
 import {retryRequest} from '../retry_request.js';
@@ -50,6 +51,7 @@
       ageMs: Math.round(step.nowMs - request.arrivedAtMs),
     });
     count(step, 'requests', 1, {service, verdict: 'ran'});
+    recordDuration(step, record);
     endForward(step.state, record);
     removeRequest(step, record);
   },
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -276,6 +276,8 @@
   registeredPeerCount: number;
   /** Longest time-out that a caller sent, by route: a shorter one means that the caller retries and has used up the difference. */
   readonly longestTimeoutMsByRoute: Map<string, number>;
+  /** How long requests take at most, by route: a maximum that decays. */
+  readonly longDurationMsByRoute: Map<string, number>;
   readonly requests: Map<RequestId, RequestRecord>;
   readonly requestsByAttempt: Map<AttemptId, RequestRecord>;
   readonly forwarding: ForwardingState;
