Don't count an engine's own last answer as that of a neighbour

A single probe that is lost in transit suffices to declare an engine lost while another member of its replica answers. The search for that member included the engine itself, so that one that had answered 300 ms before was lost by one probe. The new test in lost_probe fails without the change; the case with a live neighbour passes before and after.

--- a/src/core/steward/handle_probe_result.ts
+++ b/src/core/steward/handle_probe_result.ts
@@ -72,6 +72,7 @@
   for (const {members} of state.steward.tracks.values()) {
     if (!members.includes(vmId)) continue;
     return members.some(one => {
+      if (one === vmId) return false;
       const probe = state.steward.probes.get(one);
       return probe !== undefined && nowMs - probe.answeredAtMs < RECENT_MS;
     });
