--- a/test/units/platform_adapter/cut_heads.test.ts
+++ b/test/units/platform_adapter/cut_heads.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import {afterEach, describe, it} from 'node:test';
-import type {RawResponder} from '../../support/raw_engine.js';
 import type {Socket} from 'node:net';
 import {AdapterNode} from '../../support/adapter_node.js';
+import {withProbes} from '../../support/with_probes.js';
 
 const SIGNED = 'X-Attempt-Id: attempt-1\r\nX-Response-Signature: s\r\n';
 const HEAD = `HTTP/1.1 200 OK\r\n${SIGNED}Content-Type: text/event-stream\r\nContent-Length: 4\r\n\r\n`;
@@ -23,16 +23,6 @@
   resets: socket => void socket.resetAndDestroy(),
 };
 
-function withProbes(respond: RawResponder): RawResponder {
-  return (socket, request) => {
-    if (request.startsWith('GET /report')) {
-      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}');
-      return;
-    }
-    respond(socket, request);
-  };
-}
-
 /** Writes the start of a response and ends the connection; bytes before a reset are flushed first. */
 function cut(
   socket: Socket,
--- a/test/units/platform_adapter/forwarded_requests.test.ts
+++ b/test/units/platform_adapter/forwarded_requests.test.ts
@@ -3,6 +3,7 @@
 import type {ServiceName} from '../../../src/core/ids/index.js';
 import type {RawResponder} from '../../support/raw_engine.js';
 import {AdapterNode} from '../../support/adapter_node.js';
+import {withProbes} from '../../support/with_probes.js';
 import {isPathDown} from '../../../src/core/serving/reachability/index.js';
 import {makeId} from '../../../src/core/ids/index.js';
 import {waitFor} from '../../support/wait_for.js';
@@ -15,17 +16,6 @@
 const chunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
 const event = (id: number) => chunk(`id: ${id}\ndata: ${id}\n\n`);
 
-/** Ignores probes, and answers other requests as given. */
-function withProbes(respond: RawResponder): RawResponder {
-  return (socket, request) => {
-    if (request.startsWith('GET /report')) {
-      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}');
-      return;
-    }
-    respond(socket, request);
-  };
-}
-
 const answerOk = withProbes(socket => {
   socket.write(`HTTP/1.1 200 OK\r\n${SIGNED}Content-Length: 4\r\n\r\nbody`);
 });
