Ask peers before an engine that only the steward finds silent is taken for lost

Now silence counts once another node confirms it: a peer has found the replica stalled, which is what brings the probes when a replica with requests loses a member, or two of four peers that are asked to probe find the engine silent and none reaches it. Without peers the steward decides alone, as before. Refused connections still count after the proof of the path alone.

--- a/src/core/steward/handle_probe_result.ts
+++ b/src/core/steward/handle_probe_result.ts
@@ -3,6 +3,7 @@
 import type {VmId} from '../ids/index.js';
 import {logDecision} from '../serving/log_decision.js';
 import {isLostEngine} from '../serving/is_lost_engine.js';
+import {isSilenceCorroborated} from './is_silence_corroborated.js';
 import {reportLoss} from '../serving/reachability/index.js';
 
 /** Pace factor from which replacing the engine by a spare speeds its replica up. */
@@ -24,6 +25,7 @@
   const probe = steward.probes.get(event.vmId);
   if (event.outcome === 'answered') {
     recordPace(step, event);
+    steward.probeRequests.delete(event.vmId);
     if (probe) {
       probe.consecutiveTimeouts = 0;
       probe.answeredAtMs = nowMs;
@@ -37,7 +39,9 @@
   if (!probe) return;
   probe.consecutiveTimeouts += 1;
   const limit = hasLiveNeighbour(step, event.vmId) ? 1 : MAX_TIMEOUTS;
-  if (probe.consecutiveTimeouts >= limit) {
+  if (probe.consecutiveTimeouts < limit) return;
+  const engine = state.engines.get(event.vmId);
+  if (engine && isSilenceCorroborated(step, engine)) {
     report(step, event.vmId, 'probes timed out', false);
   }
 }
--- a/src/core/steward/mark_engine_lost.ts
+++ b/src/core/steward/mark_engine_lost.ts
@@ -15,6 +15,7 @@
   const {bornAtMs} = engine;
   if (state.lostEngines.get(vmId)?.bornAtMs === bornAtMs) return;
   state.lostEngines.set(vmId, {bornAtMs, atMs: nowMs});
+  state.steward.probeRequests.delete(vmId);
   markTargetsStale(state);
   logDecision(step, 'warn', 'fleet', 'engine lost', {
     vmId,
--- a/test/units/serving/partitioned_nodes.test.ts
+++ b/test/units/serving/partitioned_nodes.test.ts
@@ -208,6 +208,29 @@
     }
   });
 
+  it('take no engine for lost that others reach, when the steward loses the path to some', () => {
+    for (const seed of [9, 10, 11]) {
+      const result = simulatePartitions({
+        seed,
+        partitions: [
+          {
+            atMs: 0,
+            forMs: CUT_MS,
+            fault: 'silent',
+            select: world => {
+              const {nodeId} = world.stewardNode!.state;
+              world.network.isReachable = (node, vmId) =>
+                node !== nodeId || Number(vmId.slice(1)) % 4 > 0;
+              return [];
+            },
+          },
+        ],
+      });
+      assert.deepEqual(findLossReports(result.world), [], `seed ${seed}`);
+      assert.deepEqual(result.world.violations, [], `seed ${seed}`);
+    }
+  });
+
   it('leave the detection of ended and silent engines to the others, as fast as without a partition', () => {
     for (const isSilent of [false, true]) {
       for (const hasSteward of [false, true]) {
