One function for the age up to which a peer counts as available

The choice of a peer for forwards repeated the two limits of the directory, and the condition that selects one.

--- a/src/core/serving/forwarding/select_peer.ts
+++ b/src/core/serving/forwarding/select_peer.ts
@@ -1,10 +1,6 @@
 import type {RequestRecord, RosterNode, ServingStep} from '../types.js';
 import {listPeerNodes} from '../relays/list_peer_nodes.js';
-
-/** A peer whose last digest is older may have stopped. */
-const PEER_MAX_AGE_MS = 900;
-/** Longer for peers that a relay reports, since both send less often when idle. */
-const RELAYED_PEER_MAX_AGE_MS = 1800;
+import {resolvePeerMaxAgeMs} from '../resolve_peer_max_age_ms.js';
 
 /** Selects the node that passes a request on: of two random ones that reach the service the one with less work, in this node's zone if both have equally much. */
 export function selectPeer(
@@ -12,9 +8,7 @@
   {service, triedPeers}: RequestRecord,
 ): RosterNode | undefined {
   const {avoidedUntilMs, inFlight} = state.forwarding;
-  const maxAgeMs = state.exchange.isRelayed
-    ? RELAYED_PEER_MAX_AGE_MS
-    : PEER_MAX_AGE_MS;
+  const maxAgeMs = resolvePeerMaxAgeMs(state);
   const candidates = [...listPeerNodes(state, nowMs).values()].filter(
     node =>
       node.isReady &&
--- a/src/core/serving/resolve_entries.ts
+++ b/src/core/serving/resolve_entries.ts
@@ -4,11 +4,8 @@
 import {listUnreachableServices} from './reachability/index.js';
 import {listPeerNodes} from './relays/list_peer_nodes.js';
 import {rankRoster} from './relays/rank_roster.js';
+import {resolvePeerMaxAgeMs} from './resolve_peer_max_age_ms.js';
 
-/** Callers are sent to a peer only if its last digest is younger than this. */
-const PEER_MAX_AGE_MS = 900;
-/** Maximum age of a peer reported by a relay; longer because the peer and the relay both send less often when idle. */
-const RELAYED_PEER_MAX_AGE_MS = 1800;
 /** Maximum number of addresses that callers accept. */
 const MAX_ENTRIES = 64;
 /**
@@ -49,9 +46,10 @@
   nowMs: number,
 ): string[] | undefined {
   const nodes = isReady(state, nowMs) ? [describeSelf(state)] : [];
+  const maxAgeMs = resolvePeerMaxAgeMs(state);
   let staleCount = 0;
   for (const {digest, atMs} of state.peers.values()) {
-    if (nowMs - atMs > PEER_MAX_AGE_MS) staleCount += 1;
+    if (nowMs - atMs > maxAgeMs) staleCount += 1;
     else if (digest.isReady && !digest.isLeaving) {
       nodes.push({...digest, nodeId: digest.from, ageMs: nowMs - atMs});
     }
@@ -76,9 +74,9 @@
   nowMs: number,
   zone: ZoneId,
 ): string[] {
+  const maxAgeMs = resolvePeerMaxAgeMs(state);
   const readyNodes = [...listPeerNodes(state, nowMs).values()].filter(
-    node =>
-      node.isReady && !node.isLeaving && node.ageMs < RELAYED_PEER_MAX_AGE_MS,
+    node => node.isReady && !node.isLeaving && node.ageMs < maxAgeMs,
   );
   if (isReady(state, nowMs)) readyNodes.push(describeSelf(state));
   const ranked = rankRoster(preferReachable(readyNodes));
