--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -115,6 +115,13 @@
   await sleep(30);
 }
 const answers = await Promise.all(pending);
+for (const {id, path, engine, atMs, end} of here.engines.flatMap(
+  one => one.runs,
+)) {
+  here.note(
+    `${id} ${path} ran at ${engine} from ${atMs - here.startedAtMs} ms; ${end}`,
+  );
+}
 
 const timeoutOf = ({path}) => (path.startsWith('/plan/') ? 8000 : TIMEOUT_MS);
 const late = answers.filter(
@@ -128,7 +135,7 @@
 );
 for (const {id, node, path, status, end, sentAtMs, endedAtMs} of answers) {
   here.note(
-    `${id} ${path} at ${node} after ${endedAtMs - sentAtMs} ms: ${status || 'no answer'}, ${end}`,
+    `${id} ${path} at ${node} sent at ${sentAtMs - here.startedAtMs} ms, after ${endedAtMs - sentAtMs} ms: ${status || 'no answer'}, ${end}`,
   );
 }
 const byNode = here.nodes
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -110,6 +110,13 @@
   await sleep(GAP_MS);
 }
 const answers = await Promise.all(pending);
+for (const {id, path, engine, atMs, end} of here.engines.flatMap(
+  one => one.runs,
+)) {
+  here.note(
+    `${id} ${path} ran at ${engine} from ${atMs - here.startedAtMs} ms; ${end}`,
+  );
+}
 
 const late = answers.filter(
   ({sentAtMs, endedAtMs}) => endedAtMs - sentAtMs > TIMEOUT_MS,
@@ -121,7 +128,7 @@
 for (const {id, path, status, end, sentAtMs, endedAtMs} of answers) {
   const mark = spoiled.has(id) ? ' (spoiled)' : '';
   here.note(
-    `${id} ${path} after ${endedAtMs - sentAtMs} ms: ${status || 'no answer'}, ${end}${mark}`,
+    `${id} ${path} sent at ${sentAtMs - here.startedAtMs} ms, after ${endedAtMs - sentAtMs} ms: ${status || 'no answer'}, ${end}${mark}`,
   );
 }
 const served = answers.filter(
