--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -66,6 +66,10 @@
     this.trouble = process.env.TROUBLE !== '0';
     this.note(`disruption: ${this.trouble ? 'yes' : 'no'}`);
     process.on('exit', () => this.killAll());
+    // A fault of a stand-in or of the script says nothing about the rule.
+    for (const event of ['uncaughtException', 'unhandledRejection']) {
+      process.on(event, error => this.finish(2, `the script failed: ${error}`));
+    }
     for (const signal of ['SIGINT', 'SIGTERM'])
       process.on(signal, () => process.exit(2));
     setTimeout(() => this.finish(2, 'longer than 115 s'), 115_000).unref();
