--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -378,7 +378,8 @@
         finish(`answer broken off: ${error.message}`),
       );
       response.on('end', () => {
-        seen.isComplete = response.complete;
+        // After an error the parser ends a response without a length too.
+        if (!seen.end) seen.isComplete = response.complete;
         finish(response.complete ? 'complete' : 'answer broken off');
       });
     });
