--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -129,7 +129,9 @@
   async addNode(zone, overrides = {}) {
     const number = this.nodes.length + 1;
     const ip = `${this.block}.${number}`;
-    const [front, ready, control, directory, internal] = await freePorts(ip, 5);
+    // Ports are the same on all machines of a day.
+    this.ports ??= await freePorts(ip, 5);
+    const [front, ready, control, directory, internal] = this.ports;
     const name = `edge-${zone}-${number}`;
     const path = join(this.folder, `${name}.json`);
     writeFileSync(
