--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -96,7 +96,7 @@
     return engine;
   }
 
-  putConfig(version, routes, services, keys = [KEY]) {
+  putConfig(version, routes, services) {
     this.store.put('op/config', {
       version,
       routes: routes.map(route => ({
@@ -120,13 +120,13 @@
         'header-timeout-ms': 3000,
         'idle-timeout-ms': 15_000,
       },
-      tenants: [{name: TENANT, 'api-keys': keys, priority: 1}],
+      tenants: [{name: TENANT, 'api-keys': [KEY], priority: 1}],
     });
     this.note(`configuration ${version} acknowledged`);
   }
 
   /** Starts a node with the command of the deploy file. */
-  async addNode(zone, overrides = {}, isFirstStart = true) {
+  async addNode(zone, overrides = {}) {
     const number = this.nodes.length + 1;
     const ip = `${this.block}.${number}`;
     // Ports are the same on all machines of a day.
@@ -156,7 +156,7 @@
         },
         'internal-ports': [internal, internal + 15],
         seeds: [`${ip}:${control}`],
-        bootstrap: isFirstStart,
+        bootstrap: true,
         'in-tolerance': false,
         limits: {
           'cpu-share': 0.459,
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -1,5 +1,4 @@
-// Stand-in of the platform's metadata store: the calls of PROTOCOL.md, in memory, linearizable, without faults. For a drill
-// it can go away and come back from a copy, as the news on the users' pages says.
+// Stand-in of the platform's metadata store: the calls of PROTOCOL.md, in memory, linearizable, without faults.
 import {createServer} from 'node:http';
 
 const PAGE_ITEMS = 500;
@@ -11,9 +10,6 @@
   leases = new Map();
   leaseCount = 1000;
   wakers = new Set();
-  /** Header `Store-Era`; rises by one each time that the store comes back from a copy. */
-  era = 1;
-  isAway = false;
   server = createServer(
     (request, response) => void this.answer(request, response),
   );
@@ -59,42 +55,12 @@
     for (const wake of [...this.wakers]) wake();
   }
 
-  /** What a backup holds at this moment. */
-  copy() {
-    return {items: new Map(this.items), revision: this.revision};
-  }
-
-  leave() {
-    this.isAway = true;
-    this.server.closeAllConnections();
-  }
-
-  /** Comes back with what the copy holds; what was written since, and all leases, are gone. */
-  comeBack({items, revision}) {
-    for (const id of [...this.leases.keys()]) {
-      clearTimeout(this.leases.get(id).timer);
-      this.leases.delete(id);
-    }
-    const held = [...items].filter(([, {lease}]) => !lease);
-    this.items = new Map(held);
-    this.revision = revision;
-    this.changes = this.changes.filter(one => one.revision <= revision);
-    this.era += 1;
-    this.isAway = false;
-  }
-
   async answer(request, response) {
-    if (this.isAway) return void request.socket.destroy();
-    const {era} = this;
     let text = '';
     for await (const chunk of request) text += chunk;
     const url = new URL(request.url, 'http://store');
     const [status, body] = await this.call(request.method, url, text);
-    if (this.isAway || era !== this.era) return void request.socket.destroy();
-    response.writeHead(status, {
-      'content-type': 'application/json',
-      'store-era': era,
-    });
+    response.writeHead(status, {'content-type': 'application/json'});
     response.end(JSON.stringify(body));
   }
 
@@ -117,7 +83,6 @@
     }
     if (pathname === '/kv-watch') {
       const after = Number(searchParams.get('after'));
-      if (after > this.revision) return [410, {}];
       const find = () =>
         this.changes.filter(
           one => one.key.startsWith(prefix) && one.revision > after,
