Take an engine for ended only when other nodes don't reach it either

Cause: one refused connection, with the own path proven by any other engine, counted as proof that a process had ended; the refusal of the order to leave, over the same path, freed the members at once. The same held for probes of the steward, its orders, the check after a broken connection, and losses that peers report.

Change: a refusal makes an end suspected. The node publishes its own result and asks four random peers to probe the engine; the loss counts when all of them report that they don't reach it, and none has had an event from it since. Members of a lost head are freed when the store lists the head no longer, it was closed before, it has left or lives anew. A peer's report of a loss is ignored after an event from the engine.

Cost: members of a crashed head wait until its entry expires.

--- a/src/core/serving/apply_digest.ts
+++ b/src/core/serving/apply_digest.ts
@@ -20,8 +20,10 @@
 
 /** How long a suspect or slow target in a peer's digest is treated as such. */
 const PEER_SUSPECT_MS = 400;
-/** Minimum time between two probes of an engine for the steward. */
+/** Minimum time between two probes of an engine for a peer. */
 const PROBE_INTERVAL_MS = 800;
+/** The same while there is no result, since it was dropped with the node's path: a little longer than a probe's time-out. */
+const RETRY_INTERVAL_MS = 300;
 
 /** Merges a peer's digest into the state: target loads, engine changes, lost engines, crash suspects and proofs. */
 export function applyDigest(step: ServingStep, received: LoadDigest): void {
@@ -126,13 +128,16 @@
   }
 }
 
-/** Probes engines that the steward can't reach and the store doesn't list, if the steward requests it of this node. */
+/** Probes engines that a peer can't reach, if it requests this of this node. */
 function probeRequestedEngines(step: ServingStep, digest: LoadDigest): void {
   const {state, nowMs} = step;
   for (const {vmId, address, peers} of digest.probeRequests) {
     if (!peers.includes(state.nodeId)) continue;
     const probedAtMs = state.lastProbeAtMs.get(vmId) ?? -Infinity;
-    if (nowMs - probedAtMs < PROBE_INTERVAL_MS) continue;
+    const intervalMs = state.probeResults.has(vmId)
+      ? PROBE_INTERVAL_MS
+      : RETRY_INTERVAL_MS;
+    if (nowMs - probedAtMs < intervalMs) continue;
     state.lastProbeAtMs.set(vmId, nowMs);
     step.effects.push({type: 'probeEngine', vmId, address});
   }
@@ -147,6 +152,16 @@
     const previous = state.lostEngines.get(vmId);
     // Peers forward each other's reports: only the first one sets the time, or the entry would never expire.
     if (previous?.bornAtMs === bornAtMs) continue;
+    const progressAtMs = state.targetLoads.get(vmId)?.progressAtMs ?? -Infinity;
+    if (progressAtMs > nowMs - ageMs) {
+      logDecision(step, 'debug', 'fleet', 'lost engine still answers', {
+        vmId,
+        peer: digest.from,
+        ageMs,
+        progressAgeMs: Math.round(nowMs - progressAtMs),
+      });
+      continue;
+    }
     hasNewLoss = true;
     logDecision(step, 'info', 'fleet', 'peer reports engine lost', {
       vmId,
--- a/src/core/serving/crashes/crash_detection.ts
+++ b/src/core/serving/crashes/crash_detection.ts
@@ -57,7 +57,7 @@
     }
   },
 
-  /** Handles the result of a probe: a target that refuses connections has ended its process. */
+  /** Handles the result of a probe: a target that refuses connections may have ended its process. */
   probed(
     step: ServingStep,
     {vmId, outcome}: Extract<ServingEvent, {type: 'probeAnswered'}>,
@@ -77,7 +77,7 @@
     reportLoss(step, vmId, state.engines.get(vmId)?.service, {
       bornAtMs: check.bornAtMs,
       proof: 'connection refused after a connection broke',
-      hasEnded: true,
+      isRefused: true,
     });
   },
 
--- a/src/core/serving/create_digest.ts
+++ b/src/core/serving/create_digest.ts
@@ -90,9 +90,7 @@
     nodeCount: 1,
     roster: [],
     departed,
-    probeRequests: isSteward(state)
-      ? [...state.steward.probeRequests.values()]
-      : [],
+    probeRequests: [...state.steward.probeRequests.values()],
     probeReports,
     from: state.nodeId,
     peerAddress: state.peerAddress,
--- a/src/core/serving/reachability/confirm_losses.ts
+++ b/src/core/serving/reachability/confirm_losses.ts
@@ -1,8 +1,7 @@
 import type {ServicePath} from './types.js';
 import type {ServingStep} from '../types.js';
-import {crashDetection} from '../crashes/index.js';
 import {markEngineLost} from '../../steward/mark_engine_lost.js';
-import {releaseEndedHead} from '../../steward/release_ended_head.js';
+import {suspectEnd} from './suspect_end.js';
 
 /** Confirms the losses of engines up to the time at which the path is proven to have worked. */
 export function confirmLosses(
@@ -13,9 +12,9 @@
   for (const [vmId, loss] of [...pendingLosses]) {
     if (loss.atMs > provenAtMs) continue;
     pendingLosses.delete(vmId);
-    if (loss.hasEnded) releaseEndedHead(step, vmId, loss.bornAtMs);
-    if (step.state.engines.get(vmId)?.bornAtMs !== loss.bornAtMs) continue;
-    markEngineLost(step, vmId, loss.proof);
-    if (loss.hasEnded) crashDetection.confirm(step, vmId);
+    const engine = step.state.engines.get(vmId);
+    if (!engine || engine.bornAtMs !== loss.bornAtMs) continue;
+    if (loss.isRefused) suspectEnd(step, engine, loss);
+    else markEngineLost(step, vmId, loss.proof);
   }
 }
--- a/src/core/serving/reachability/drop_path_evidence.ts
+++ b/src/core/serving/reachability/drop_path_evidence.ts
@@ -13,7 +13,7 @@
   }
   for (const [vmId, probe] of state.steward.probes) {
     const engine = state.engines.get(vmId);
-    if (!engine || engine.service === service) probe.consecutiveTimeouts = 0;
+    if (!engine || engine.service === service) probe.unansweredCount = 0;
   }
   for (const vmId of state.probeResults.keys()) {
     const engine = state.engines.get(vmId);
--- a/src/core/serving/reachability/index.ts
+++ b/src/core/serving/reachability/index.ts
@@ -1,3 +1,4 @@
+export {checkEnds} from './check_ends.js';
 export {checkPaths} from './check_paths.js';
 export {createReachabilityState} from './create_reachability_state.js';
 export {doubtPath} from './doubt_path.js';
--- a/src/core/serving/reachability/record_reached.ts
+++ b/src/core/serving/reachability/record_reached.ts
@@ -4,6 +4,7 @@
 import {dropPathEvidence} from './drop_path_evidence.js';
 import {logDecision} from '../log_decision.js';
 import {probePath} from './probe_path.js';
+import {refuteEnd} from './refute_end.js';
 
 /** Records that an engine answered a connection that this node began to open at `sinceMs`. */
 export function recordReached(
@@ -12,6 +13,7 @@
   sinceMs: number,
 ): void {
   const {state, nowMs} = step;
+  refuteEnd(step, vmId, sinceMs);
   const service = state.engines.get(vmId)?.service;
   const path = service && state.reachability.paths.get(service);
   if (!path || path.doubtedSinceMs === undefined) return;
--- a/src/core/serving/reachability/types.ts
+++ b/src/core/serving/reachability/types.ts
@@ -5,8 +5,8 @@
   /** Identifies the incarnation; undefined if the engine's record is not known. */
   readonly bornAtMs?: number;
   readonly proof: string;
-  /** The engine's host refused the connection, so its process has ended. */
-  readonly hasEnded: boolean;
+  /** A connection was refused. That shows the end of the process only if other nodes don't reach it either. */
+  readonly isRefused: boolean;
   readonly atMs: number;
 }
 
@@ -33,7 +33,18 @@
   readonly pendingLosses: Map<VmId, PendingLoss>;
 }
 
-/** This node's network paths, by service. */
+/** An engine that refused a connection of this node: its process has ended, or only the path between them is cut. */
+export interface SuspectedEnd {
+  /** Identifies the incarnation. */
+  readonly bornAtMs: number;
+  readonly proof: string;
+  readonly sinceMs: number;
+  /** Whether other nodes found the engine unreachable as well. */
+  isConfirmed: boolean;
+}
+
+/** What this node knows of its network paths and of the engines that refuse its connections. */
 export interface ReachabilityState {
   readonly paths: Map<ServiceName, ServicePath>;
+  readonly suspectedEnds: Map<VmId, SuspectedEnd>;
 }
--- a/src/core/serving/reduce_serving.ts
+++ b/src/core/serving/reduce_serving.ts
@@ -12,7 +12,12 @@
 import {applyAnnouncement} from './announcements/index.js';
 import {attemptHandlers} from './attempt_handlers.js';
 import {crashDetection, refreshSuspects} from './crashes/index.js';
-import {checkPaths, handleProbe, recordReached} from './reachability/index.js';
+import {
+  checkEnds,
+  checkPaths,
+  handleProbe,
+  recordReached,
+} from './reachability/index.js';
 import {checkForwards, forwardHandlers} from './forwarding/index.js';
 import {updateRegisteredNodes} from './relays/update_registered_nodes.js';
 import {recordStoreContact} from './record_store_contact.js';
@@ -98,6 +103,7 @@
       break;
     case 'digestReceived':
       applyDigest(step, event.digest);
+      checkEnds(step);
       break;
     case 'engineConnected':
       recordReached(step, event.vmId, nowMs - event.connectMs);
@@ -120,6 +126,7 @@
       break;
     case 'tick':
       checkPaths(step);
+      checkEnds(step);
       moveStalledStreams(step);
       checkForwards(step);
       expireState(step);
--- a/src/core/serving/relays/create_summary.ts
+++ b/src/core/serving/relays/create_summary.ts
@@ -15,7 +15,7 @@
 import {rankRoster} from './rank_roster.js';
 import {sumLoads} from './sum_loads.js';
 
-/** Maximum number of probe reports in one datagram. */
+/** Maximum number of probe reports, and of requests for probes, in one datagram. */
 const MAX_PROBE_REPORTS = 60;
 /** Nodes of a zone in the roster for other zones: as many as callers need there when their own zone is lost. */
 const FOREIGN_ROSTER_SIZE = 8;
@@ -38,6 +38,9 @@
     ({digest}) => scope === 'fleet' || digest.scope === 'node',
   );
   const peerReports = views.flatMap(({digest}) => digest.probeReports);
+  const peerRequests = views
+    .filter(({digest}) => digest.scope !== 'fleet')
+    .flatMap(({digest}) => digest.probeRequests);
   const nodeCount = views.reduce((sum, one) => sum + one.digest.nodeCount, 1);
   return {
     ...own,
@@ -49,6 +52,9 @@
       ...views.map(view => withCurrentAges(view, nowMs)),
     ]),
     configProofAgeMs: toAgeMs(state.configProvenAtMs, nowMs),
+    probeRequests: [...own.probeRequests, ...peerRequests].slice(
+      -MAX_PROBE_REPORTS,
+    ),
     probeReports: [...own.probeReports, ...peerReports].slice(
       -MAX_PROBE_REPORTS,
     ),
@@ -69,13 +75,8 @@
   if (!view || !views.includes(view)) {
     return {isSteward: false, changes};
   }
-  const {
-    engineCount,
-    revisionSum,
-    fleetProofAgeMs,
-    probeRequests,
-    stewardAddress,
-  } = view.digest;
+  const {engineCount, revisionSum, fleetProofAgeMs, stewardAddress} =
+    view.digest;
   return {
     isSteward: true,
     stewardAddress,
@@ -83,7 +84,6 @@
     engineCount,
     revisionSum,
     fleetProofAgeMs: toAgeMs(resolveProofAtMs(view, fleetProofAgeMs), nowMs),
-    probeRequests,
   };
 }
 
--- a/src/core/steward/dissolve_replica.ts
+++ b/src/core/steward/dissolve_replica.ts
@@ -1,6 +1,7 @@
 import type {ReplicaTrack} from './types.js';
 import type {ServingState, ServingStep} from '../serving/types.js';
 import {sendOrder} from './send_order.js';
+import {hasHeadEnded} from './has_head_ended.js';
 import {isHeadUnreachable} from './is_head_unreachable.js';
 import {probeEngine} from './probe_engine.js';
 import {releaseReplica} from './release_replica.js';
@@ -39,6 +40,10 @@
       return;
     }
   }
+  if (hasHeadEnded(state, track)) {
+    releaseReplica(step, track, 'the head process has ended');
+    return;
+  }
   const mayFinishRequests = track.isHeadLeaving && !track.isClosed;
   if (!head && !mayFinishRequests && isHeadUnreachable(step, track)) {
     releaseReplica(
--- a/src/core/steward/handle_order_result.ts
+++ b/src/core/steward/handle_order_result.ts
@@ -31,7 +31,7 @@
     reportLoss(step, vmId, engine?.service ?? track?.service, {
       bornAtMs: engine?.bornAtMs ?? track?.bornAtMs.get(vmId),
       proof: 'connection refused',
-      hasEnded: true,
+      isRefused: true,
     });
     return;
   }
--- a/src/core/steward/handle_probe_result.ts
+++ b/src/core/steward/handle_probe_result.ts
@@ -27,19 +27,19 @@
     recordPace(step, event);
     steward.probeRequests.delete(event.vmId);
     if (probe) {
-      probe.consecutiveTimeouts = 0;
+      probe.unansweredCount = 0;
       probe.answeredAtMs = nowMs;
     }
     return;
   }
+  if (probe) probe.unansweredCount += 1;
   if (event.outcome === 'refused') {
     report(step, event.vmId, 'connection refused', true);
     return;
   }
   if (!probe) return;
-  probe.consecutiveTimeouts += 1;
   const limit = hasLiveNeighbour(step, event.vmId) ? 1 : MAX_TIMEOUTS;
-  if (probe.consecutiveTimeouts < limit) return;
+  if (probe.unansweredCount < limit) return;
   const engine = state.engines.get(event.vmId);
   if (engine && isSilenceCorroborated(step, engine)) {
     report(step, event.vmId, 'probes timed out', false);
@@ -50,12 +50,12 @@
   step: ServingStep,
   vmId: VmId,
   proof: string,
-  hasEnded: boolean,
+  isRefused: boolean,
 ): void {
   const engine = step.state.engines.get(vmId);
   if (!engine || isLostEngine(step.state, engine)) return;
   const {service, bornAtMs} = engine;
-  reportLoss(step, vmId, service, {bornAtMs, proof, hasEnded});
+  reportLoss(step, vmId, service, {bornAtMs, proof, isRefused});
 }
 
 function recordPace(step: ServingStep, {vmId, pace}: ProbeAnswered): void {
--- a/src/core/steward/is_head_unreachable.ts
+++ b/src/core/steward/is_head_unreachable.ts
@@ -27,6 +27,6 @@
   requestPeerProbes(step, {vmId, address});
   if (!isEvidenceSound(state, vmId)) return false;
   const own = steward.probes.get(vmId);
-  if (!own || own.consecutiveTimeouts < MIN_UNANSWERED_PROBES) return false;
+  if (!own || own.unansweredCount < MIN_UNANSWERED_PROBES) return false;
   return isSilentToPeers(state, vmId, MIN_UNRESPONSIVE_PEERS);
 }
--- a/src/core/steward/is_silent_to_peers.ts
+++ b/src/core/steward/is_silent_to_peers.ts
@@ -1,5 +1,6 @@
-import type {NodeId, VmId} from '../ids/index.js';
+import type {VmId} from '../ids/index.js';
 import type {ServingState} from '../serving/types.js';
+import {listProbeReports} from './list_probe_reports.js';
 
 /** Whether at least `count` of the peers that were requested to probe an engine found it silent, and none reached it. */
 export function isSilentToPeers(
@@ -7,13 +8,6 @@
   vmId: VmId,
   count: number,
 ): boolean {
-  const isSilent = new Map<NodeId, boolean>();
-  for (const {digest} of state.peers.values()) {
-    for (const report of digest.probeReports) {
-      if (report.vmId !== vmId || report.nodeId === state.nodeId) continue;
-      isSilent.set(report.nodeId, report.isSilent);
-    }
-  }
-  const reports = [...isSilent.values()];
+  const reports = [...listProbeReports(state, vmId).values()];
   return reports.every(Boolean) && reports.length >= count;
 }
--- a/src/core/steward/probe_engine.ts
+++ b/src/core/steward/probe_engine.ts
@@ -15,7 +15,7 @@
   const probe = probes.get(vmId) ?? {
     sentAtMs: -Infinity,
     answeredAtMs: -Infinity,
-    consecutiveTimeouts: 0,
+    unansweredCount: 0,
   };
   if (step.nowMs - probe.sentAtMs < intervalMs) return;
   probe.sentAtMs = step.nowMs;
--- a/src/core/steward/types.ts
+++ b/src/core/steward/types.ts
@@ -79,7 +79,8 @@
   sentAtMs: number;
   /** When the engine last answered; -Infinity if it never did. */
   answeredAtMs: number;
-  consecutiveTimeouts: number;
+  /** Consecutive probes that were refused or timed out. */
+  unansweredCount: number;
 }
 
 /** State of the steward role: the node that holds the steward's lease manages all replicas. */
--- a/src/replay/serving/simulated_network.ts
+++ b/src/replay/serving/simulated_network.ts
@@ -60,6 +60,8 @@
   readonly arrivals: AttemptArrival[] = [];
   private readonly attempts = new Map<AttemptId, RunningAttempt>();
   private readonly pathFaults = new Map<NodeId, PathFault>();
+  /** By `node/engine`. */
+  private readonly engineFaults = new Map<string, PathFault>();
   /** When each node last had a complete response from each engine, by `node/engine`: its connection is kept for a while. */
   private readonly keptSinceMs = new Map<string, number>();
 
@@ -68,9 +70,35 @@
   /** Partitions nodes from all engines, until `heal`. */
   partition(nodes: readonly WorldNode[], fault: PathFault): void {
     for (const {state} of nodes) this.pathFaults.set(state.nodeId, fault);
-    if (fault !== 'refused') return;
-    for (const [attemptId, {node}] of [...this.attempts]) {
+    if (fault === 'refused') this.breakAttempts(nodes);
+  }
+
+  /** Partitions nodes from single engines, until `healEngines`. */
+  partitionEngines(
+    nodes: readonly WorldNode[],
+    vmIds: readonly VmId[],
+    fault: PathFault,
+  ): void {
+    for (const {state} of nodes) {
+      for (const vmId of vmIds) {
+        this.engineFaults.set(`${state.nodeId}/${vmId}`, fault);
+      }
+    }
+    if (fault === 'refused') this.breakAttempts(nodes, vmIds);
+  }
+
+  healEngines(): void {
+    this.engineFaults.clear();
+  }
+
+  /** Breaks the running attempts of nodes, or only those at the given engines. */
+  private breakAttempts(
+    nodes: readonly WorldNode[],
+    vmIds?: readonly VmId[],
+  ): void {
+    for (const [attemptId, {node, vmId}] of [...this.attempts]) {
       if (!nodes.includes(node)) continue;
+      if (vmIds && !vmIds.includes(vmId)) continue;
       this.cancelAttempt(attemptId);
       this.options.dispatch(node, {
         type: 'attemptFailed',
@@ -90,7 +118,9 @@
     const engine = this.options.engines.get(vmId);
     if (!engine?.isUp) return engine?.refusesConnections ? 'refused' : 'silent';
     if (!this.isReachable(nodeId, vmId)) return 'silent';
-    return this.pathFaults.get(nodeId);
+    return (
+      this.engineFaults.get(`${nodeId}/${vmId}`) ?? this.pathFaults.get(nodeId)
+    );
   }
 
   private hasKeptConnection(node: WorldNode, vmId: VmId): boolean {
--- a/test/units/steward/lost_probe.test.ts
+++ b/test/units/steward/lost_probe.test.ts
@@ -33,7 +33,7 @@
   const probe = {
     sentAtMs: node.nowMs,
     answeredAtMs: -Infinity,
-    consecutiveTimeouts: 0,
+    unansweredCount: 0,
   };
   node.state.steward.probes.set(HEAD!, probe);
   return node;
@@ -63,7 +63,7 @@
     node.state.steward.probes.set(MEMBER!, {
       sentAtMs: node.nowMs + 100,
       answeredAtMs: node.nowMs + 200,
-      consecutiveTimeouts: 0,
+      unansweredCount: 0,
     });
     probeHead(node, 'silent');
     assert.ok(node.state.lostEngines.has(HEAD!));
