Delimit responses to callers by chunks or a length, whatever the engine's framing

Cause: an answer without a length was passed on without one, so that its end was the end of the connection, and the kernel closes the sockets of a killed process in an orderly way. Now streams go out in chunks, and buffered answers with a length; the last chunk follows the engine's end only. On the way through a peer both hops have chunks. To HTTP/1.0 callers a stream stays delimited by its connection, and a known cut is a reset, also of a chunked stream (it was an orderly close before).

unframed_streams, "does not look complete when the node is killed", fails before the change: a fault proxy closes the caller's connection as the kernel does, and the part counted as whole. Two assertions said that such answers carry no framing; they now name the framing exactly: chunked, and a length of 9.

Left for its own change: a reset that arrives with the last bytes of an engine is not seen as one, and now ends with a last chunk or a length.

--- a/src/serving/caller_call.ts
+++ b/src/serving/caller_call.ts
@@ -12,7 +12,6 @@
   lastEventId?: string;
   /** The response has been sent completely, or the connection was closed. */
   isEnded = false;
-  private isDelimitedByClose = false;
   private failure?: {
     readonly status: number;
     readonly headers: OutgoingHttpHeaders;
@@ -58,28 +57,13 @@
     this.response.end();
   }
 
-  /**
-   * Delimits the response by closing the connection, as the target does.
-   * Without a length a complete response can't be distinguished from a
-   * truncated one, so the caller must not receive framing that claims it is
-   * complete.
-   */
-  delimitByClose(): void {
-    if (this.response.headersSent) return;
-    this.isDelimitedByClose = true;
-    this.response.removeHeader('transfer-encoding');
-  }
-
   /** Sends a complete response. */
   send(status: number, headers: OutgoingHttpHeaders, body: Buffer): void {
     if (this.isEnded) return;
     this.isEnded = true;
-    const length = this.isDelimitedByClose
-      ? {}
-      : {'content-length': body.length};
     this.response.writeHead(
       status,
-      this.withConnection({...headers, ...length}),
+      this.withConnection({...headers, 'content-length': body.length}),
     );
     this.response.end(body);
   }
@@ -105,22 +89,21 @@
   abort(): void {
     if (this.isEnded) return;
     this.isEnded = true;
-    const {socket} = this.response;
-    if (!this.isDelimitedByClose || !socket) {
+    const {socket, useChunkedEncodingByDefault} = this.response;
+    if (useChunkedEncodingByDefault || !socket) {
       this.response.destroy();
       return;
     }
-    // An orderly close would mark the end of a response without a length.
+    // To a caller without chunked encoding, an orderly close would mark the end of the response.
     if (socket.writableNeedDrain) socket.resetAndDestroy();
     else socket.write('', () => socket.resetAndDestroy());
   }
 
   private withConnection(headers: OutgoingHttpHeaders): OutgoingHttpHeaders {
-    const shouldClose = this.isDelimitedByClose || this.isLeaving();
     return {
       ...(this.isForwarded ? forwardHeaders.writeAnswer() : {}),
       ...headers,
-      ...(shouldClose ? {connection: 'close'} : {}),
+      ...(this.isLeaving() ? {connection: 'close'} : {}),
     };
   }
 }
--- a/src/serving/running_attempt.ts
+++ b/src/serving/running_attempt.ts
@@ -111,7 +111,6 @@
       return;
     }
     this.limit?.reset(MAX_BYTES_WITHOUT_PROGRESS);
-    if (!isFramed(response)) call.delimitByClose();
     if (upstream.isStream && isSuccess(status)) {
       this.forwardStream(response);
       return;
@@ -247,11 +246,3 @@
     });
   }
 }
-
-/** Whether the end of the body can be distinguished from a lost connection. */
-function isFramed({headers}: IncomingMessage): boolean {
-  return (
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined
-  );
-}
--- a/test/support/adapter_node.ts
+++ b/test/support/adapter_node.ts
@@ -86,10 +86,12 @@
       readonly key?: string;
       readonly signal?: AbortSignal;
       readonly onData?: (text: string) => void;
+      /** Address of a proxy in front of the node; the node's own by default. */
+      readonly address?: string;
     } = {},
   ): ReturnType<typeof callHttp> {
-    const {headers, body, key, ...rest} = options;
-    return callHttp(`http://${this.front}/${type}/x?y=1`, {
+    const {headers, body, key, address = this.front, ...rest} = options;
+    return callHttp(`http://${address}/${type}/x?y=1`, {
       method: type === 'safe' ? 'GET' : 'POST',
       ...(type === 'safe' ? {} : {body: body ?? 'body'}),
       headers: {
--- a/test/support/fault_proxy.ts
+++ b/test/support/fault_proxy.ts
@@ -67,6 +67,11 @@
     this.end(reset);
   }
 
+  /** Closes all open connections in an orderly way, as the kernel does for a process that was killed. */
+  endConnections(): void {
+    for (const {client} of this.connections) client.end();
+  }
+
   async close(): Promise<void> {
     this.end(socket => socket.destroy());
     await new Promise(resolve => this.listener.close(resolve));
--- a/test/units/platform_adapter/answers.test.ts
+++ b/test/units/platform_adapter/answers.test.ts
@@ -138,7 +138,7 @@
     adapter = undefined;
   });
 
-  it('ends a response without a length when its connection closes', async () => {
+  it('gives a response that ends with its connection a length, so that a part of it is no whole response', async () => {
     adapter = await AdapterNode.start([
       socket => {
         socket.end(`${SIGNED}Connection: close\r\n\r\nall of it`);
@@ -147,7 +147,8 @@
     const answer = await adapter.call('unsafe');
     assert.equal(answer.status, 200);
     assert.equal(answer.body, 'all of it');
-    assert.equal(answer.headers['content-length'], undefined);
+    assert.equal(answer.whole, true);
+    assert.equal(answer.headers['content-length'], '9');
     assert.equal(answer.headers['transfer-encoding'], undefined);
   });
 
--- a/test/units/platform_adapter/unframed_streams.test.ts
+++ b/test/units/platform_adapter/unframed_streams.test.ts
@@ -2,6 +2,8 @@
 import {afterEach, describe, it} from 'node:test';
 import type {RawResponder} from '../../support/raw_engine.js';
 import {AdapterNode} from '../../support/adapter_node.js';
+import {FaultProxy} from '../../support/fault_proxy.js';
+import {sendRaw} from '../../support/send_raw.js';
 
 /** Head of a stream that has neither a length nor chunks, and ends with its connection. */
 const UNFRAMED =
@@ -34,7 +36,7 @@
     );
     assert.equal(answer.whole, true);
     assert.equal(answer.body, `${FIRST_EVENT}${EVENT_PART}\n\n`);
-    assert.equal(answer.headers['transfer-encoding'], undefined);
+    assert.equal(answer.headers['transfer-encoding'], 'chunked');
   });
 
   it('does not look complete when its engines close inside an event', async () => {
@@ -70,6 +72,40 @@
     assert.equal(answer.whole, false);
   });
 
+  // Rule MIXED: the caller of a killed node took a part of the stream for the whole.
+  it('does not look complete when the node is killed', async () => {
+    adapter = await AdapterNode.start([
+      socket => void socket.write(UNFRAMED + FIRST_EVENT),
+    ]);
+    const proxy = await FaultProxy.start(Number(adapter.front.split(':')[1]));
+    try {
+      const answer = await adapter.call('streaming', {
+        address: proxy.address,
+        onData: () => proxy.endConnections(),
+      });
+      assert.equal(answer.status, 200);
+      assert.equal(answer.body, FIRST_EVENT);
+      assert.equal(answer.whole, false);
+    } finally {
+      await proxy.close();
+    }
+  });
+
+  it('does not look complete to a caller without chunked encoding when its engines close inside an event', async () => {
+    adapter = await AdapterNode.start([
+      socket => socket.end(`${UNFRAMED}${FIRST_EVENT}${EVENT_PART}`),
+    ]);
+    await assert.rejects(
+      sendRaw(
+        adapter.front,
+        'POST /streaming/x HTTP/1.0\r\nHost: desk.example\r\n' +
+          'X-Attempt-Id: attempt-1\r\nX-Deadline-Ms: 1500\r\n' +
+          'Authorization: Bearer secret-key\r\nContent-Length: 0\r\n\r\n',
+      ),
+      {code: 'ECONNRESET'},
+    );
+  });
+
   it('does not look complete when the node ends', async () => {
     const answer = await callWith(
       socket => void socket.write(UNFRAMED + FIRST_EVENT),
