Close connections to removed engines only once they are idle

Now the agent is retired: idle connections close at once, the others are not kept when their requests have ended.

leaving_engines, "finishes its streams, and its connection is closed then", fails before (the stream ends after its first event, at 2.0 s); idle connections are closed as before.

--- a/src/serving/attempt_client.ts
+++ b/src/serving/attempt_client.ts
@@ -61,11 +61,11 @@
     attempt.start();
   }
 
-  /** Closes idle connections to engines that are no longer registered. */
+  /** Closes the connections to engines that are no longer registered, once they are idle: such an engine may still finish its requests. */
   sweep(): void {
     for (const [vmId, agent] of this.agentsByTarget) {
       if (this.context.state.engines.has(vmId)) continue;
-      agent.destroy();
+      agent.retire();
       this.agentsByTarget.delete(vmId);
     }
   }
