Keep a node's timed work and other requests alive when one of them throws

Cause: an event's id with one wrong bit was sent on as a header, so that http.request threw within a tick. The exception left the event loop with its queue not cleared, and the shared timer before it set the next time-out: no ticks, digests, reads of the configuration or exit after SIGTERM any more.

Change: the loop reports an exception and goes on with the next effect and event, once each; the timer reports a task's and goes on. What can't be written for another reason is refused as not run, without blame for the engine.

--- a/src/core/serving/attempt_handlers.ts
+++ b/src/core/serving/attempt_handlers.ts
@@ -6,6 +6,7 @@
 import {endAttempt} from './end_attempt.js';
 import {removeRequest} from './remove_request.js';
 import {logDecision} from './log_decision.js';
+import {refuseRequest} from './refuse_request.js';
 import {recordDuration} from './record_duration.js';
 import {recordEventGap} from './record_event_gap.js';
 import {retryBudget} from './retries/index.js';
@@ -112,16 +113,22 @@
     count(step, 'attemptFaults', 1, {service: record.service, fault});
     const {vmId} = attempt;
     endAttempt(state, record);
-    if (fault === 'not-sent' || fault === 'turned-away') {
+    const isSent = fault !== 'not-sent' && fault !== 'unsendable';
+    if (!isSent || fault === 'turned-away') {
       record.possibleRunCount -= 1;
       if (record.possibleRunCount === 0) record.verdict = 'not-run';
     }
-    if (fault === 'not-sent') {
+    if (!isSent) {
       record.arrivalCount -= 1;
       if (attempt.isRetry) {
         retryBudget.removeRetry(state, record.service, nowMs);
       }
     }
+    if (fault === 'unsendable') {
+      refuseRequest(step, record, {reason: 'unsendable'});
+      dispatchWaiting(step, record.pool);
+      return;
+    }
     recordTargetFailure(step, vmId, failure);
     if (fault === 'broken') {
       crashDetection.broken(step, record, attempt);
--- a/src/core/serving/effects.ts
+++ b/src/core/serving/effects.ts
@@ -13,6 +13,7 @@
   | 'overloaded'
   | 'crash-suspect'
   | 'leaving'
+  | 'unsendable'
   | 'timeout'
   | 'target-failed';
 
@@ -31,6 +32,8 @@
   /** Open a new connection instead of reusing one; unsafe requests need it. */
   readonly needsNewConnection: boolean;
   readonly isStream: boolean;
+  /** The stream can go on at another target after the last event that the caller has. */
+  readonly isResumable: boolean;
 }
 
 /** Sends a request to another node, which passes it on to a target. */
@@ -46,6 +49,8 @@
   /** Earlier attempts in which the request may have run. */
   readonly priorRunCount: number;
   readonly isStream: boolean;
+  /** As for an attempt at a target. */
+  readonly isResumable: boolean;
 }
 
 interface CancelAttempt {
--- a/src/core/serving/events.ts
+++ b/src/core/serving/events.ts
@@ -10,9 +10,10 @@
  * target. `turned-away`: the target refused the request without running it.
  * `broken`: the connection closed early. `garbled`: the bytes received are not
  * a valid response to this request. `failed`: the target responded with a failure.
+ * `unsendable`: the request can't be written as HTTP, whatever the target.
  */
 export type AttemptFault =
-  'not-sent' | 'turned-away' | 'broken' | 'garbled' | 'failed';
+  'not-sent' | 'turned-away' | 'broken' | 'garbled' | 'failed' | 'unsendable';
 
 /** Why another node did not pass a request on, and when the caller may come back. */
 export interface PeerRefusal {
--- a/src/core/serving/forwarding/forward_handlers.ts
+++ b/src/core/serving/forwarding/forward_handlers.ts
@@ -71,11 +71,17 @@
       afterMs: Math.round(nowMs - sentAtMs),
     });
     endForward(state, record);
-    const hasNotRun = fault === 'not-sent' || fault === 'turned-away';
+    const hasNotRun =
+      fault === 'not-sent' || fault === 'turned-away' || fault === 'unsendable';
     if (hasNotRun) {
       record.possibleRunCount -= 1;
       if (record.possibleRunCount === 0) record.verdict = 'not-run';
     }
+    if (fault === 'unsendable') {
+      refuseRequest(step, record, {reason: 'unsendable'});
+      dispatchWaiting(step, record.pool);
+      return;
+    }
     if (refusal && FLEET_REFUSALS.includes(refusal.reason)) {
       refuseRequest(step, record, refusal);
       return;
--- a/src/core/serving/forwarding/forward_request.ts
+++ b/src/core/serving/forwarding/forward_request.ts
@@ -56,6 +56,7 @@
     timeoutMs: Math.max(1, record.deadlineAtMs - nowMs),
     priorRunCount,
     isStream: route.kind === 'streaming',
+    isResumable: route.isResumable,
   });
   return true;
 }
--- a/src/core/serving/send_attempt.ts
+++ b/src/core/serving/send_attempt.ts
@@ -80,6 +80,7 @@
     urgency: resolveUrgency(record, nowMs),
     needsNewConnection: route.kind === 'unsafe',
     isStream: route.kind === 'streaming',
+    isResumable: route.isResumable,
   });
 }
 
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -1,3 +1,5 @@
+export {isHeaderText} from './is_header_text.js';
+export {isRequestPath} from './is_request_path.js';
 export {ResponseSizeLimit} from './response_size_limit.js';
 export {KeepAliveAgent} from './keep_alive_agent.js';
 export {readBody} from './read_body.js';
--- a/src/runtime/event_loop.ts
+++ b/src/runtime/event_loop.ts
@@ -11,6 +11,15 @@
   readonly reduce: (state: State, event: Timestamped<Event>) => Effect[];
   /** Called with every event before it is applied. */
   readonly record?: (event: Timestamped<Event>) => void;
+  /**
+   * Called when the reducer or a handler throws; the loop goes on with the next
+   * effect. Without it, the first error is thrown once all events are applied.
+   */
+  readonly onError?: (
+    error: unknown,
+    event: Event,
+    effectType?: string,
+  ) => void;
   /** Called with the duration of the reducer for each event. */
   readonly measure?: (event: Timestamped<Event>, elapsedMs: number) => void;
 }
@@ -56,13 +65,25 @@
   }
 
   private processQueue(): void {
+    const errors: unknown[] = [];
+    const report =
+      this.options.onError ?? ((error: unknown) => void errors.push(error));
     for (let at = 0; at < this.queue.length; at++) {
-      this.apply(this.queue[at]!);
+      const event = this.queue[at]!;
+      try {
+        this.apply(event, (error, type) => report(error, event, type));
+      } catch (error) {
+        report(error, event);
+      }
     }
     this.queue.length = 0;
+    if (errors.length > 0) throw errors[0];
   }
 
-  private apply(input: Event): void {
+  private apply(
+    input: Event,
+    reportHandler: (error: unknown, effectType: string) => void,
+  ): void {
     this.lastEventAtMs = Math.max(
       this.lastEventAtMs,
       this.options.clock.nowMs(),
@@ -73,7 +94,11 @@
     const effects = this.options.reduce(this.options.state, event);
     this.options.measure?.(event, performance.now() - startedAtMs);
     for (const effect of effects) {
-      this.handlers.get(effect.type)?.handle(effect);
+      try {
+        this.handlers.get(effect.type)?.handle(effect);
+      } catch (error) {
+        reportHandler(error, effect.type);
+      }
     }
   }
 }
--- a/src/serving/caller_call.ts
+++ b/src/serving/caller_call.ts
@@ -60,11 +60,11 @@
   /** Sends a complete response. */
   send(status: number, headers: OutgoingHttpHeaders, body: Buffer): void {
     if (this.isEnded) return;
-    this.isEnded = true;
     this.response.writeHead(
       status,
       this.withConnection({...headers, 'content-length': body.length}),
     );
+    this.isEnded = true;
     this.response.end(body);
   }
 
--- a/src/serving/create_serving_node.ts
+++ b/src/serving/create_serving_node.ts
@@ -89,13 +89,26 @@
     state,
     clock,
     reduce: reduceServing,
+    onError: (error, {type}, effectType) =>
+      logger.write('error', 'process', 'event failed', {
+        event: type,
+        effect: effectType,
+        error: describeError(error),
+      }),
   });
   const metrics = createNodeMetrics();
   const store = new CountedStore(options.store, clock, metrics, logger, {
     regained: lostMs => events.dispatch({type: 'storeRegained', lostMs}),
     era: era => events.dispatch({type: 'storeEraRead', era}),
   });
-  const sharedTimer = new SharedTimer(clock, () => isIdle(state));
+  const sharedTimer = new SharedTimer(
+    clock,
+    () => isIdle(state),
+    error =>
+      logger.write('error', 'process', 'timed task failed', {
+        error: describeError(error),
+      }),
+  );
   const context: ServingContext = {
     settings,
     wire,
@@ -172,6 +185,13 @@
   };
 }
 
+/** The stack of an error, for the log. */
+function describeError(error: unknown): string {
+  return error instanceof Error
+    ? (error.stack ?? String(error))
+    : String(error);
+}
+
 /** Lists the engines again on request of the core, if this node reads them from the store. */
 function createRelistHandler(
   {state, clock}: ServingContext,
--- a/src/serving/engine_upstream.ts
+++ b/src/serving/engine_upstream.ts
@@ -19,6 +19,7 @@
   readonly attemptId: AttemptId;
   readonly address: string;
   readonly isStream: boolean;
+  readonly isResumable: boolean;
   readonly keepsErrors: boolean;
 
   constructor(
@@ -28,6 +29,7 @@
     this.attemptId = effect.attemptId;
     this.address = effect.address;
     this.isStream = effect.isStream;
+    this.isResumable = effect.isResumable;
     this.keepsErrors = !effect.needsNewConnection;
   }
 
--- a/src/serving/front_server.ts
+++ b/src/serving/front_server.ts
@@ -10,7 +10,7 @@
 import {CallerCall} from './caller_call.js';
 import {listenOn} from './listen_on.js';
 import {makeId} from '../core/ids/index.js';
-import {readBody} from '../http/index.js';
+import {isRequestPath, readBody} from '../http/index.js';
 
 /** Defaults until the first configuration has been read. */
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
@@ -144,6 +144,13 @@
       response.writeHead(431, {connection: 'close'}).end();
       return;
     }
+    if (!isRequestPath(message.url ?? '/')) {
+      context.logger.write('info', 'requests', 'path of invalid characters', {
+        callerId: head.callerId,
+      });
+      response.writeHead(400, {connection: 'close'}).end();
+      return;
+    }
     const body = await readBody(
       message,
       limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
--- a/src/serving/peer_upstream.ts
+++ b/src/serving/peer_upstream.ts
@@ -20,6 +20,7 @@
   readonly attemptId: AttemptId;
   readonly address: string;
   readonly isStream: boolean;
+  readonly isResumable: boolean;
   readonly keepsErrors = false;
 
   constructor(
@@ -28,6 +29,7 @@
   ) {
     this.attemptId = effect.attemptId;
     this.isStream = effect.isStream;
+    this.isResumable = effect.isResumable;
     this.address = resolvePeerAddress(
       effect.callerAddress,
       context.settings.listen.forwards,
--- a/src/serving/running_attempt.ts
+++ b/src/serving/running_attempt.ts
@@ -5,7 +5,7 @@
 import type {ServingContext} from './types.js';
 import type {Upstream} from './upstream.js';
 import type {UpstreamFault} from './upstream_fault.js';
-import {ResponseSizeLimit, splitAddress} from '../http/index.js';
+import {ResponseSizeLimit, isHeaderText, splitAddress} from '../http/index.js';
 import {EventSplitter} from '../targets/event_splitter.js';
 import type {ResponseBufferBudget} from './response_buffer_budget.js';
 import {isSuccess} from './is_success.js';
@@ -22,6 +22,8 @@
 /** Reading a refusal that is larger, or takes longer, costs more than a new connection. */
 const MAX_REFUSAL_BYTES = 16 * 1024;
 const REFUSAL_TIMEOUT_MS = 250;
+/** Lower ones are interim responses, which the HTTP client handles, or no status at all. */
+const MIN_FINAL_STATUS = 200;
 const MIN_SERVER_ERROR_STATUS = 500;
 
 interface AttemptOptions {
@@ -48,6 +50,15 @@
   ) {}
 
   start(): void {
+    try {
+      this.send();
+    } catch (error) {
+      // Nothing was written: the request line and the headers are checked first.
+      this.fail('unsendable', {detail: String(error)});
+    }
+  }
+
+  private send(): void {
     const {context, call, upstream} = this;
     const {host, port} = splitAddress(upstream.address);
     const headers = upstream.createHeaders(call);
@@ -64,7 +75,7 @@
     });
     this.outgoing = outgoing;
     this.limit = new ResponseSizeLimit(outgoing, MAX_HEAD_BYTES, () =>
-      this.failOversized('bytes without end'),
+      this.failGarbled('bytes without end'),
     );
     outgoing.setNoDelay(true);
     outgoing.on('socket', socket => {
@@ -101,6 +112,10 @@
     const status = response.statusCode ?? 0;
     response.on('error', error => this.failConnection(error.message));
     response.on('close', () => this.failConnection('connection closed'));
+    if (status < MIN_FINAL_STATUS) {
+      this.failGarbled(`status ${status}`);
+      return;
+    }
     const isReused = this.outgoing?.reusedSocket === true;
     const found = upstream.checkHead(response, call, isReused);
     if (found) {
@@ -129,7 +144,7 @@
       if (this.isOver) return;
       const {events: complete, count} = splitter.split(chunk);
       if (splitter.overflows) {
-        this.failOversized('event without end');
+        this.failGarbled('event without end');
         return;
       }
       if (complete.length > 0) pending.push(complete);
@@ -137,8 +152,13 @@
       this.limit?.reset();
       const events = pending.length === 1 ? complete : Buffer.concat(pending);
       pending = [];
+      const lastEventId = findLastEventId(events) ?? call.lastEventId;
+      if (upstream.isResumable && !isHeaderText(lastEventId ?? '')) {
+        this.failGarbled('event id can not be sent on');
+        return;
+      }
       call.writeHead(status, headers);
-      call.lastEventId = findLastEventId(events) ?? call.lastEventId;
+      call.lastEventId = lastEventId;
       if (!call.write(events)) {
         response.pause();
         call.onDrain(() => response.resume());
@@ -171,7 +191,7 @@
     response.on('data', (chunk: Buffer) => {
       if (this.isOver) return;
       if (!buffer.add(chunk.length)) {
-        this.failOversized('answer too large');
+        this.failGarbled('answer too large');
         return;
       }
       this.limit?.reset();
@@ -209,8 +229,8 @@
     response.resume();
   }
 
-  /** Fails the attempt because of a response that exceeds a size limit. */
-  private failOversized(detail: string): void {
+  /** Fails the attempt because of bytes that are no valid response, or too many. */
+  private failGarbled(detail: string): void {
     this.outgoing?.destroy();
     this.fail('garbled', {detail});
   }
--- a/src/serving/shared_timer.ts
+++ b/src/serving/shared_timer.ts
@@ -21,6 +21,8 @@
   constructor(
     private readonly clock: Clock,
     private readonly isIdle: () => boolean,
+    /** Called when a task throws; the other tasks and the timer go on. */
+    private readonly onError: (error: unknown) => void,
   ) {}
 
   start(): void {
@@ -70,7 +72,11 @@
       if (task.dueAtMs > nowMs + INTERVAL_MS / 2) continue;
       if (task.everyMs === undefined) this.tasks.delete(task);
       else task.dueAtMs = nowMs + task.everyMs;
-      task.run();
+      try {
+        task.run();
+      } catch (error) {
+        this.onError(error);
+      }
     }
     if (!this.isClosed)
       this.schedule(this.isIdle() ? IDLE_INTERVAL_MS : INTERVAL_MS);
--- a/src/serving/upstream.ts
+++ b/src/serving/upstream.ts
@@ -12,6 +12,7 @@
   readonly attemptId: AttemptId;
   readonly address: string;
   readonly isStream: boolean;
+  readonly isResumable: boolean;
   /** A server error is kept while the request is sent elsewhere, instead of being forwarded. */
   readonly keepsErrors: boolean;
   createHeaders(call: CallerCall): OutgoingHttpHeaders;
