Take an answer that was reset with its last bytes for a cut one

Cause, reproduced here: an engine's answer without a length whose last bytes and reset arrive together ends in order at the node. libuv reports the hang-up as the end of the file where its last read was shorter than its buffer; Node.js emits "end" and no error.

Change: before the HTTP client sees the end of a socket whose response has neither length nor chunks, the node asks for its remote address, which is gone after a reset and there after an orderly close. A reset body is a broken attempt: resumed elsewhere where it may be, cut or a failure else. The log tells the ends of answers apart: "bodyEnd" of "request answered", and "response ended: reset" or "early".

--- a/src/core/serving/attempt_handlers.ts
+++ b/src/core/serving/attempt_handlers.ts
@@ -23,6 +23,11 @@
   readonly detail?: string;
 }
 
+interface AttemptEnd {
+  readonly status: number;
+  readonly bodyEnd?: string;
+}
+
 /** Consecutive failures after which a target becomes suspect, for faults of which one alone is not reason enough. */
 const FAILURES_TO_SUSPECT = 2;
 /** How long a target is suspect after it refused a request, was unreachable, or failed repeatedly. */
@@ -64,7 +69,11 @@
     dispatchWaiting(step, record.pool);
   },
 
-  ended(step: ServingStep, attemptId: AttemptId, status: number): void {
+  ended(
+    step: ServingStep,
+    attemptId: AttemptId,
+    {status, bodyEnd}: AttemptEnd,
+  ): void {
     const {state, nowMs} = step;
     const record = state.requestsByAttempt.get(attemptId);
     const attempt = record?.attempt;
@@ -80,6 +89,7 @@
       route: record.route.name,
       target: attempt.vmId,
       status,
+      bodyEnd,
       sends: record.dispatchCount,
       ageMs: Math.round(nowMs - arrivedAtMs),
     });
--- a/src/core/serving/events.ts
+++ b/src/core/serving/events.ts
@@ -43,6 +43,8 @@
   readonly type: 'attemptEnded';
   readonly attemptId: AttemptId;
   readonly status: number;
+  /** What showed the end of the response's body, for the log: its length, last chunk, or the close of the connection. */
+  readonly bodyEnd?: string;
 }
 
 interface AttemptFailed {
--- a/src/core/serving/forwarding/forward_handlers.ts
+++ b/src/core/serving/forwarding/forward_handlers.ts
@@ -40,7 +40,11 @@
     record.hasPartialResponse = true;
   },
 
-  ended(step: ServingStep, record: RequestRecord, status: number): void {
+  ended(
+    step: ServingStep,
+    record: RequestRecord,
+    {status, bodyEnd}: {readonly status: number; readonly bodyEnd?: string},
+  ): void {
     const {request, service, forward} = record;
     logDecision(step, 'info', 'requests', 'request answered', {
       requestId: request.requestId,
@@ -48,6 +52,7 @@
       route: record.route.name,
       peer: forward!.nodeId,
       status,
+      bodyEnd,
       ageMs: Math.round(step.nowMs - request.arrivedAtMs),
     });
     count(step, 'requests', 1, {service, verdict: 'ran'});
--- a/src/core/serving/reduce_serving.ts
+++ b/src/core/serving/reduce_serving.ts
@@ -64,8 +64,8 @@
       else attemptHandlers.progress(step, event.attemptId, event.eventCount);
       break;
     case 'attemptEnded':
-      if (forwarded) forwardHandlers.ended(step, forwarded, event.status);
-      else attemptHandlers.ended(step, event.attemptId, event.status);
+      if (forwarded) forwardHandlers.ended(step, forwarded, event);
+      else attemptHandlers.ended(step, event.attemptId, event);
       break;
     case 'attemptFailed':
       if (forwarded) forwardHandlers.failed(step, forwarded, event);
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -1,5 +1,7 @@
 export {isHeaderText} from './is_header_text.js';
 export {isRequestPath} from './is_request_path.js';
+export {BodyEnd} from './body_end.js';
+export type {BodyEndKind} from './body_end_kind.js';
 export {ResponseSizeLimit} from './response_size_limit.js';
 export {KeepAliveAgent} from './keep_alive_agent.js';
 export {readBody} from './read_body.js';
--- a/src/serving/running_attempt.ts
+++ b/src/serving/running_attempt.ts
@@ -5,7 +5,12 @@
 import type {ServingContext} from './types.js';
 import type {Upstream} from './upstream.js';
 import type {UpstreamFault} from './upstream_fault.js';
-import {ResponseSizeLimit, isHeaderText, splitAddress} from '../http/index.js';
+import {
+  BodyEnd,
+  ResponseSizeLimit,
+  isHeaderText,
+  splitAddress,
+} from '../http/index.js';
 import {EventSplitter} from '../targets/event_splitter.js';
 import type {ResponseBufferBudget} from './response_buffer_budget.js';
 import {isSuccess} from './is_success.js';
@@ -41,6 +46,7 @@
   private isConnected = false;
   private connectTimer?: NodeJS.Timeout;
   private limit?: ResponseSizeLimit;
+  private bodyEnd?: BodyEnd;
 
   constructor(
     private readonly context: ServingContext,
@@ -126,6 +132,7 @@
       return;
     }
     this.limit?.reset(MAX_BYTES_WITHOUT_PROGRESS);
+    this.bodyEnd = new BodyEnd(response, call.method);
     if (upstream.isStream && isSuccess(status)) {
       this.forwardStream(response);
       return;
@@ -171,10 +178,11 @@
     });
     response.on('end', () => {
       if (this.isOver) return;
-      if (!response.complete || !splitter.isBetweenEvents) {
+      if (!splitter.isBetweenEvents) {
         this.failConnection('stream ended inside an event');
         return;
       }
+      if (!this.isBodyComplete()) return;
       call.writeHead(status, headers);
       for (const events of pending) call.write(events);
       call.finish();
@@ -199,10 +207,7 @@
     });
     response.on('end', () => {
       if (this.isOver) return;
-      if (!response.complete) {
-        this.failConnection('response ended early');
-        return;
-      }
+      if (!this.isBodyComplete()) return;
       const headers = upstream.selectHeaders(response.headers);
       const body = Buffer.concat(chunks);
       if (
@@ -218,6 +223,14 @@
     });
   }
 
+  /** Whether the body that has ended is complete; fails the attempt if it isn't. */
+  private isBodyComplete(): boolean {
+    const {kind} = this.bodyEnd!;
+    const isComplete = kind !== 'early' && kind !== 'reset';
+    if (!isComplete) this.failConnection(`response ended: ${kind}`);
+    return isComplete;
+  }
+
   /** Reads the rest of a refusal, so that its connection can be reused. */
   private drainRefusal(response: IncomingMessage): void {
     this.limit?.reset(MAX_REFUSAL_BYTES);
@@ -240,7 +253,13 @@
     this.isOver = true;
     this.options.onEnd();
     const {attemptId} = this.upstream;
-    this.context.events.dispatch({type: 'attemptEnded', attemptId, status});
+    const bodyEnd = this.bodyEnd?.kind;
+    this.context.events.dispatch({
+      type: 'attemptEnded',
+      attemptId,
+      status,
+      bodyEnd,
+    });
   }
 
   /** Fails the attempt because of a connection error; before the connection is up, nothing was sent. */
