Don't move a stream that may run only once off a slow engine

Cause: moveStream spared only streams that had begun to answer, but a silent engine may be running a request before its first event. It now asks findRetryDenial, as all other retries do, which also covers the limit on attempts and the budget that it checked by itself.

--- a/src/core/serving/move_stalled_streams.ts
+++ b/src/core/serving/move_stalled_streams.ts
@@ -9,7 +9,6 @@
 import {forwardRequest} from './forwarding/index.js';
 import {endAttempt} from './end_attempt.js';
 import {logDecision} from './log_decision.js';
-import {retryBudget} from './retries/index.js';
 import {selectTarget} from './select_target.js';
 import {sendAttempt} from './send_attempt.js';
 import {markTargetSuspect} from './mark_target_suspect.js';
@@ -127,7 +126,7 @@
   );
 }
 
-/** Moves a stream if another target can resume it before its deadline and the retry budget allows it. */
+/** Moves a stream if it may be sent again, and another target can take it before its deadline. */
 function moveStream(
   step: ServingStep,
   record: RequestRecord,
@@ -135,11 +134,8 @@
 ): void {
   const {state, nowMs} = step;
   const attempt = record.attempt!;
-  const {route} = record;
-  const hasStarted = attempt.startedAtMs !== undefined;
-  if (!route.isResumable && hasStarted) return;
-  if (record.possibleRunCount >= route.maxAttempts) return;
-  if (!retryBudget.hasRoom(state, record.service, nowMs)) return;
+  // A silent target may be running the request, also before the first event.
+  if (findRetryDenial(step, record) !== undefined) return;
   const placement = selectTarget(step, record);
   if (!placement || placement.isSuspect || !placement.canQueue) return;
   if (nowMs + placement.firstEventMs > record.deadlineAtMs) return;
@@ -149,7 +145,7 @@
     from: attempt.vmId,
     to: placement.target.vmId,
     silentMs: Math.round(silentMs),
-    started: hasStarted,
+    started: attempt.startedAtMs !== undefined,
   });
   step.effects.push({type: 'cancelAttempt', attemptId: attempt.attemptId});
   endAttempt(state, record);
--- a/test/units/serving/stalls.test.ts
+++ b/test/units/serving/stalls.test.ts
@@ -1,6 +1,10 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {ServingNodeHarness} from '../../support/serving_node_harness.js';
+import {
+  ServingNodeHarness,
+  createTestConfig,
+} from '../../support/serving_node_harness.js';
+import {indexRoutes} from '../../../src/core/access/index.js';
 
 describe('stalled streams', () => {
   it('moves a late stream from a silent target to another in one step, without waiting for room', () => {
@@ -46,6 +50,28 @@
     assert.equal(node.takeEffects('refuse').length, 0);
   });
 
+  // Rule TWICE (review/2): a slow target went on with a request that another one had been sent.
+  it('does not move a stream that may run only once, before its first event', () => {
+    const node = new ServingNodeHarness().start();
+    const config = createTestConfig(2);
+    const routesByHost = indexRoutes(
+      [...config.routesByHost.values()]
+        .flat()
+        .map(route => ({...route, isResumable: false})),
+    );
+    node.dispatch({
+      type: 'configRead',
+      config: {...config, routesByHost},
+      provenAtMs: node.nowMs,
+    });
+    node.submitRequest('streaming', {callerTimeoutMs: 1900});
+    assert.equal(node.takeEffects('startAttempt').length, 1);
+    node.advance(1500);
+    assert.equal(node.takeEffects('cancelAttempt').length, 0);
+    assert.equal(node.takeEffects('startAttempt').length, 0);
+    assert.equal(node.takeEffects('refuse').length, 0);
+  });
+
   it('does not move a stream that still receives events', () => {
     const node = new ServingNodeHarness().start();
     node.submitRequest('streaming', {callerTimeoutMs: 5000});
