--- a/test/support/adapter_node.ts
+++ b/test/support/adapter_node.ts
@@ -18,6 +18,8 @@
   readonly host?: string;
   /** Another node, on another host with the same ports, that this one learns of from the store. */
   readonly peer?: AdapterNode;
+  /** Addresses of engines that run as processes of their own. */
+  readonly processes?: readonly string[];
   /** The engines refuse connections, as behind a partition that resets them. */
   readonly isPartitioned?: boolean;
 }
@@ -50,10 +52,10 @@
 
   /** Writes a configuration to the store. */
   writeConfig(version: number, overrides: object = {}): void {
-    const route = (type: string, attempts: number) => ({
-      name: type,
+    const route = (type: string, attempts: number, name = type) => ({
+      name,
       host: 'desk.example',
-      'path-prefix': `/${type}/`,
+      'path-prefix': `/${name}/`,
       type,
       'timeout-ms': 2000,
       'latency-goal-ms': 300,
@@ -61,11 +63,16 @@
       service: 'desk',
       'max-attempts': attempts,
       anonymous: false,
-      resumable: type === 'streaming',
+      resumable: name === 'streaming',
     });
     this.store.put('op/config', {
       version,
-      routes: [route('safe', 2), route('unsafe', 1), route('streaming', 2)],
+      routes: [
+        route('safe', 2),
+        route('unsafe', 1),
+        route('streaming', 2),
+        route('streaming', 1, 'streaming-once'),
+      ],
       services: [{name: 'desk', 'health-path': '/healthz', 'max-conns': 90}],
       limits: {
         'max-header-bytes': 16384,
@@ -78,6 +85,21 @@
     });
   }
 
+  /** Writes an engine's entry to the store. */
+  putEngine(at: number, address: string, overrides: object = {}): void {
+    this.store.put(`servers/i-${at}`, {
+      service: 'desk',
+      address,
+      zone: 'zone-a',
+      version: 'v1',
+      slots: 6,
+      state: 'ready',
+      born: 1000,
+      sequence: 1,
+      ...overrides,
+    });
+  }
+
   call(
     type: string,
     options: {
@@ -115,7 +137,12 @@
     responders: readonly RawResponder[],
     options: AdapterOptions,
   ): Promise<void> {
-    const {nodeId = 'edge-1', host = '127.0.0.1', peer} = options;
+    const {
+      nodeId = 'edge-1',
+      host = '127.0.0.1',
+      peer,
+      processes = [],
+    } = options;
     const storeAddress = await this.store.listen();
     this.writeConfig(1);
     for (const [at, responder] of responders.entries()) {
@@ -124,16 +151,10 @@
       const address = await engine.listen();
       this.engineAddresses.push(address);
       if (options.isPartitioned) engine.close();
-      this.store.put(`servers/i-${at}`, {
-        service: 'desk',
-        address,
-        zone: 'zone-a',
-        version: 'v1',
-        slots: 6,
-        state: 'ready',
-        born: 1000,
-        sequence: 1,
-      });
+      this.putEngine(at, address);
+    }
+    for (const [at, address] of processes.entries()) {
+      this.putEngine(responders.length + at, address);
     }
     this.store.put('servers/i-foreign', 'no JSON at all');
     this.ports = options.peer?.ports ?? (await findUnusedPorts(7));
@@ -181,7 +202,7 @@
     });
     await waitFor(
       'targets',
-      () => this.node.state.targets.size === responders.length,
+      () => this.node.state.targets.size === responders.length + processes.length,
     );
   }
 }
