Log the connections left to an engine when an answer ends by close

A body without a length or chunks ends with its connection. The log did not tell an engine that closed one connection from an engine whose process ended, which closes all of them. `request answered` now has `openConnections`: this node's other open connections to the engine. The decision is the same as before; such an answer is completed one turn of the event loop later.

--- a/src/core/serving/attempt_handlers.ts
+++ b/src/core/serving/attempt_handlers.ts
@@ -26,6 +26,7 @@
 interface AttemptEnd {
   readonly status: number;
   readonly bodyEnd?: string;
+  readonly openConnections?: number;
 }
 
 /** Consecutive failures after which a target becomes suspect, for faults of which one alone is not reason enough. */
@@ -72,7 +73,7 @@
   ended(
     step: ServingStep,
     attemptId: AttemptId,
-    {status, bodyEnd}: AttemptEnd,
+    {status, bodyEnd, openConnections}: AttemptEnd,
   ): void {
     const {state, nowMs} = step;
     const record = state.requestsByAttempt.get(attemptId);
@@ -90,6 +91,7 @@
       target: attempt.vmId,
       status,
       bodyEnd,
+      openConnections,
       sends: record.dispatchCount,
       ageMs: Math.round(nowMs - arrivedAtMs),
     });
--- a/src/core/serving/events.ts
+++ b/src/core/serving/events.ts
@@ -45,6 +45,8 @@
   readonly status: number;
   /** What showed the end of the response's body, for the log: its length, last chunk, or the close of the connection. */
   readonly bodyEnd?: string;
+  /** This node's other connections to the target after an end by close, for the log: none may be left of a process that has ended. */
+  readonly openConnections?: number;
 }
 
 interface AttemptFailed {
--- a/src/serving/running_attempt.ts
+++ b/src/serving/running_attempt.ts
@@ -13,6 +13,7 @@
 } from '../http/index.js';
 import {EventSplitter} from '../targets/event_splitter.js';
 import type {BufferBudget} from './buffer_budget.js';
+import type {EngineConnections} from './engine_connections.js';
 import {isSuccess} from './is_success.js';
 import {findLastEventId} from './find_last_event_id.js';
 
@@ -34,6 +35,8 @@
 interface AttemptOptions {
   /** Undefined for a new connection that is not reused. */
   readonly agent?: Agent;
+  /** Connections to the target; undefined for another node. */
+  readonly connections?: EngineConnections;
   readonly bufferBudget: BufferBudget;
   /** Called when the attempt has ended or failed, but not after `cancel`. */
   readonly onEnd: () => void;
@@ -44,6 +47,8 @@
   private outgoing?: ClientRequest;
   private isOver = false;
   private isConnected = false;
+  /** The body has ended with its connection, so that the connection's end is no failure. */
+  private isBodyEnded = false;
   private connectTimer?: NodeJS.Timeout;
   private limit?: ResponseSizeLimit;
   private bodyEnd?: BodyEnd;
@@ -85,6 +90,7 @@
     );
     outgoing.setNoDelay(true);
     outgoing.on('socket', socket => {
+      this.options.connections?.track(socket);
       if (!socket.connecting) {
         this.isConnected = true;
         return;
@@ -182,11 +188,12 @@
         this.failConnection('stream ended inside an event');
         return;
       }
-      if (!this.isBodyComplete()) return;
-      call.writeHead(status, headers);
-      for (const events of pending) call.write(events);
-      call.finish();
-      this.end(status);
+      this.endBody(() => {
+        call.writeHead(status, headers);
+        for (const events of pending) call.write(events);
+        call.finish();
+        this.end(status);
+      });
     });
   }
 
@@ -207,28 +214,39 @@
     });
     response.on('end', () => {
       if (this.isOver) return;
-      if (!this.isBodyComplete()) return;
-      const headers = upstream.selectHeaders(response.headers);
-      const body = Buffer.concat(chunks);
-      if (
-        call.isHeadSent ||
-        (status >= MIN_SERVER_ERROR_STATUS && upstream.keepsErrors)
-      ) {
-        call.storeFailure(status, headers, body);
-        this.fail('failed', {status});
-        return;
-      }
-      call.send(status, headers, body);
-      this.end(status);
+      this.endBody(() => {
+        const headers = upstream.selectHeaders(response.headers);
+        const body = Buffer.concat(chunks);
+        if (
+          call.isHeadSent ||
+          (status >= MIN_SERVER_ERROR_STATUS && upstream.keepsErrors)
+        ) {
+          call.storeFailure(status, headers, body);
+          this.fail('failed', {status});
+          return;
+        }
+        call.send(status, headers, body);
+        this.end(status);
+      });
     });
   }
 
-  /** Whether the body that has ended is complete; fails the attempt if it isn't. */
-  private isBodyComplete(): boolean {
+  /** Handles the end of the body: `deliver` completes the caller's response, if the body is complete. */
+  private endBody(deliver: () => void): void {
     const {kind} = this.bodyEnd!;
-    const isComplete = kind !== 'early' && kind !== 'reset';
-    if (!isComplete) this.failConnection(`response ended: ${kind}`);
-    return isComplete;
+    if (kind === 'early' || kind === 'reset') {
+      this.failConnection(`response ended: ${kind}`);
+      return;
+    }
+    if (kind !== 'close') {
+      deliver();
+      return;
+    }
+    this.isBodyEnded = true;
+    // Connections that end at the same moment are reported in the same turn of the event loop.
+    setImmediate(() => {
+      if (!this.isOver) deliver();
+    });
   }
 
   /** Reads the rest of a refusal, so that its connection can be reused. */
@@ -252,18 +270,23 @@
     if (this.isOver) return;
     this.isOver = true;
     this.options.onEnd();
-    const {attemptId} = this.upstream;
-    const bodyEnd = this.bodyEnd?.kind;
-    this.context.events.dispatch({
+    const {context, options, outgoing, bodyEnd, upstream} = this;
+    const openConnections =
+      bodyEnd?.kind === 'close' && outgoing?.socket
+        ? options.connections?.countOpenSince(Infinity, outgoing.socket)
+        : undefined;
+    context.events.dispatch({
       type: 'attemptEnded',
-      attemptId,
+      attemptId: upstream.attemptId,
       status,
-      bodyEnd,
+      bodyEnd: bodyEnd?.kind,
+      openConnections,
     });
   }
 
   /** Fails the attempt because of a connection error; before the connection is up, nothing was sent. */
   private failConnection(detail: string): void {
+    if (this.isBodyEnded) return;
     this.fail(this.isConnected ? 'broken' : 'not-sent', {detail});
   }
 
