--- a/test/support/adapter_node.ts
+++ b/test/support/adapter_node.ts
@@ -202,7 +202,8 @@
     });
     await waitFor(
       'targets',
-      () => this.node.state.targets.size === responders.length + processes.length,
+      () =>
+        this.node.state.targets.size === responders.length + processes.length,
     );
   }
 }
