Don't take the end of an engine's process for the end of its answer

Cause: a body without a length or chunks ends with its connection, and the kernel closes the connections of a killed process as orderly as the engine closes one behind a complete body. The node took each close for the end of the answer, though it knew more than the one connection.

Now a close is decided on in the reducer. The answer is complete - if another connection to the process, established while this answer's process is known to have run and being read, is still open 30 ms later; - otherwise if the engine answers a probe, or a peer's probe, as the same incarnation; - if the engine was leaving or is no longer listed: such a process ends after its last answer. If it cut another answer off at the same moment, or closed several, and refuses connections, that counts as a cut; the second only where the stream can go on elsewhere. It is cut off if the engine refuses connections, is lost or has started anew: a request that may be repeated goes on at once, others wait for peers up to a second, since the path may refuse this node alone. Events go on as they come; only the last chunk waits. A body by way of a peer (of an earlier build, others send chunks) is complete once the peer is heard again.

Peers report the age of a probe's result: an optional field, no format version changes. Answers with a length or chunks take the same path as before.

An answer from a killed engine that its caller reads after another process took the address over is cut too. Guards that passed before: engines that leave and exit with their last answers (16 tests, draining or unlisted, all kinds of routes, without a second run where none is allowed), and one that refuses new connections and serves on.

Ruled out: a turn of the event loop as the wait (the first of four ends saw three connections open); a connection alone as proof of life (the listener may be closed last); refusals alone as proof of an end.

--- a/src/core/serving/attempt_handlers.ts
+++ b/src/core/serving/attempt_handlers.ts
@@ -26,7 +26,6 @@
 interface AttemptEnd {
   readonly status: number;
   readonly bodyEnd?: string;
-  readonly openConnections?: number;
 }
 
 /** Consecutive failures after which a target becomes suspect, for faults of which one alone is not reason enough. */
@@ -73,7 +72,7 @@
   ended(
     step: ServingStep,
     attemptId: AttemptId,
-    {status, bodyEnd, openConnections}: AttemptEnd,
+    {status, bodyEnd}: AttemptEnd,
   ): void {
     const {state, nowMs} = step;
     const record = state.requestsByAttempt.get(attemptId);
@@ -91,7 +90,7 @@
       target: attempt.vmId,
       status,
       bodyEnd,
-      openConnections,
+      proof: attempt.closed?.proof,
       sends: record.dispatchCount,
       ageMs: Math.round(nowMs - arrivedAtMs),
     });
@@ -157,6 +156,7 @@
 ): void {
   const load = resolveTargetLoad(step.state, vmId);
   load.consecutiveFailures += 1;
+  if (failure.fault === 'broken') load.brokenAtMs = step.nowMs;
   switch (failure.fault) {
     case 'not-sent':
       recordUnreachable(
--- /dev/null
+++ b/src/core/serving/closes/break_closed.ts
@@ -0,0 +1,17 @@
+import type {AttemptRecord, ServingStep} from '../types.js';
+import {attemptHandlers} from '../attempt_handlers.js';
+import {endPeerProbes} from './end_peer_probes.js';
+
+/** Fails the attempt whose body closed: the target's process ended with it. */
+export function breakClosed(
+  step: ServingStep,
+  {attemptId, vmId, closed}: AttemptRecord,
+  proof: string,
+): void {
+  if (closed?.isRefused) endPeerProbes(step.state, vmId);
+  step.effects.push({type: 'cancelAttempt', attemptId});
+  attemptHandlers.failed(step, attemptId, {
+    fault: 'broken',
+    detail: `body ended with its process: ${proof}`,
+  });
+}
--- /dev/null
+++ b/src/core/serving/closes/decide_closed.ts
@@ -0,0 +1,87 @@
+import type {AttemptRecord, RequestRecord, ServingStep} from '../types.js';
+import {MAX_WAIT_MS} from './max_wait_ms.js';
+import {breakClosed} from './break_closed.js';
+import {canResume} from './can_resume.js';
+import {findRetryDenial} from '../find_retry_denial.js';
+import {finishClosed} from './finish_closed.js';
+import {hasBrokenBeside} from './has_broken_beside.js';
+import {hasClosedBeside} from './has_closed_beside.js';
+import {isPlannedEnd} from './is_planned_end.js';
+import {isReachedByPeer} from './is_reached_by_peer.js';
+import {TOGETHER_MS} from './together_ms.js';
+import {requestPeerProbes} from '../../steward/request_peer_probes.js';
+
+/** Decides whether a body that closed is complete, once there is evidence or the time for it is over. */
+export function decideClosed(
+  step: ServingStep,
+  record: RequestRecord,
+  attempt: AttemptRecord,
+  isOverdue = false,
+): void {
+  const {state, nowMs} = step;
+  const {closed, vmId, bornAtMs, address} = attempt;
+  if (!closed || closed.proof !== undefined) return;
+  const isOver = isOverdue || nowMs - closed.atMs >= MAX_WAIT_MS;
+  if (isPlannedEnd(state, attempt)) {
+    if (isOver || nowMs - closed.atMs >= 2 * TOGETHER_MS) {
+      decidePlanned(step, record, attempt, isOver);
+    }
+    return;
+  }
+  const lost = state.lostEngines.get(vmId);
+  if (lost?.bornAtMs === bornAtMs && lost.atMs >= closed.atMs) {
+    breakClosed(step, attempt, 'target lost');
+    return;
+  }
+  const engine = state.engines.get(vmId);
+  if (engine && engine.bornAtMs !== bornAtMs) {
+    breakClosed(step, attempt, 'target restarted');
+    return;
+  }
+  if (!closed.isRefused) {
+    if (isOver) finishClosed(step, attempt, 'no proof of an end');
+    return;
+  }
+  // Another run costs less than the wait.
+  if (findRetryDenial(step, record) === undefined) {
+    breakClosed(step, attempt, 'connection refused');
+    return;
+  }
+  if (isReachedByPeer(state, attempt)) {
+    finishClosed(step, attempt, 'target answered a peer');
+    return;
+  }
+  if (isOver) {
+    breakClosed(step, attempt, 'connection refused');
+    return;
+  }
+  // The path may refuse the connections of this node alone.
+  requestPeerProbes(step, {vmId, address});
+}
+
+/** A target that leaves ends after its last response, unless it is killed before. */
+function decidePlanned(
+  step: ServingStep,
+  record: RequestRecord,
+  attempt: AttemptRecord,
+  isOver: boolean,
+): void {
+  const doubt = findDoubt(step, record, attempt);
+  if (doubt !== undefined && attempt.closed!.isRefused) {
+    breakClosed(step, attempt, doubt);
+  } else if (doubt === undefined || isOver) {
+    finishClosed(step, attempt, 'target is leaving');
+  }
+}
+
+/** Returns what speaks against an end after the last response; undefined if nothing does. */
+function findDoubt(
+  step: ServingStep,
+  record: RequestRecord,
+  attempt: AttemptRecord,
+): string | undefined {
+  if (hasBrokenBeside(step.state, attempt)) return 'cut beside another one';
+  const isSuspicious = hasClosedBeside(step.state, attempt);
+  if (isSuspicious && canResume(step, record)) return 'closed beside others';
+  return undefined;
+}
--- /dev/null
+++ b/src/core/serving/closes/finish_closed.ts
@@ -0,0 +1,14 @@
+import type {AttemptRecord, ServingStep} from '../types.js';
+import {endPeerProbes} from './end_peer_probes.js';
+
+/** Completes the response whose body closed: the target's process went on. */
+export function finishClosed(
+  step: ServingStep,
+  {attemptId, vmId, closed}: AttemptRecord,
+  proof: string,
+): void {
+  if (!closed || closed.proof !== undefined) return;
+  closed.proof = proof;
+  if (closed.isRefused) endPeerProbes(step.state, vmId);
+  step.effects.push({type: 'finishAnswer', attemptId});
+}
--- /dev/null
+++ b/src/core/serving/closes/index.ts
@@ -0,0 +1,1 @@
+export {closeHandlers} from './close_handlers.js';
--- a/src/core/serving/create_digest.ts
+++ b/src/core/serving/create_digest.ts
@@ -84,7 +84,12 @@
   const probeReports = [...state.probeResults]
     .filter(([vmId]) => isEvidenceSound(state, vmId))
     .slice(-MAX_ENGINE_REPORTS)
-    .map(([vmId, {isSilent}]) => ({vmId, nodeId: state.nodeId, isSilent}));
+    .map(([vmId, {isSilent, atMs}]) => ({
+      vmId,
+      nodeId: state.nodeId,
+      isSilent,
+      ageMs: Math.round(nowMs - atMs),
+    }));
   return {
     scope: 'node',
     nodeCount: 1,
--- a/src/core/serving/effects.ts
+++ b/src/core/serving/effects.ts
@@ -53,6 +53,12 @@
   readonly isResumable: boolean;
 }
 
+/** Completes the response of an attempt after `attemptClosed`. */
+interface FinishAnswer {
+  readonly type: 'finishAnswer';
+  readonly attemptId: AttemptId;
+}
+
 interface CancelAttempt {
   readonly type: 'cancelAttempt';
   readonly attemptId: AttemptId;
@@ -130,6 +136,7 @@
 export type ServingEffect =
   | StartAttempt
   | StartForward
+  | FinishAnswer
   | CancelAttempt
   | Refuse
   | CutAnswer
--- a/src/core/serving/events.ts
+++ b/src/core/serving/events.ts
@@ -45,8 +45,17 @@
   readonly status: number;
   /** What showed the end of the response's body, for the log: its length, last chunk, or the close of the connection. */
   readonly bodyEnd?: string;
-  /** This node's other connections to the target after an end by close, for the log: none may be left of a process that has ended. */
-  readonly openConnections?: number;
+}
+
+/** The body of a response has ended with its connection, in an orderly way. */
+interface AttemptClosed {
+  readonly type: 'attemptClosed';
+  readonly attemptId: AttemptId;
+  readonly status: number;
+  /** Time since the close. */
+  readonly sinceMs: number;
+  /** Other connections of this node to the process that sent the response, still open after the close. */
+  readonly openConnections: number;
 }
 
 interface AttemptFailed {
@@ -155,6 +164,8 @@
   readonly outcome: 'answered' | 'refused' | 'silent';
   /** Factor on the engine's published times; above 1 it is slower. */
   readonly pace?: number;
+  /** Start of the process that answered, if it names it. */
+  readonly bornAtMs?: number;
 }
 
 /** State that an engine announces in the headers of a response. */
@@ -184,6 +195,7 @@
   | CallerGone
   | AttemptProgress
   | AttemptEnded
+  | AttemptClosed
   | AttemptFailed
   | ConfigRead
   | FleetListed
--- a/src/core/serving/expire_state.ts
+++ b/src/core/serving/expire_state.ts
@@ -8,6 +8,7 @@
 import {isAccessProven} from './is_access_proven.js';
 import {hasStoppedAccepting} from './has_stopped_accepting.js';
 import {logDecision} from './log_decision.js';
+import {closeHandlers} from './closes/index.js';
 import {crashDetection, expireCrashes} from './crashes/index.js';
 import {expireLimits} from './rate_limits/index.js';
 import {markTargetsStale} from './mark_targets_stale.js';
@@ -27,9 +28,10 @@
 export function expireState(step: ServingStep): void {
   const {state, nowMs} = step;
   for (const record of [...state.requests.values()]) {
-    if (nowMs >= record.deadlineAtMs) {
-      refuseRequest(step, record, {reason: 'timeout'});
-    }
+    if (nowMs < record.deadlineAtMs) continue;
+    if (closeHandlers.settle(step, record)) continue;
+    if (!state.requests.has(record.request.requestId)) continue;
+    refuseRequest(step, record, {reason: 'timeout'});
   }
   for (const pool of state.waitingByPool.keys()) dispatchWaiting(step, pool);
   expirePeers(step);
@@ -115,6 +117,8 @@
     requests: state.requests.size,
   });
   for (const record of [...state.requests.values()]) {
+    if (closeHandlers.settle(step, record)) continue;
+    if (!state.requests.has(record.request.requestId)) continue;
     refuseRequest(step, record, {reason: 'leaving', retryAfterMs: 0});
   }
   step.effects.push({type: 'exit'});
--- a/src/core/serving/forwarding/check_forwards.ts
+++ b/src/core/serving/forwarding/check_forwards.ts
@@ -1,4 +1,4 @@
-import type {ServingStep} from '../types.js';
+import type {RequestRecord, ServingStep} from '../types.js';
 import {findRetryDenial} from '../find_retry_denial.js';
 import {forwardHandlers} from './forward_handlers.js';
 import {listPeerNodes} from '../relays/list_peer_nodes.js';
@@ -10,6 +10,9 @@
 /** A stream without an event for this long is taken from its peer; longer than the peer takes to move it from a stalled target. */
 const STREAM_STALL_MS = 2000;
 
+/** A digest this long after a close was sent after it. */
+const DIGEST_DELAY_MS = 100;
+
 /** Takes requests from peers that have fallen silent, if they may be sent elsewhere. */
 export function checkForwards(step: ServingStep): void {
   const {state, nowMs} = step;
@@ -23,8 +26,12 @@
     ? RELAYED_PEER_TIMEOUT_MS
     : PEER_TIMEOUT_MS;
   for (const [attemptId, record] of [...byAttempt]) {
-    const {nodeId, startedAtMs, progressAtMs} = record.forward!;
+    const {nodeId, startedAtMs, progressAtMs, closedAtMs} = record.forward!;
     const peerAgeMs = nodes.get(nodeId)?.ageMs ?? Infinity;
+    if (closedAtMs !== undefined) {
+      decideClosed(step, record, nowMs - peerAgeMs);
+      continue;
+    }
     const isSilent =
       peerAgeMs > timeoutMs ||
       (startedAtMs !== undefined && nowMs - progressAtMs > STREAM_STALL_MS);
@@ -36,3 +43,28 @@
     });
   }
 }
+
+/** Decides whether a body that closed is complete: only if its node, last heard at `heardAtMs`, went on. */
+function decideClosed(
+  step: ServingStep,
+  record: RequestRecord,
+  heardAtMs: number,
+): void {
+  const forward = record.forward!;
+  const {attemptId, nodeId, incarnation, closedAtMs = 0} = forward;
+  if (forward.isFinished) return;
+  const {digest} = step.state.peers.get(nodeId) ?? {};
+  const isSame =
+    incarnation === undefined || digest?.incarnation === incarnation;
+  if (isSame && heardAtMs > closedAtMs + DIGEST_DELAY_MS) {
+    forward.isFinished = true;
+    step.effects.push({type: 'finishAnswer', attemptId});
+    return;
+  }
+  if (step.nowMs - closedAtMs < PEER_TIMEOUT_MS) return;
+  step.effects.push({type: 'cancelAttempt', attemptId});
+  forwardHandlers.failed(step, record, {
+    fault: 'broken',
+    detail: 'body ended with its process',
+  });
+}
--- a/src/core/serving/forwarding/forward_handlers.ts
+++ b/src/core/serving/forwarding/forward_handlers.ts
@@ -40,6 +40,15 @@
     record.hasPartialResponse = true;
   },
 
+  /** A node of an earlier build passes a body on without a length or chunks. */
+  closed(
+    {nowMs}: ServingStep,
+    record: RequestRecord,
+    {sinceMs}: {readonly sinceMs: number},
+  ): void {
+    record.forward!.closedAtMs = nowMs - sinceMs;
+  },
+
   ended(
     step: ServingStep,
     record: RequestRecord,
--- a/src/core/serving/forwarding/forward_request.ts
+++ b/src/core/serving/forwarding/forward_request.ts
@@ -30,7 +30,13 @@
     retryBudget.removeRequest(state, service, nowMs);
   }
   triedPeers.add(nodeId);
-  record.forward = {attemptId, nodeId, sentAtMs: nowMs, progressAtMs: nowMs};
+  record.forward = {
+    attemptId,
+    nodeId,
+    incarnation: state.peers.get(nodeId)?.digest.incarnation,
+    sentAtMs: nowMs,
+    progressAtMs: nowMs,
+  };
   forwarding.byAttempt.set(attemptId, record);
   forwarding.inFlight.set(nodeId, (forwarding.inFlight.get(nodeId) ?? 0) + 1);
   const priorRunCount = record.possibleRunCount;
--- a/src/core/serving/forwarding/types.ts
+++ b/src/core/serving/forwarding/types.ts
@@ -5,11 +5,17 @@
 export interface ForwardRecord {
   readonly attemptId: AttemptId;
   readonly nodeId: NodeId;
+  /** Identifies the process of the node; undefined if only relays report it. */
+  readonly incarnation?: number;
   readonly sentAtMs: number;
   /** When the first event arrived; undefined before. */
   startedAtMs?: number;
   /** Time of the last event; of the dispatch before the first one. */
   progressAtMs: number;
+  /** When the body ended with its connection, which tells nothing of its completeness until the node is heard again. */
+  closedAtMs?: number;
+  /** The response is being completed. */
+  isFinished?: boolean;
 }
 
 /** Where a request came from that another node has passed on. */
--- a/src/core/serving/move_stalled_streams.ts
+++ b/src/core/serving/move_stalled_streams.ts
@@ -37,7 +37,7 @@
   const {state} = step;
   for (const record of [...state.requestsByAttempt.values()]) {
     const {attempt} = record;
-    if (!attempt) continue;
+    if (!attempt || attempt.closed) continue;
     doubtSilentPath(step, record, attempt);
     if (isPathDown(state, record.service)) {
       forwardSilentRequest(step, record, attempt);
--- a/src/core/serving/peers/types.ts
+++ b/src/core/serving/peers/types.ts
@@ -118,6 +118,8 @@
     readonly vmId: VmId;
     readonly nodeId: NodeId;
     readonly isSilent: boolean;
+    /** Time since the result; undefined in digests of earlier builds. */
+    readonly ageMs?: number;
   }[];
   /** Requests and prompt parts that the sender suspects of crashing their targets. */
   readonly suspects: readonly CrashSuspectEntry[];
--- a/src/core/serving/reduce_serving.ts
+++ b/src/core/serving/reduce_serving.ts
@@ -11,6 +11,7 @@
 import {logDecision} from './log_decision.js';
 import {applyAnnouncement} from './announcements/index.js';
 import {attemptHandlers} from './attempt_handlers.js';
+import {closeHandlers} from './closes/index.js';
 import {crashDetection, refreshSuspects} from './crashes/index.js';
 import {
   checkEnds,
@@ -67,6 +68,10 @@
       if (forwarded) forwardHandlers.ended(step, forwarded, event);
       else attemptHandlers.ended(step, event.attemptId, event);
       break;
+    case 'attemptClosed':
+      if (forwarded) forwardHandlers.closed(step, forwarded, event);
+      else closeHandlers.closed(step, event.attemptId, event);
+      break;
     case 'attemptFailed':
       if (forwarded) forwardHandlers.failed(step, forwarded, event);
       else attemptHandlers.failed(step, event.attemptId, event);
@@ -104,6 +109,7 @@
     case 'digestReceived':
       applyDigest(step, event.digest);
       checkEnds(step);
+      closeHandlers.check(step);
       break;
     case 'engineConnected':
       recordReached(step, event.vmId, nowMs - event.connectMs);
@@ -112,6 +118,7 @@
       handleProbe(step, event);
       recordProbeResult(step, event);
       crashDetection.probed(step, event);
+      closeHandlers.probed(step, event);
       break;
     case 'engineAnnounced':
       applyAnnouncement(step, event);
@@ -127,6 +134,7 @@
     case 'tick':
       checkPaths(step);
       checkEnds(step);
+      closeHandlers.check(step);
       moveStalledStreams(step);
       checkForwards(step);
       expireState(step);
--- a/src/core/serving/relays/create_summary.ts
+++ b/src/core/serving/relays/create_summary.ts
@@ -37,7 +37,14 @@
   const views = [...state.peers.values()].filter(
     ({digest}) => scope === 'fleet' || digest.scope === 'node',
   );
-  const peerReports = views.flatMap(({digest}) => digest.probeReports);
+  const peerReports = views.flatMap(({digest, atMs}) =>
+    digest.probeReports.map(report => ({
+      ...report,
+      ...(report.ageMs === undefined
+        ? {}
+        : {ageMs: Math.round(report.ageMs + nowMs - atMs)}),
+    })),
+  );
   const peerRequests = views
     .filter(({digest}) => digest.scope !== 'fleet')
     .flatMap(({digest}) => digest.probeRequests);
--- a/src/core/serving/resolve_target_load.ts
+++ b/src/core/serving/resolve_target_load.ts
@@ -11,6 +11,8 @@
       progressAtMs: -Infinity,
       suspectUntilMs: -Infinity,
       consecutiveFailures: 0,
+      brokenAtMs: -Infinity,
+      recentCloses: [],
       gapRatio: 1,
       gapCount: 0,
     };
--- a/src/core/serving/send_attempt.ts
+++ b/src/core/serving/send_attempt.ts
@@ -27,6 +27,8 @@
   record.attempt = {
     attemptId,
     vmId: target.vmId,
+    bornAtMs: target.engine.bornAtMs,
+    address: target.engine.address,
     sentAtMs: nowMs,
     expectedFirstMs: placement.firstEventMs,
     promptTokens: request.promptTokens,
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -1,4 +1,5 @@
 import type {AnnouncementState} from './announcements/types.js';
+import type {ClosedBody} from './closes/types.js';
 import type {CrashState} from './crashes/types.js';
 import type {FleetSizeState} from './fleet_size/types.js';
 import type {ExchangeState, PeerView, PeerLoad} from './peers/types.js';
@@ -60,6 +61,10 @@
 export interface AttemptRecord {
   readonly attemptId: AttemptId;
   readonly vmId: VmId;
+  /** Identifies the incarnation of the engine. */
+  readonly bornAtMs: number;
+  /** `host:port`. */
+  readonly address: string;
   readonly sentAtMs: number;
   /** Estimate at dispatch of the time to the first event. */
   readonly expectedFirstMs: number;
@@ -75,6 +80,8 @@
   readonly isRetry: boolean;
   /** Its silence has put the path to the target in doubt. */
   hasDoubtedPath: boolean;
+  /** The body has ended with its connection, and may be incomplete. */
+  closed?: ClosedBody;
 }
 
 /** State of a request from its arrival to its final response. */
@@ -156,6 +163,10 @@
   /** Until this time the target is used only when no other one can take the request. */
   suspectUntilMs: number;
   consecutiveFailures: number;
+  /** When a response of the target was last cut off; -Infinity for none. */
+  brokenAtMs: number;
+  /** When bodies last ended with their connections, the newest last. */
+  readonly recentCloses: number[];
   /** Moving average of the measured gap between events, divided by the expected gap. */
   gapRatio: number;
   /** Number of gaps in the average. */
--- a/src/http/body_end.ts
+++ b/src/http/body_end.ts
@@ -20,7 +20,7 @@
     private readonly response: IncomingMessage,
     private readonly method: string,
   ) {
-    if (this.delimiter !== 'close') return;
+    if (!this.isConnectionEnd) return;
     const {socket} = response;
     // Before the HTTP client's own listener, which ends the response.
     socket.prependOnceListener('end', () => {
@@ -28,6 +28,11 @@
     });
   }
 
+  /** Whether the body ends with its connection. */
+  get isConnectionEnd(): boolean {
+    return this.delimiter === 'close';
+  }
+
   /** How the body ended; to be read when it has. */
   get kind(): BodyEndKind {
     if (!this.response.complete) return 'early';
--- a/src/serving/attempt_client.ts
+++ b/src/serving/attempt_client.ts
@@ -33,7 +33,12 @@
 
 /** Sends requests to targets and forwards their responses to the callers. */
 export class AttemptClient implements EffectHandler<ServingEffect> {
-  readonly types = ['startAttempt', 'startForward', 'cancelAttempt'] as const;
+  readonly types = [
+    'startAttempt',
+    'startForward',
+    'finishAnswer',
+    'cancelAttempt',
+  ] as const;
   private readonly attempts = new Map<AttemptId, RunningAttempt>();
   private readonly bufferBudget = new BufferBudget(RESPONSE_LIMITS);
   private readonly links = new Map<VmId, TargetLink>();
@@ -44,6 +49,10 @@
   ) {}
 
   handle(effect: ServingEffect): void {
+    if (effect.type === 'finishAnswer') {
+      this.attempts.get(effect.attemptId)?.finishClosed();
+      return;
+    }
     if (effect.type === 'cancelAttempt') {
       const attempt = this.attempts.get(effect.attemptId);
       this.attempts.delete(effect.attemptId);
--- a/src/serving/digest_codec.ts
+++ b/src/serving/digest_codec.ts
@@ -103,8 +103,8 @@
   readonly d: readonly (readonly [string, string, number, number])[];
   /** Engines that peers are to probe: VM id, address, ids of these peers. */
   readonly q: readonly (readonly [string, string, readonly string[]])[];
-  /** Results of such probes: VM id, id of the probing node, and 1 if there was no response. */
-  readonly o: readonly (readonly [string, string, 0 | 1])[];
+  /** Results of such probes: VM id, id of the probing node, 1 if there was no response, and age in ms. */
+  readonly o: readonly (readonly [string, string, 0 | 1, ...number[]])[];
   /** Engines that a steward has declared lost. */
   readonly x: readonly EngineReportRow[];
   /** Engines that announced that they are leaving. */
@@ -152,6 +152,7 @@
         one.vmId,
         one.nodeId,
         one.isSilent ? 1 : 0,
+        ...(one.ageMs === undefined ? [] : [one.ageMs]),
       ]),
       x: digest.lostEngines.map(toReportRow),
       h: digest.leavingEngines.map(toReportRow),
@@ -264,6 +265,7 @@
         vmId: row[0] as VmId,
         nodeId: row[1] as NodeId,
         isSilent: row[2] === 1,
+        ...(row[3] === undefined ? {} : {ageMs: toCount(row[3])}),
       })),
       lostEngines: datagram.x.map(toReport),
       leavingEngines: datagram.h.map(toReport),
--- a/src/serving/order_client.ts
+++ b/src/serving/order_client.ts
@@ -76,6 +76,7 @@
       vmId,
       outcome: result.kind,
       pace: report?.pace,
+      bornAtMs: report?.bornAtMs,
     });
   }
 
--- a/src/serving/running_attempt.ts
+++ b/src/serving/running_attempt.ts
@@ -1,5 +1,6 @@
 import {request} from 'node:http';
 import type {Agent, ClientRequest, IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
 import type {AttemptFault} from '../core/serving/types.js';
 import type {CallerCall} from './caller_call.js';
 import type {ServingContext} from './types.js';
@@ -28,6 +29,8 @@
 /** Reading a refusal that is larger, or takes longer, costs more than a new connection. */
 const MAX_REFUSAL_BYTES = 16 * 1024;
 const REFUSAL_TIMEOUT_MS = 250;
+/** A process that ends closes all its connections; their ends arrive within this time, which the last chunk of a complete body waits. */
+const SETTLE_MS = 30;
 /** Lower ones are interim responses, which the HTTP client handles, or no status at all. */
 const MIN_FINAL_STATUS = 200;
 const MIN_SERVER_ERROR_STATUS = 500;
@@ -49,6 +52,15 @@
   private isConnected = false;
   /** The body has ended with its connection, so that the connection's end is no failure. */
   private isBodyEnded = false;
+  private deliver?: () => void;
+  private settleTimer?: NodeJS.Timeout;
+  private socket?: Socket;
+  private response?: IncomingMessage;
+  /** Counts the bytes of a buffered body, also after its connection has closed. */
+  private buffer?: {close(): void};
+  /** Last time at which the target's process is known to have run. */
+  private aliveAtMs = -Infinity;
+  private wasPaused = false;
   private connectTimer?: NodeJS.Timeout;
   private limit?: ResponseSizeLimit;
   private bodyEnd?: BodyEnd;
@@ -90,6 +102,7 @@
     );
     outgoing.setNoDelay(true);
     outgoing.on('socket', socket => {
+      this.socket = socket;
       this.options.connections?.track(socket);
       if (!socket.connecting) {
         this.isConnected = true;
@@ -112,16 +125,36 @@
     outgoing.end(call.body);
   }
 
+  /** Takes note that the target's process is running: what it sends is read as it comes. */
+  private recordAlive(): void {
+    if (!this.wasPaused) this.aliveAtMs = this.context.clock.nowMs();
+  }
+
+  /** Stops reading until the caller has read what it was sent. */
+  private pause(response: IncomingMessage): void {
+    const {call, socket, options} = this;
+    this.wasPaused = true;
+    response.pause();
+    if (socket) options.connections?.setPaused(socket, true);
+    call.onDrain(() => {
+      if (socket) options.connections?.setPaused(socket, false);
+      response.resume();
+    });
+  }
+
   /** Aborts the attempt without dispatching an event; the target stops its work when the connection closes. */
   cancel(): void {
     this.isOver = true;
     clearTimeout(this.connectTimer);
+    clearTimeout(this.settleTimer);
+    this.buffer?.close();
     this.outgoing?.destroy();
   }
 
   private handleResponse(response: IncomingMessage): void {
     const {call, upstream} = this;
     const status = response.statusCode ?? 0;
+    this.response = response;
     response.on('error', error => this.failConnection(error.message));
     response.on('close', () => this.failConnection('connection closed'));
     if (status < MIN_FINAL_STATUS) {
@@ -139,6 +172,10 @@
     }
     this.limit?.reset(MAX_BYTES_WITHOUT_PROGRESS);
     this.bodyEnd = new BodyEnd(response, call.method);
+    if (this.bodyEnd.isConnectionEnd) {
+      this.recordAlive();
+      response.on('data', () => this.recordAlive());
+    }
     if (upstream.isStream && isSuccess(status)) {
       this.forwardStream(response);
       return;
@@ -172,10 +209,7 @@
       }
       call.writeHead(status, headers);
       call.lastEventId = lastEventId;
-      if (!call.write(events)) {
-        response.pause();
-        call.onDrain(() => response.resume());
-      }
+      if (!call.write(events)) this.pause(response);
       context.events.dispatch({
         type: 'attemptProgress',
         attemptId: upstream.attemptId,
@@ -202,7 +236,10 @@
     const status = response.statusCode ?? 0;
     const chunks: Buffer[] = [];
     const buffer = this.options.bufferBudget.open();
-    response.on('close', () => buffer.close());
+    this.buffer = buffer;
+    response.on('close', () => {
+      if (!this.deliver) buffer.close();
+    });
     response.on('data', (chunk: Buffer) => {
       if (this.isOver) return;
       if (!buffer.add(chunk.length)) {
@@ -243,12 +280,34 @@
       return;
     }
     this.isBodyEnded = true;
-    // Connections that end at the same moment are reported in the same turn of the event loop.
-    setImmediate(() => {
-      if (!this.isOver) deliver();
+    this.deliver = deliver;
+    const closedAtMs = this.context.clock.nowMs();
+    this.settleTimer = setTimeout(() => {
+      // Ends that have arrived are read before, also if the process was held up.
+      setImmediate(() => this.reportClose(closedAtMs));
+    }, SETTLE_MS);
+  }
+
+  private reportClose(closedAtMs: number): void {
+    if (this.isOver) return;
+    const {context, upstream, options, socket, response} = this;
+    context.events.dispatch({
+      type: 'attemptClosed',
+      attemptId: upstream.attemptId,
+      status: response?.statusCode ?? 0,
+      sinceMs: context.clock.nowMs() - closedAtMs,
+      openConnections: socket
+        ? (options.connections?.countOpenSince(this.aliveAtMs, socket) ?? 0)
+        : 0,
     });
   }
 
+  /** Completes the caller's response after its body closed. */
+  finishClosed(): void {
+    if (this.isOver) return;
+    this.deliver?.();
+  }
+
   /** Reads the rest of a refusal, so that its connection can be reused. */
   private drainRefusal(response: IncomingMessage): void {
     this.limit?.reset(MAX_REFUSAL_BYTES);
@@ -269,18 +328,15 @@
   private end(status: number): void {
     if (this.isOver) return;
     this.isOver = true;
+    this.buffer?.close();
     this.options.onEnd();
-    const {context, options, outgoing, bodyEnd, upstream} = this;
-    const openConnections =
-      bodyEnd?.kind === 'close' && outgoing?.socket
-        ? options.connections?.countOpenSince(Infinity, outgoing.socket)
-        : undefined;
-    context.events.dispatch({
+    const {attemptId} = this.upstream;
+    const bodyEnd = this.bodyEnd?.kind;
+    this.context.events.dispatch({
       type: 'attemptEnded',
-      attemptId: upstream.attemptId,
+      attemptId,
       status,
-      bodyEnd: bodyEnd?.kind,
-      openConnections,
+      bodyEnd,
     });
   }
 
@@ -297,6 +353,7 @@
     if (this.isOver) return;
     this.isOver = true;
     clearTimeout(this.connectTimer);
+    this.buffer?.close();
     this.options.onEnd();
     if (fault !== 'turned-away') this.outgoing?.destroy();
     const {attemptId} = this.upstream;
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -119,7 +119,9 @@
   ): 'begun' | 'done' | 'conflict' | 'outdated' | undefined;
   writeProbe(): EngineCall;
   /** Returns undefined for a body that can't be parsed. `pace` is a factor on the published times. */
-  readProbe(body: string): {readonly pace?: number} | undefined;
+  readProbe(
+    body: string,
+  ): {readonly pace?: number; readonly bornAtMs?: number} | undefined;
   readAnnouncement(
     status: number,
     headers: IncomingHttpHeaders,
--- a/test/support/engine_process.ts
+++ b/test/support/engine_process.ts
@@ -10,6 +10,8 @@
   readonly port?: number;
   readonly eventCount?: number;
   readonly eventIntervalMs?: number;
+  /** Bytes that each event has in addition. */
+  readonly paddingBytes?: number;
 }
 
 /** An engine as a process of its own, so that the kernel closes its connections when it ends. */
@@ -27,6 +29,7 @@
         BORN_AT_MS: String(options.bornAtMs ?? 1000),
         PORT: String(options.port ?? 0),
         EVENT_COUNT: String(options.eventCount ?? 20),
+        PADDING_BYTES: String(options.paddingBytes ?? 0),
         EVENT_INTERVAL_MS: String(options.eventIntervalMs ?? 15),
       },
     });
@@ -43,6 +46,11 @@
     this.process.signal('SIGTERM');
   }
 
+  /** The process exits by itself, in the middle of its answers. */
+  crash(): void {
+    this.process.signal('SIGINT');
+  }
+
   /** Closes the listener only: new connections are refused, open ones stay. */
   stopListening(): void {
     this.process.signal('SIGUSR2');
--- a/test/support/engine_program.ts
+++ b/test/support/engine_program.ts
@@ -3,12 +3,13 @@
 
 /**
  * An engine that runs as a process of its own; see `EngineProcess`. The first line
- * of its output is its port. SIGTERM ends it together with its last answer, SIGUSR2
- * closes its listener.
+ * of its output is its port. SIGTERM ends it together with its last answer, SIGINT at
+ * once; SIGUSR2 closes its listener.
  */
 const {FRAMING = 'close', INSTANCE_ID = 'i-0', PORT = '0'} = process.env;
 const BORN_AT_MS = Number(process.env['BORN_AT_MS'] ?? 1000);
 const EVENT_COUNT = Number(process.env['EVENT_COUNT'] ?? 20);
+const PADDING = 'x'.repeat(Number(process.env['PADDING_BYTES'] ?? 0));
 const EVENT_INTERVAL_MS = Number(process.env['EVENT_INTERVAL_MS'] ?? 15);
 
 let runningCount = 0;
@@ -44,7 +45,7 @@
   const isStream = request.startsWith('POST /streaming');
   const events: string[] = [];
   for (let id = first; id <= EVENT_COUNT; id++) {
-    events.push(`id: ${id}\ndata: ${id}\n\n`);
+    events.push(`id: ${id}\ndata: ${id}${PADDING}\n\n`);
   }
   socket.write(createHead(request, isStream, events.join('').length));
   runningCount += 1;
@@ -92,6 +93,7 @@
 process.on('SIGTERM', () => {
   exitsAfterAnswers = true;
 });
+process.on('SIGINT', () => process.exit(1));
 process.on('SIGUSR2', () => server.close());
 
 server.listen(Number(PORT), '127.0.0.1', () => {
--- a/test/units/platform_adapter/killed_engines.test.ts
+++ b/test/units/platform_adapter/killed_engines.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {request} from 'node:http';
 import {afterEach, describe, it} from 'node:test';
 import {AdapterNode} from '../../support/adapter_node.js';
 import {EngineProcess} from '../../support/engine_process.js';
@@ -11,6 +12,37 @@
   (_, at) => `id: ${at + 1}\ndata: ${at + 1}\n\n`,
 ).join('');
 
+/** Calls a stream, and reads nothing between its head and the end of `pause`. */
+function callSlowly(
+  address: string,
+  pause: () => Promise<void>,
+): Promise<{readonly status?: number; readonly isWhole: boolean}> {
+  return new Promise((resolve, reject) => {
+    const call = request(`http://${address}/streaming-once/x`, {
+      method: 'POST',
+      agent: false,
+      headers: {
+        host: 'desk.example',
+        'x-attempt-id': 'attempt-slow',
+        'x-deadline-ms': '8000',
+        authorization: 'Bearer secret-key',
+      },
+    });
+    call.on('error', reject);
+    call.on('response', response => {
+      response.on('error', () => {});
+      response.on('close', () =>
+        resolve({status: response.statusCode, isWhole: response.complete}),
+      );
+      // The engine's events fill the buffers on the way.
+      setTimeout(() => {
+        pause().then(() => response.resume(), reject);
+      }, 400);
+    });
+    call.end('body');
+  });
+}
+
 type Answer = Awaited<ReturnType<AdapterNode['call']>>;
 
 // Rule ORDER: the kernel closes the connections of a killed process in an orderly way.
@@ -104,4 +136,121 @@
       assert.ok(answers.some(({status}) => status === 502));
     });
   }
+
+  it('go on at another engine if the process ends by itself', async () => {
+    const node = await start('close');
+    let hasStarted = false;
+    const calls = Array.from({length: CALLER_COUNT}, () =>
+      node.call('streaming', {
+        onData: () => {
+          if (!hasStarted) engines[0]!.crash();
+          hasStarted = true;
+        },
+      }),
+    );
+    for (const {whole, body} of await Promise.all(calls)) {
+      assert.equal(body, ALL_EVENTS);
+      assert.equal(whole, true);
+    }
+  });
+
+  it('do not look complete if the caller reads their end after another process has taken the address over', async () => {
+    const slow = {
+      framing: 'close',
+      eventCount: 600,
+      eventIntervalMs: 1,
+      paddingBytes: 60_000,
+    } as const;
+    engines.push(await EngineProcess.start(slow));
+    const {port, address} = engines[0]!;
+    adapter = await AdapterNode.start([], {processes: [address]});
+    const {status, isWhole} = await callSlowly(adapter.front, async () => {
+      await engines[0]!.kill();
+      const again = {framing: 'close', port, bornAtMs: 2000} as const;
+      engines.push(await EngineProcess.start(again));
+      // A connection to the new process says nothing of the old one.
+      await adapter!.call('streaming-once');
+    });
+    assert.equal(status, 200);
+    assert.equal(isWhole, false);
+    assert.ok(adapter.logs.some(line => /target restarted/.test(line)));
+  });
+
+  it('do not look complete if another process has taken the address over', async () => {
+    const node = await start('close', 1);
+    const {port} = engines[0]!;
+    const answer = node.call('streaming-once', {
+      onData: () => {
+        void engines[0]!.kill().then(async () => {
+          const again = {framing: 'close', port, bornAtMs: 2000} as const;
+          engines.push(await EngineProcess.start(again));
+        });
+      },
+    });
+    const {whole, body} = await answer;
+    assert.notEqual(body, ALL_EVENTS);
+    assert.equal(whole, false);
+  });
+});
+
+describe('the answers of an engine that ends in an orderly way', () => {
+  const engines: EngineProcess[] = [];
+  let adapter: AdapterNode | undefined;
+  afterEach(async () => {
+    await adapter?.close();
+    for (const engine of engines.splice(0)) await engine.kill();
+    adapter = undefined;
+  });
+
+  async function start(): Promise<AdapterNode> {
+    for (const vmId of ['i-0', 'i-1']) {
+      engines.push(await EngineProcess.start({framing: 'close', vmId}));
+    }
+    const processes = engines.map(({address}) => address);
+    adapter = await AdapterNode.start([], {processes});
+    return adapter;
+  }
+
+  for (const route of ['streaming', 'streaming-once', 'safe', 'unsafe']) {
+    for (const isListed of [true, false]) {
+      for (const count of [2, CALLER_COUNT]) {
+        it(`are whole, ${route}, ${isListed ? 'draining' : 'no longer listed'}, ${count} at two engines`, async () => {
+          const node = await start();
+          const calls = Array.from({length: count}, () => node.call(route));
+          await new Promise(resolve => setTimeout(resolve, 50));
+          if (isListed) {
+            node.putEngine(0, engines[0]!.address, {
+              state: 'draining',
+              sequence: 2,
+            });
+          } else {
+            node.store.remove('servers/i-0');
+          }
+          engines[0]!.endAfterAnswers();
+          for (const {status, whole, body} of await Promise.all(calls)) {
+            assert.equal(status, 200);
+            assert.equal(body, ALL_EVENTS);
+            assert.equal(whole, true);
+          }
+          const sent = node.logs.filter(line => /request sent/.test(line));
+          if (route !== 'streaming') assert.equal(sent.length, count);
+        });
+      }
+    }
+  }
+
+  it('are whole where it still serves and refuses new connections', async () => {
+    const node = await start();
+    node.store.remove('servers/i-1');
+    await waitFor('one target', () => node.node.state.targets.size === 1);
+    const first = node.call('streaming-once');
+    await new Promise(resolve => setTimeout(resolve, 100));
+    const last = node.call('streaming-once');
+    await new Promise(resolve => setTimeout(resolve, 50));
+    engines[0]!.stopListening();
+    const {whole, body} = await first;
+    assert.equal(body, ALL_EVENTS);
+    assert.equal(whole, true);
+    await last;
+  });
 });
--- /dev/null
+++ b/test/units/serving/closed_forwards.test.ts
@@ -0,0 +1,65 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import type {ServiceName} from '../../../src/core/ids/index.js';
+import {ServingNodeHarness} from '../../support/serving_node_harness.js';
+import {makeId} from '../../../src/core/ids/index.js';
+import {resolvePath} from '../../../src/core/serving/reachability/index.js';
+
+/** Long enough for the peer to count as stopped. */
+const SILENCE_MS = 1600;
+
+/** A node whose peer, of an earlier build, passed a stream on that ended with its connection. */
+function startClosed(): ServingNodeHarness {
+  const node = new ServingNodeHarness().start();
+  node.dispatch({type: 'digestReceived', digest: node.createPeerDigest()});
+  const path = resolvePath(node.state, makeId<ServiceName>('desk'));
+  path.doubtedSinceMs = node.nowMs;
+  path.downSinceMs = node.nowMs;
+  node.submitRequest('unsafe');
+  const [forward] = node.takeEffects('startForward');
+  node.dispatch({
+    type: 'attemptClosed',
+    attemptId: forward!.attemptId,
+    status: 200,
+    sinceMs: 30,
+    openConnections: 0,
+  });
+  node.effects.splice(0);
+  return node;
+}
+
+function receiveDigest(node: ServingNodeHarness, incarnation: number): void {
+  node.dispatch({
+    type: 'digestReceived',
+    digest: node.createPeerDigest({incarnation}),
+  });
+}
+
+describe('a body without a length that another node passed on', () => {
+  it('is complete once the node is heard again', () => {
+    const node = startClosed();
+    node.advance(150);
+    assert.equal(node.takeEffects('finishAnswer').length, 0);
+    receiveDigest(node, 1);
+    node.advance(50);
+    assert.equal(node.takeEffects('finishAnswer').length, 1);
+  });
+
+  // Rule ORDER: a killed node closes its connections in an orderly way.
+  it('is not complete if the node is silent', () => {
+    const node = startClosed();
+    node.advance(SILENCE_MS);
+    assert.equal(node.takeEffects('finishAnswer').length, 0);
+    assert.equal(node.takeEffects('refuse')[0]?.status, 502);
+  });
+
+  it('is not complete if the node started anew', () => {
+    const node = startClosed();
+    for (let ms = 0; ms < SILENCE_MS; ms += 100) {
+      node.advance(100);
+      receiveDigest(node, 2);
+    }
+    assert.equal(node.takeEffects('finishAnswer').length, 0);
+    assert.equal(node.takeEffects('refuse')[0]?.status, 502);
+  });
+});
--- a/test/units/serving/digest_codec.test.ts
+++ b/test/units/serving/digest_codec.test.ts
@@ -48,6 +48,12 @@
     })),
     probeReports: [
       {vmId: makeId('i-1'), nodeId: makeId('edge-zone-a-1'), isSilent: true},
+      {
+        vmId: makeId('i-2'),
+        nodeId: makeId('edge-zone-a-2'),
+        isSilent: false,
+        ageMs: 40,
+      },
     ],
     lostEngines: [{vmId: makeId('i-2'), bornAtMs: 5, ageMs: 300}],
     suspects: [
