Doubt an open connection beside one that ended, and a silent engine

An open connection counted as proof of a living process although another one of the engine had ended at that moment: where one end gets lost in transit, a killed engine's answer would have looked complete. Now such a close is probed.

--- a/src/core/serving/events.ts
+++ b/src/core/serving/events.ts
@@ -54,7 +54,7 @@
   readonly status: number;
   /** Time since the close. */
   readonly sinceMs: number;
-  /** Other connections of this node to the process that sent the response, still open after the close. */
+  /** Other connections of this node to the process that sent the response, still open after the close; 0 if one of them ended beside it. */
   readonly openConnections: number;
 }
 
--- a/src/serving/engine_connections.ts
+++ b/src/serving/engine_connections.ts
@@ -14,17 +14,19 @@
  */
 export class EngineConnections {
   private readonly open = new Map<Socket, TrackedConnection>();
+  /** The last connection that the target ended, and the one before: one of them is not the one asked about. */
+  private readonly lastEnds: {
+    readonly socket: Socket;
+    readonly atMs: number;
+  }[] = [];
 
   constructor(private readonly clock: Clock) {}
 
   /** Tracks a connection until its end; call it for each request, also where a connection is used again. */
   track(socket: Socket): void {
     if (this.open.has(socket) || socket.destroyed) return;
-    if (socket.connecting) {
-      socket.once('connect', () => this.add(socket));
-    } else {
-      this.add(socket);
-    }
+    if (socket.connecting) socket.once('connect', () => this.add(socket));
+    else this.add(socket);
   }
 
   setPaused(socket: Socket, isPaused: boolean): void {
@@ -42,11 +44,24 @@
     return count;
   }
 
+  /** Whether the target has ended a connection other than `except` since `atMs`. The ends of further ones may have been lost in transit. */
+  hasEndedSince(atMs: number, except: Socket): boolean {
+    return this.lastEnds.some(end => end.socket !== except && end.atMs >= atMs);
+  }
+
   private add(socket: Socket): void {
     const connectedAtMs = this.clock.nowMs();
     this.open.set(socket, {connectedAtMs, isPaused: false});
-    const remove = () => void this.open.delete(socket);
-    socket.once('end', remove);
-    socket.once('close', remove);
+    socket.once('end', () => this.recordEnd(socket));
+    socket.once('close', (hasError: boolean) => {
+      if (hasError) this.recordEnd(socket);
+      this.open.delete(socket);
+    });
+  }
+
+  private recordEnd(socket: Socket): void {
+    if (!this.open.delete(socket)) return;
+    this.lastEnds.push({socket, atMs: this.clock.nowMs()});
+    if (this.lastEnds.length > 2) this.lastEnds.shift();
   }
 }
--- a/src/serving/running_attempt.ts
+++ b/src/serving/running_attempt.ts
@@ -290,18 +290,25 @@
 
   private reportClose(closedAtMs: number): void {
     if (this.isOver) return;
-    const {context, upstream, options, socket, response} = this;
+    const {context, upstream, response} = this;
     context.events.dispatch({
       type: 'attemptClosed',
       attemptId: upstream.attemptId,
       status: response?.statusCode ?? 0,
       sinceMs: context.clock.nowMs() - closedAtMs,
-      openConnections: socket
-        ? (options.connections?.countOpenSince(this.aliveAtMs, socket) ?? 0)
-        : 0,
+      openConnections: this.countOpenConnections(closedAtMs),
     });
   }
 
+  /** Counts the connections that show that the target's process has outlived the one that closed. */
+  private countOpenConnections(closedAtMs: number): number {
+    const {socket, aliveAtMs} = this;
+    const {connections} = this.options;
+    if (!connections || !socket) return 0;
+    if (connections.hasEndedSince(closedAtMs - SETTLE_MS, socket)) return 0;
+    return connections.countOpenSince(aliveAtMs, socket);
+  }
+
   /** Completes the caller's response after its body closed. */
   finishClosed(): void {
     if (this.isOver) return;
--- a/test/units/serving/engine_connections.test.ts
+++ b/test/units/serving/engine_connections.test.ts
@@ -26,6 +26,21 @@
     assert.equal(connections.countOpenSince(200, own), 0);
   });
 
+  it('are in doubt after the target ended another one', () => {
+    let nowMs = 100;
+    const connections = new EngineConnections({nowMs: () => nowMs});
+    const [own, first, second] = [0, 1, 2].map(() => createSocket(false));
+    for (const socket of [own!, first!, second!]) connections.track(socket);
+    own!.emit('end');
+    assert.equal(connections.hasEndedSince(0, own!), false);
+    first!.emit('close', false);
+    assert.equal(connections.hasEndedSince(0, own!), false);
+    nowMs = 110;
+    second!.emit('close', true);
+    assert.equal(connections.hasEndedSince(110, own!), true);
+    assert.equal(connections.hasEndedSince(111, own!), false);
+  });
+
   it('do not count while they are not read, since their end would go unnoticed', () => {
     const connections = new EngineConnections({nowMs: () => 0});
     const own = createSocket(false);
