Decide on closed bodies by progress and answers, not by open connections or leaving alone

Callers would still have got short answers as complete ones

An end counts as planned now only after half of the drain time, by what was known at the close, and a request that may be repeated goes on elsewhere in any case; Only progress of another stream counts, one that was sent before and was read all the time; - after an answer that did not name its process, or to a probe sent before the close.

The close is an event at once now, the count of connections a second one, which only decides when to probe.

--- a/src/core/serving/apply_fleet.ts
+++ b/src/core/serving/apply_fleet.ts
@@ -1,4 +1,4 @@
-import type {EngineChange} from '../fleet/types.js';
+import type {EngineChange, EngineRecord} from '../fleet/types.js';
 import type {ServingStep} from './types.js';
 import type {VmId} from '../ids/index.js';
 import {isStaleRestoredEntry} from './restore/index.js';
@@ -84,6 +84,7 @@
   if (previous) state.revisionSum -= storeVersion.checksumOf(previous.revision);
   state.revisionSum += storeVersion.checksumOf(engine.revision);
   state.engines.set(vmId, engine);
+  recordLeaving(step, engine);
   const lost = state.lostEngines.get(vmId);
   if (lost && lost.bornAtMs !== engine.bornAtMs) {
     state.lostEngines.delete(vmId);
@@ -91,6 +92,17 @@
   return true;
 }
 
+function recordLeaving(
+  {state, nowMs}: ServingStep,
+  {vmId, bornAtMs, isLeaving}: EngineRecord,
+): void {
+  const {leavingEngines} = state;
+  if (!isLeaving) leavingEngines.delete(vmId);
+  else if (leavingEngines.get(vmId)?.bornAtMs !== bornAtMs) {
+    leavingEngines.set(vmId, {bornAtMs, atMs: nowMs});
+  }
+}
+
 /** Removes engines missing from a full list, unless they changed after the list's revision; returns their ids. */
 function removeUnlisted(
   step: ServingStep,
--- a/src/core/serving/attempt_handlers.ts
+++ b/src/core/serving/attempt_handlers.ts
@@ -23,6 +23,11 @@
   readonly detail?: string;
 }
 
+interface Progress {
+  readonly eventCount: number;
+  readonly isDelayed?: boolean;
+}
+
 interface AttemptEnd {
   readonly status: number;
   readonly bodyEnd?: string;
@@ -37,7 +42,11 @@
 
 /** Handles the events of an attempt: progress, end and failure. */
 export const attemptHandlers = {
-  progress(step: ServingStep, attemptId: AttemptId, eventCount: number): void {
+  progress(
+    step: ServingStep,
+    attemptId: AttemptId,
+    {eventCount, isDelayed}: Progress,
+  ): void {
     const record = step.state.requestsByAttempt.get(attemptId);
     const attempt = record?.attempt;
     if (!record || !attempt) return;
@@ -52,6 +61,7 @@
       });
     }
     attempt.progressAtMs = step.nowMs;
+    if (isDelayed) attempt.isDelayed = true;
     resolvePath(step.state, record.service).progressAtMs = step.nowMs;
     load.progressAtMs = step.nowMs;
     load.suspectUntilMs = -Infinity;
@@ -123,6 +133,9 @@
     });
     count(step, 'attemptFaults', 1, {service: record.service, fault});
     const {vmId} = attempt;
+    if (fault === 'broken' && attempt.startedAtMs !== undefined) {
+      resolveTargetLoad(state, vmId).brokenAtMs = nowMs;
+    }
     endAttempt(state, record);
     const isSent = fault !== 'not-sent' && fault !== 'unsendable';
     if (!isSent || fault === 'turned-away') {
@@ -156,7 +169,6 @@
 ): void {
   const load = resolveTargetLoad(step.state, vmId);
   load.consecutiveFailures += 1;
-  if (failure.fault === 'broken') load.brokenAtMs = step.nowMs;
   switch (failure.fault) {
     case 'not-sent':
       recordUnreachable(
--- a/src/core/serving/closes/close_handlers.ts
+++ b/src/core/serving/closes/close_handlers.ts
@@ -3,14 +3,11 @@
 import type {ServingEvent} from '../events.js';
 import {breakClosed} from './break_closed.js';
 import {decideClosed} from './decide_closed.js';
+import {findEnd} from './find_end.js';
 import {finishClosed} from './finish_closed.js';
+import {isPlannedEnd} from './is_planned_end.js';
 import {probeClosed} from './probe_closed.js';
-import {resolveTargetLoad} from '../resolve_target_load.js';
 
-/** Enough to see that several bodies closed together. */
-const MAX_RECENT_CLOSES = 8;
-
-type AttemptClosed = Extract<ServingEvent, {type: 'attemptClosed'}>;
 type ProbeAnswered = Extract<ServingEvent, {type: 'probeAnswered'}>;
 
 /**
@@ -21,29 +18,30 @@
  * as complete only if the process went on, or was expected to end.
  */
 export const closeHandlers = {
-  closed(
-    step: ServingStep,
-    attemptId: AttemptId,
-    {status, sinceMs, openConnections}: AttemptClosed,
-  ): void {
-    const record = step.state.requestsByAttempt.get(attemptId);
-    const attempt = record?.attempt;
+  /** Handles the close; the process is known to have run `aliveMs` before. */
+  closed(step: ServingStep, attemptId: AttemptId, aliveMs: number): void {
+    const {state, nowMs} = step;
+    const attempt = state.requestsByAttempt.get(attemptId)?.attempt;
     if (!attempt) return;
-    const atMs = step.nowMs - sinceMs;
-    const {recentCloses} = resolveTargetLoad(step.state, attempt.vmId);
-    recentCloses.push(atMs);
-    if (recentCloses.length > MAX_RECENT_CLOSES) recentCloses.shift();
     attempt.closed = {
-      atMs,
-      status,
+      atMs: nowMs,
+      aliveAtMs: nowMs - aliveMs,
+      isPlanned: isPlannedEnd(state, attempt, nowMs),
       probedAtMs: -Infinity,
       isProbing: false,
       isRefused: false,
     };
-    if (openConnections > 0) {
-      finishClosed(step, attempt, 'connection open');
-      return;
-    }
+  },
+
+  /** Handles the count of the connections that have outlived a close. */
+  settled(
+    step: ServingStep,
+    attemptId: AttemptId,
+    openConnections: number,
+  ): void {
+    const attempt = step.state.requestsByAttempt.get(attemptId)?.attempt;
+    if (!attempt?.closed) return;
+    attempt.closed.openConnections = openConnections;
     probeClosed(step, attempt);
   },
 
@@ -55,13 +53,8 @@
       const closed = attempt.closed!;
       closed.isProbing = false;
       if (outcome === 'refused') closed.isRefused = true;
-      if (outcome !== 'answered') {
-        decideClosed(step, record, attempt);
-      } else if (bornAtMs !== undefined && bornAtMs !== attempt.bornAtMs) {
-        breakClosed(step, attempt, 'target restarted');
-      } else if (closed.probedAtMs >= closed.atMs) {
-        finishClosed(step, attempt, 'target answered');
-      }
+      if (outcome === 'answered') applyAnswer(step, attempt, bornAtMs);
+      else decideClosed(step, record, attempt);
     }
   },
 
@@ -73,7 +66,7 @@
     }
   },
 
-  /** Decides on a body at once, by the evidence so far: its request may not wait longer. Returns false if no body of the request has closed. */
+  /** Decides on a body at once, by the evidence so far: its request may not wait longer. Returns false if the request has no body to complete. */
   settle(step: ServingStep, record: RequestRecord): boolean {
     const {attempt} = record;
     if (!attempt?.closed) return false;
@@ -82,6 +75,27 @@
   },
 };
 
+/** Applies a target's answer to a probe. It counts for the process that sent the body. */
+function applyAnswer(
+  step: ServingStep,
+  attempt: AttemptRecord,
+  bornAtMs: number | undefined,
+): void {
+  const closed = attempt.closed!;
+  if (closed.probedAtMs <= closed.atMs) return;
+  const isOther = bornAtMs !== undefined && bornAtMs !== attempt.bornAtMs;
+  const end = isOther ? 'target restarted' : findEnd(step.state, attempt);
+  if (end !== undefined && !closed.isPlanned) {
+    breakClosed(step, attempt, end);
+  } else if (
+    end === undefined &&
+    (bornAtMs !== undefined || !closed.isRefused)
+  ) {
+    // Another process may answer after a refusal.
+    finishClosed(step, attempt, 'target answered');
+  }
+}
+
 /** Lists the requests whose bodies closed and are not decided on. */
 function listClosed({
   state,
--- a/src/core/serving/closes/decide_closed.ts
+++ b/src/core/serving/closes/decide_closed.ts
@@ -3,14 +3,14 @@
 import {TOGETHER_MS} from './together_ms.js';
 import {breakClosed} from './break_closed.js';
 import {canRepeat} from './can_repeat.js';
+import {findEnd} from './find_end.js';
 import {finishClosed} from './finish_closed.js';
 import {hasBrokenBeside} from './has_broken_beside.js';
-import {hasClosedBeside} from './has_closed_beside.js';
-import {isPlannedEnd} from './is_planned_end.js';
+import {hasProgressSince} from './has_progress_since.js';
 import {isReachedByPeer} from './is_reached_by_peer.js';
 import {requestPeerProbes} from '../../steward/request_peer_probes.js';
 
-/** A target that runs answers a probe sooner, unless it resets new connections. */
+/** A target that runs answers a probe sooner, or sends an event of another stream, unless it resets new connections. */
 const SILENCE_MS = 300;
 
 /** Decides whether a body that closed is complete, once there is evidence or the time for it is over. */
@@ -21,29 +21,25 @@
   isOverdue = false,
 ): void {
   const {state, nowMs} = step;
-  const {closed, vmId, bornAtMs} = attempt;
+  const {closed} = attempt;
   if (!closed || closed.proof !== undefined) return;
-  const waitedMs = nowMs - closed.atMs;
-  const isOver = isOverdue || waitedMs >= MAX_WAIT_MS;
-  if (isPlannedEnd(state, attempt)) {
-    if (isOver || waitedMs >= 2 * TOGETHER_MS) {
-      decidePlanned(step, record, attempt, isOver);
-    }
+  const isOver = isOverdue || nowMs - closed.atMs >= MAX_WAIT_MS;
+  if (hasProgressSince(state, attempt)) {
+    finishClosed(step, attempt, 'target made progress');
     return;
   }
-  const lost = state.lostEngines.get(vmId);
-  if (lost?.bornAtMs === bornAtMs && lost.atMs >= closed.atMs) {
-    breakClosed(step, attempt, 'target lost');
+  if (closed.isPlanned) {
+    decidePlanned(step, record, attempt, isOver);
     return;
   }
-  const engine = state.engines.get(vmId);
-  if (engine && engine.bornAtMs !== bornAtMs) {
-    breakClosed(step, attempt, 'target restarted');
+  const end = findEnd(state, attempt);
+  if (end !== undefined) {
+    breakClosed(step, attempt, end);
     return;
   }
   if (closed.isRefused) {
     decideRefused(step, record, attempt, isOver);
-  } else if (waitedMs >= SILENCE_MS && canRepeat(step, record)) {
+  } else if (nowMs - closed.atMs >= SILENCE_MS && canRepeat(step, record)) {
     breakClosed(step, attempt, 'target silent');
   } else if (isOver) {
     // Targets at their limit of connections reset new ones; one whose process has ended refuses them.
@@ -51,7 +47,7 @@
   }
 }
 
-/** Another run costs less than to wait for peers, which reach the target if only the path refuses this node's connections. */
+/** The path may refuse new connections of this node alone: then others of its connections make progress, or peers reach the target. Another run costs less than to wait for peers. */
 function decideRefused(
   step: ServingStep,
   record: RequestRecord,
@@ -59,39 +55,34 @@
   isOver: boolean,
 ): void {
   const {vmId, address} = attempt;
+  const {atMs, openConnections = 0} = attempt.closed!;
+  const mayProgress = openConnections > 0 && step.nowMs - atMs < SILENCE_MS;
   if (isReachedByPeer(step.state, attempt)) {
     finishClosed(step, attempt, 'target answered a peer');
-  } else if (isOver || canRepeat(step, record)) {
+  } else if (isOver || (!mayProgress && canRepeat(step, record))) {
     breakClosed(step, attempt, 'connection refused');
   } else {
     requestPeerProbes(step, {vmId, address});
   }
 }
 
-/** A target that leaves ends after its last response, unless it is killed before. */
+/** A target that is leaving ends after its last response, unless it is killed before. */
 function decidePlanned(
   step: ServingStep,
   record: RequestRecord,
   attempt: AttemptRecord,
   isOver: boolean,
 ): void {
-  const doubt = findDoubt(step, record, attempt);
-  if (doubt !== undefined && attempt.closed!.isRefused) {
-    breakClosed(step, attempt, doubt);
-  } else if (doubt === undefined || isOver) {
+  const {atMs, isRefused} = attempt.closed!;
+  const waitedMs = step.nowMs - atMs;
+  const isRepeatable = canRepeat(step, record);
+  const isCut = isRepeatable || hasBrokenBeside(step.state, attempt);
+  if (isRefused && isCut && waitedMs >= TOGETHER_MS) {
+    breakClosed(step, attempt, 'connection refused by a leaving target');
+  } else if (
+    isOver ||
+    waitedMs >= (isRepeatable ? SILENCE_MS : 2 * TOGETHER_MS)
+  ) {
     finishClosed(step, attempt, 'target is leaving');
   }
 }
-
-/** Returns what speaks against an end after the last response; undefined if nothing does. */
-function findDoubt(
-  step: ServingStep,
-  record: RequestRecord,
-  attempt: AttemptRecord,
-): string | undefined {
-  if (hasBrokenBeside(step.state, attempt)) return 'cut beside another one';
-  const isSuspicious =
-    record.route.isResumable && hasClosedBeside(step.state, attempt);
-  if (isSuspicious && canRepeat(step, record)) return 'closed beside others';
-  return undefined;
-}
--- a/src/core/serving/closes/is_planned_end.ts
+++ b/src/core/serving/closes/is_planned_end.ts
@@ -1,12 +1,16 @@
 import type {AttemptRecord, ServingState} from '../types.js';
-import {isLeavingEngine} from '../announcements/index.js';
+import {findLeavingSinceMs} from './find_leaving_since_ms.js';
 
-/** Whether the target was leaving, or no longer listed: such a process ends by itself, after its last response. */
+/** Share of the time that a leaving engine goes on to serve after which its end is expected: the rest allows for the time in which nodes learn that it leaves. */
+const DRAIN_SHARE = 0.5;
+
+/** Whether a target that ends at `atMs` ends by itself, after its last response: it has been leaving for long enough. */
 export function isPlannedEnd(
   state: ServingState,
-  {vmId, bornAtMs}: Pick<AttemptRecord, 'vmId' | 'bornAtMs'>,
+  {vmId, bornAtMs}: AttemptRecord,
+  atMs: number,
 ): boolean {
-  const engine = state.engines.get(vmId);
-  if (engine?.bornAtMs === bornAtMs) return isLeavingEngine(state, engine);
-  return state.departedEngines.get(vmId)?.bornAtMs === bornAtMs;
+  const sinceMs = findLeavingSinceMs(state, vmId, bornAtMs);
+  if (sinceMs === undefined) return false;
+  return atMs - sinceMs >= DRAIN_SHARE * (state.bounds.drainMs ?? 0);
 }
--- a/src/core/serving/closes/probe_closed.ts
+++ b/src/core/serving/closes/probe_closed.ts
@@ -1,28 +1,28 @@
 import type {AttemptRecord, ServingStep} from '../types.js';
-import {hasBrokenBeside} from './has_broken_beside.js';
-import {hasClosedBeside} from './has_closed_beside.js';
-import {isPlannedEnd} from './is_planned_end.js';
+import {TOGETHER_MS} from './together_ms.js';
 
 /** A target at its limit of connections resets new ones for some time, which is no answer either way. */
 const PROBE_INTERVAL_MS = 100;
+/** A target with other connections gets this time to make progress there, which saves the probe. */
+const PROGRESS_MS = 2 * TOGETHER_MS;
 
-/** Probes the target of a body that closed, unless a probe is on its way. Bodies that close together share one. A target that is leaving is only probed if its end is in doubt. */
+/** Probes the target of a body that closed, unless a probe is on its way. Bodies that closed before share one. */
 export function probeClosed(
   {state, nowMs, effects}: ServingStep,
-  attempt: AttemptRecord,
+  {vmId, address, closed}: AttemptRecord,
 ): void {
-  const {vmId, address, closed} = attempt;
   if (!closed || closed.proof !== undefined || closed.isProbing) return;
   if (closed.isRefused || nowMs - closed.probedAtMs < PROBE_INTERVAL_MS) return;
-  const isInDoubt =
-    hasBrokenBeside(state, attempt) || hasClosedBeside(state, attempt);
-  if (!isInDoubt && isPlannedEnd(state, attempt)) return;
-  let isShared = false;
+  if (closed.openConnections === undefined) return;
+  const isAlone = closed.openConnections === 0;
+  if (!isAlone && nowMs - closed.atMs < PROGRESS_MS) return;
+  closed.isProbing = true;
   for (const {attempt} of state.requestsByAttempt.values()) {
     const other = attempt?.vmId === vmId ? attempt.closed : undefined;
-    if (other?.isProbing) isShared = true;
+    if (!other || other === closed || !other.isProbing) continue;
+    closed.probedAtMs = other.probedAtMs;
+    return;
   }
-  closed.isProbing = true;
   closed.probedAtMs = nowMs;
-  if (!isShared) effects.push({type: 'probeEngine', vmId, address});
+  effects.push({type: 'probeEngine', vmId, address, isForClose: true});
 }
--- a/src/core/serving/closes/types.ts
+++ b/src/core/serving/closes/types.ts
@@ -2,10 +2,15 @@
 export interface ClosedBody {
   /** When the connection closed. */
   readonly atMs: number;
-  readonly status: number;
-  /** When the target was last probed for this; -Infinity before. */
+  /** When the process that sent the body is last known to have run. */
+  readonly aliveAtMs: number;
+  /** The target was leaving then, for long enough to end by itself. */
+  readonly isPlanned: boolean;
+  /** Other connections to the process that were open some time after the close; undefined until then. */
+  openConnections?: number;
+  /** When the last probe was sent that this body waited for; -Infinity before. */
   probedAtMs: number;
-  /** A probe has not been answered yet. */
+  /** That probe has not been answered yet. */
   isProbing: boolean;
   /** The target has refused a connection since. */
   isRefused: boolean;
--- a/src/core/serving/create_serving_state.ts
+++ b/src/core/serving/create_serving_state.ts
@@ -58,6 +58,7 @@
     revisionSum: 0,
     engines: new Map(),
     departedEngines: new Map(),
+    leavingEngines: new Map(),
     lastNewPeerAtMs: -Infinity,
     probeResults: new Map(),
     lastProbeAtMs: new Map(),
--- a/src/core/serving/effects.ts
+++ b/src/core/serving/effects.ts
@@ -91,6 +91,8 @@
   readonly type: 'probeEngine';
   readonly vmId: VmId;
   readonly address: string;
+  /** Sent for bodies that closed: its silence is no evidence on the path, since targets may reset new connections. */
+  readonly isForClose?: boolean;
 }
 
 /** Reads the full list of engines again, if this node watches the store itself. */
--- a/src/core/serving/events.ts
+++ b/src/core/serving/events.ts
@@ -37,6 +37,8 @@
   readonly attemptId: AttemptId;
   /** Number of events since the last progress. */
   readonly eventCount: number;
+  /** The caller has not read the response all the time, so that the events may be older. */
+  readonly isDelayed?: boolean;
 }
 
 interface AttemptEnded {
@@ -51,10 +53,15 @@
 interface AttemptClosed {
   readonly type: 'attemptClosed';
   readonly attemptId: AttemptId;
-  readonly status: number;
-  /** Time since the close. */
-  readonly sinceMs: number;
-  /** Other connections of this node to the process that sent the response, still open after the close; 0 if one of them ended beside it. */
+  /** Time since the process that sent it is known to have run. */
+  readonly aliveMs: number;
+}
+
+/** Some time has passed since `attemptClosed`, in which other connections of the same process would have ended. */
+interface CloseSettled {
+  readonly type: 'closeSettled';
+  readonly attemptId: AttemptId;
+  /** This node's other connections to the process that are open; 0 if one of them ended beside the close. */
   readonly openConnections: number;
 }
 
@@ -166,6 +173,8 @@
   readonly pace?: number;
   /** Start of the process that answered, if it names it. */
   readonly bornAtMs?: number;
+  /** The probe was sent for bodies that closed. */
+  readonly isForClose?: boolean;
 }
 
 /** State that an engine announces in the headers of a response. */
@@ -196,6 +205,7 @@
   | AttemptProgress
   | AttemptEnded
   | AttemptClosed
+  | CloseSettled
   | AttemptFailed
   | ConfigRead
   | FleetListed
--- a/src/core/serving/expire_state.ts
+++ b/src/core/serving/expire_state.ts
@@ -45,6 +45,10 @@
     if (nowMs - atMs > DEPARTED_RETENTION_MS)
       state.departedEngines.delete(vmId);
   }
+  for (const vmId of state.leavingEngines.keys()) {
+    const isKnown = state.engines.has(vmId) || state.departedEngines.has(vmId);
+    if (!isKnown) state.leavingEngines.delete(vmId);
+  }
   for (const [vmId, {atMs}] of state.probeResults) {
     if (nowMs - atMs <= PROBE_RESULT_TTL_MS) continue;
     state.probeResults.delete(vmId);
--- a/src/core/serving/forwarding/check_forwards.ts
+++ b/src/core/serving/forwarding/check_forwards.ts
@@ -29,7 +29,8 @@
     const {nodeId, startedAtMs, progressAtMs, closedAtMs} = record.forward!;
     const peerAgeMs = nodes.get(nodeId)?.ageMs ?? Infinity;
     if (closedAtMs !== undefined) {
-      decideClosed(step, record, nowMs - peerAgeMs);
+      const isLeaving = nodes.get(nodeId)?.isLeaving === true;
+      decideClosed(step, record, {heardAtMs: nowMs - peerAgeMs, isLeaving});
       continue;
     }
     const isSilent =
@@ -44,11 +45,14 @@
   }
 }
 
-/** Decides whether a body that closed is complete: only if its node, last heard at `heardAtMs`, went on. */
+/** Decides whether a body that closed is complete: only if its node, last heard at `heardAtMs`, went on, or was leaving and ended with its last request. */
 function decideClosed(
   step: ServingStep,
   record: RequestRecord,
-  heardAtMs: number,
+  {
+    heardAtMs,
+    isLeaving,
+  }: {readonly heardAtMs: number; readonly isLeaving: boolean},
 ): void {
   const forward = record.forward!;
   const {attemptId, nodeId, incarnation, closedAtMs = 0} = forward;
@@ -56,7 +60,8 @@
   const {digest} = step.state.peers.get(nodeId) ?? {};
   const isSame =
     incarnation === undefined || digest?.incarnation === incarnation;
-  if (isSame && heardAtMs > closedAtMs + DIGEST_DELAY_MS) {
+  const isHeard = heardAtMs > closedAtMs + DIGEST_DELAY_MS;
+  if (isSame && (isHeard || isLeaving)) {
     forward.isFinished = true;
     step.effects.push({type: 'finishAnswer', attemptId});
     return;
--- a/src/core/serving/forwarding/forward_handlers.ts
+++ b/src/core/serving/forwarding/forward_handlers.ts
@@ -41,12 +41,8 @@
   },
 
   /** A node of an earlier build passes a body on without a length or chunks. */
-  closed(
-    {nowMs}: ServingStep,
-    record: RequestRecord,
-    {sinceMs}: {readonly sinceMs: number},
-  ): void {
-    record.forward!.closedAtMs = nowMs - sinceMs;
+  closed({nowMs}: ServingStep, record: RequestRecord): void {
+    record.forward!.closedAtMs = nowMs;
   },
 
   ended(
--- a/src/core/serving/reduce_serving.ts
+++ b/src/core/serving/reduce_serving.ts
@@ -62,15 +62,18 @@
       break;
     case 'attemptProgress':
       if (forwarded) forwardHandlers.progress(step, forwarded);
-      else attemptHandlers.progress(step, event.attemptId, event.eventCount);
+      else attemptHandlers.progress(step, event.attemptId, event);
       break;
     case 'attemptEnded':
       if (forwarded) forwardHandlers.ended(step, forwarded, event);
       else attemptHandlers.ended(step, event.attemptId, event);
       break;
     case 'attemptClosed':
-      if (forwarded) forwardHandlers.closed(step, forwarded, event);
-      else closeHandlers.closed(step, event.attemptId, event);
+      if (forwarded) forwardHandlers.closed(step, forwarded);
+      else closeHandlers.closed(step, event.attemptId, event.aliveMs);
+      break;
+    case 'closeSettled':
+      closeHandlers.settled(step, event.attemptId, event.openConnections);
       break;
     case 'attemptFailed':
       if (forwarded) forwardHandlers.failed(step, forwarded, event);
@@ -115,9 +118,11 @@
       recordReached(step, event.vmId, nowMs - event.connectMs);
       break;
     case 'probeAnswered':
-      handleProbe(step, event);
-      recordProbeResult(step, event);
-      crashDetection.probed(step, event);
+      if (!isUnansweredForClose(event)) {
+        handleProbe(step, event);
+        recordProbeResult(step, event);
+        crashDetection.probed(step, event);
+      }
       closeHandlers.probed(step, event);
       break;
     case 'engineAnnounced':
@@ -174,6 +179,14 @@
     dispatchWaiting(step, pool);
 }
 
+/** Targets that serve may reset the connections of probes for closed bodies. */
+function isUnansweredForClose({
+  isForClose,
+  outcome,
+}: Extract<ServingEvent, {type: 'probeAnswered'}>): boolean {
+  return isForClose === true && outcome === 'silent';
+}
+
 function recordProbeResult(
   {state, nowMs}: ServingStep,
   {vmId, outcome}: Extract<ServingEvent, {type: 'probeAnswered'}>,
--- a/src/core/serving/remove_request.ts
+++ b/src/core/serving/remove_request.ts
@@ -1,4 +1,5 @@
 import type {RequestRecord, ServingStep} from './types.js';
+import {endPeerProbes} from './closes/end_peer_probes.js';
 import {endAttempt} from './end_attempt.js';
 import {endForward} from './forwarding/index.js';
 
@@ -6,7 +7,8 @@
 export function removeRequest(step: ServingStep, record: RequestRecord): void {
   const {state} = step;
   if (record.attempt) {
-    const {attemptId} = record.attempt;
+    const {attemptId, vmId, closed} = record.attempt;
+    if (closed?.isRefused) endPeerProbes(state, vmId);
     step.effects.push({type: 'cancelAttempt', attemptId});
     endAttempt(state, record);
   }
--- a/src/core/serving/resolve_target_load.ts
+++ b/src/core/serving/resolve_target_load.ts
@@ -12,7 +12,6 @@
       suspectUntilMs: -Infinity,
       consecutiveFailures: 0,
       brokenAtMs: -Infinity,
-      recentCloses: [],
       gapRatio: 1,
       gapCount: 0,
     };
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -80,6 +80,8 @@
   readonly isRetry: boolean;
   /** Its silence has put the path to the target in doubt. */
   hasDoubtedPath: boolean;
+  /** The caller has not read the response all the time, so that events may be older than their arrival. */
+  isDelayed?: boolean;
   /** The body has ended with its connection, and may be incomplete. */
   closed?: ClosedBody;
 }
@@ -163,10 +165,8 @@
   /** Until this time the target is used only when no other one can take the request. */
   suspectUntilMs: number;
   consecutiveFailures: number;
-  /** When a response of the target was last cut off; -Infinity for none. */
+  /** When a stream of the target was last cut off; -Infinity for none. */
   brokenAtMs: number;
-  /** When bodies last ended with their connections, the newest last. */
-  readonly recentCloses: number[];
   /** Moving average of the measured gap between events, divided by the expected gap. */
   gapRatio: number;
   /** Number of gaps in the average. */
@@ -185,6 +185,8 @@
   readonly repeatWindowMs: number;
   /** Time from SIGTERM to SIGKILL. */
   readonly graceMs: number;
+  /** How long an engine serves at least after it has reported that it leaves; 0 by default. */
+  readonly drainMs?: number;
   /** How long a replica that lost a member stalls before its head fails its requests. */
   readonly stallMs: number;
   /** Window over which loads of model weights are rate-limited. */
@@ -246,6 +248,8 @@
       atMs: number;
     }
   >;
+  /** Engines whose entries in the store say that they are leaving, and since when this node knows. */
+  readonly leavingEngines: Map<VmId, {bornAtMs: number; atMs: number}>;
   /** When a digest with a new key last arrived: another node has probably just started. */
   lastNewPeerAtMs: number;
   /** Results of the probes that the steward requested, by engine. */
--- a/src/core/steward/handle_probe_result.ts
+++ b/src/core/steward/handle_probe_result.ts
@@ -21,6 +21,7 @@
   event: ProbeAnswered,
 ): void {
   const {state, nowMs} = step;
+  if (event.isForClose && event.outcome === 'silent') return;
   const {steward} = state;
   const probe = steward.probes.get(event.vmId);
   if (event.outcome === 'answered') {
--- a/src/serving/order_client.ts
+++ b/src/serving/order_client.ts
@@ -61,7 +61,7 @@
     effect: Extract<ServingEffect, {type: 'probeEngine'}>,
   ): Promise<void> {
     const {events, wire, metrics} = this.context;
-    const {vmId, address} = effect;
+    const {vmId, address, isForClose} = effect;
     const result = await this.call(
       vmId,
       address,
@@ -77,6 +77,7 @@
       outcome: result.kind,
       pace: report?.pace,
       bornAtMs: report?.bornAtMs,
+      isForClose,
     });
   }
 
--- a/src/serving/running_attempt.ts
+++ b/src/serving/running_attempt.ts
@@ -29,7 +29,7 @@
 /** Reading a refusal that is larger, or takes longer, costs more than a new connection. */
 const MAX_REFUSAL_BYTES = 16 * 1024;
 const REFUSAL_TIMEOUT_MS = 250;
-/** A process that ends closes all its connections; their ends arrive within this time, which the last chunk of a complete body waits. */
+/** A process that ends closes all its connections; their ends arrive within this time, unless one is lost in transit. */
 const SETTLE_MS = 30;
 /** Lower ones are interim responses, which the HTTP client handles, or no status at all. */
 const MIN_FINAL_STATUS = 200;
@@ -55,7 +55,6 @@
   private deliver?: () => void;
   private settleTimer?: NodeJS.Timeout;
   private socket?: Socket;
-  private response?: IncomingMessage;
   /** Counts the bytes of a buffered body, also after its connection has closed. */
   private buffer?: {close(): void};
   /** Last time at which the target's process is known to have run. */
@@ -154,7 +153,6 @@
   private handleResponse(response: IncomingMessage): void {
     const {call, upstream} = this;
     const status = response.statusCode ?? 0;
-    this.response = response;
     response.on('error', error => this.failConnection(error.message));
     response.on('close', () => this.failConnection('connection closed'));
     if (status < MIN_FINAL_STATUS) {
@@ -214,6 +212,7 @@
         type: 'attemptProgress',
         attemptId: upstream.attemptId,
         eventCount: count,
+        ...(this.wasPaused ? {isDelayed: true} : {}),
       });
     });
     response.on('end', () => {
@@ -281,21 +280,22 @@
     }
     this.isBodyEnded = true;
     this.deliver = deliver;
-    const closedAtMs = this.context.clock.nowMs();
+    const {context, aliveAtMs} = this;
+    const {attemptId} = this.upstream;
+    const closedAtMs = context.clock.nowMs();
+    const aliveMs = closedAtMs - aliveAtMs;
+    context.events.dispatch({type: 'attemptClosed', attemptId, aliveMs});
     this.settleTimer = setTimeout(() => {
       // Ends that have arrived are read before, also if the process was held up.
-      setImmediate(() => this.reportClose(closedAtMs));
+      setImmediate(() => this.reportSettled(closedAtMs));
     }, SETTLE_MS);
   }
 
-  private reportClose(closedAtMs: number): void {
+  private reportSettled(closedAtMs: number): void {
     if (this.isOver) return;
-    const {context, upstream, response} = this;
-    context.events.dispatch({
-      type: 'attemptClosed',
-      attemptId: upstream.attemptId,
-      status: response?.statusCode ?? 0,
-      sinceMs: context.clock.nowMs() - closedAtMs,
+    this.context.events.dispatch({
+      type: 'closeSettled',
+      attemptId: this.upstream.attemptId,
       openConnections: this.countOpenConnections(closedAtMs),
     });
   }
--- a/test/support/adapter_node.ts
+++ b/test/support/adapter_node.ts
@@ -18,6 +18,8 @@
   readonly host?: string;
   /** Another node, on another host with the same ports, that this one learns of from the store. */
   readonly peer?: AdapterNode;
+  /** How long engines serve at least after they have reported that they leave. */
+  readonly drainMs?: number;
   /** Addresses of engines that run as processes of their own. */
   readonly processes?: readonly string[];
   /** The engines refuse connections, as behind a partition that resets them. */
@@ -191,7 +193,7 @@
         storeAddress,
         minLeaseMs: 1000,
         maxKeepMs: 5000,
-        bounds: SERVING_BOUNDS,
+        bounds: {...SERVING_BOUNDS, drainMs: options.drainMs ?? 0},
       },
       wire: WIRE,
       store: new KvPlatformStore(storeAddress),
--- a/test/units/platform_adapter/killed_engines.test.ts
+++ b/test/units/platform_adapter/killed_engines.test.ts
@@ -3,6 +3,7 @@
 import {afterEach, describe, it} from 'node:test';
 import {AdapterNode} from '../../support/adapter_node.js';
 import {EngineProcess} from '../../support/engine_process.js';
+import {LateEndProxy} from '../../support/late_end_proxy.js';
 import {waitFor} from '../../support/wait_for.js';
 
 const EVENT_COUNT = 20;
@@ -137,6 +138,48 @@
     });
   }
 
+  for (const route of ['streaming', 'streaming-once', 'unsafe']) {
+    for (const isListed of [true, false]) {
+      it(`do not look complete soon after the engine ${isListed ? 'reported that it leaves' : 'is no longer listed'}, ${route}`, async () => {
+        for (const vmId of ['i-0', 'i-1']) {
+          engines.push(await EngineProcess.start({framing: 'close', vmId}));
+        }
+        const processes = engines.map(({address}) => address);
+        adapter = await AdapterNode.start([], {processes, drainMs: 2000});
+        const node = adapter;
+        const calls = Array.from({length: CALLER_COUNT}, () =>
+          node.call(route),
+        );
+        await new Promise(resolve => setTimeout(resolve, 50));
+        if (isListed) {
+          const draining = {state: 'draining', sequence: 2};
+          node.putEngine(0, engines[0]!.address, draining);
+        } else {
+          node.store.remove('servers/i-0');
+        }
+        await waitFor('one target', () => node.node.state.targets.size === 1);
+        await engines[0]!.kill();
+        const answers = await Promise.all(calls);
+        assert.equal(countShort(answers), 0);
+      });
+    }
+  }
+
+  for (const delayMs of [200, 5000]) {
+    it(`do not look complete while the end of one of their connections is ${delayMs} ms late`, async () => {
+      engines.push(await EngineProcess.start({framing: 'close'}));
+      const proxy = await LateEndProxy.start(engines[0]!.port, delayMs);
+      try {
+        const processes = [proxy.address];
+        adapter = await AdapterNode.start([], {processes});
+        const answers = await callAndKill('streaming-once');
+        assert.equal(countShort(answers), 0);
+      } finally {
+        proxy.close();
+      }
+    });
+  }
+
   it('go on at another engine if the process ends by itself', async () => {
     const node = await start('close');
     let hasStarted = false;
@@ -233,7 +276,8 @@
             assert.equal(whole, true);
           }
           const sent = node.logs.filter(line => /request sent/.test(line));
-          if (route !== 'streaming') assert.equal(sent.length, count);
+          const mayRepeat = route === 'streaming' || route === 'safe';
+          if (!mayRepeat) assert.equal(sent.length, count);
         });
       }
     }
--- a/test/units/serving/closed_bodies.test.ts
+++ b/test/units/serving/closed_bodies.test.ts
@@ -21,14 +21,25 @@
 
 /** A node and a request whose body has closed at its target. */
 class ClosedBody {
-  readonly node = new ServingNodeHarness().start();
+  readonly node: ServingNodeHarness;
   readonly attempt: StartAttempt;
 
-  constructor(kind: RouteKind, options: {openConnections?: number} = {}) {
+  constructor(
+    kind: RouteKind,
+    options: {
+      readonly drainMs?: number;
+      /** Runs before the body closes. */
+      readonly prepare?: (body: ClosedBody) => void;
+      readonly openConnections?: number;
+    } = {},
+  ) {
+    const {drainMs = 0, prepare, openConnections} = options;
+    this.node = new ServingNodeHarness({drainMs}).start();
     this.attempt = this.send(kind);
     this.node.advance(200);
+    prepare?.(this);
     this.node.effects.splice(0);
-    this.close(this.attempt.attemptId, options.openConnections);
+    this.close(this.attempt.attemptId, openConnections);
   }
 
   /** Sends a request; a stream has its first event. */
@@ -43,13 +54,17 @@
   }
 
   close(attemptId: AttemptId, openConnections = 0): void {
-    this.node.dispatch({
-      type: 'attemptClosed',
-      attemptId,
-      status: 200,
-      sinceMs: SETTLE_MS,
-      openConnections,
-    });
+    this.node.dispatch({type: 'attemptClosed', attemptId, aliveMs: 0});
+    this.node.nowMs += SETTLE_MS;
+    this.node.dispatch({type: 'closeSettled', attemptId, openConnections});
+  }
+
+  /** Sends requests until one is at the same target. */
+  sendBeside(kind: RouteKind): StartAttempt {
+    for (;;) {
+      const attempt = this.send(kind);
+      if (attempt.vmId === this.attempt.vmId) return attempt;
+    }
   }
 
   /** Reports the result of a probe of the target. */
@@ -102,35 +117,87 @@
   node: ServingNodeHarness,
   vmId: VmId,
   change: 'leaving' | 'removed' | 'restarted',
+  revision = 20,
 ): void {
   const engine = {
     ...createTestEngine(Number(vmId.slice(1))),
     ...(change === 'leaving' ? {isLeaving: true} : {bornAtMs: 2}),
-    revision: 20,
+    revision,
   };
   const isListed = change !== 'removed';
   node.dispatch({
     type: 'fleetChanged',
-    changes: [{vmId, revision: 20, ...(isListed ? {engine} : {})}],
-    revision: 20,
+    changes: [{vmId, revision, ...(isListed ? {engine} : {})}],
+    revision,
   });
 }
 
+function markLeaving({node, attempt}: ClosedBody): void {
+  changeEngine(node, attempt.vmId, 'leaving');
+}
+
 /** Leaves one engine in the store's list. */
 function removeOthers(node: ServingNodeHarness, kept: VmId): void {
   const changes = [...node.state.engines.keys()]
     .filter(vmId => vmId !== kept)
-    .map(vmId => ({vmId, revision: 20}));
-  node.dispatch({type: 'fleetChanged', changes, revision: 20});
+    .map(vmId => ({vmId, revision: 15}));
+  node.dispatch({type: 'fleetChanged', changes, revision: 15});
 }
 
 describe('a body that ends with its connection', () => {
-  it('is complete while another connection to the process is open, without a probe', () => {
-    const body = new ClosedBody('unsafe', {openConnections: 1});
+  it('is complete once another stream of its process makes progress, without a probe', () => {
+    let beside: StartAttempt | undefined;
+    const body = new ClosedBody('unsafe', {
+      openConnections: 1,
+      prepare: one => {
+        beside = one.sendBeside('streaming');
+      },
+    });
+    const {attemptId} = beside!;
+    body.node.advance(40);
+    assert.ok(body.isOpen);
+    body.node.dispatch({type: 'attemptProgress', attemptId, eventCount: 1});
+    body.node.advance(50);
     assert.ok(body.isFinished);
     assert.equal(body.node.takeEffects('probeEngine').length, 0);
   });
 
+  it('is not complete by the progress of a stream that is read late, or began later', () => {
+    for (const isDelayed of [true, false]) {
+      let beside: StartAttempt | undefined;
+      const prepare = (one: ClosedBody) => {
+        if (isDelayed) beside = one.sendBeside('streaming');
+      };
+      const options = {openConnections: 1, prepare};
+      const body = new ClosedBody('unsafe', options);
+      beside ??= body.sendBeside('streaming');
+      const {attemptId} = beside;
+      body.node.effects.splice(0);
+      body.node.advance(100);
+      body.node.dispatch({
+        type: 'attemptProgress',
+        attemptId,
+        eventCount: 1,
+        isDelayed,
+      });
+      body.node.advance(50);
+      assert.ok(body.isOpen);
+      body.probe('refused');
+      body.node.advance(DECISION_MS);
+      assert.equal(body.isFinished, false);
+    }
+  });
+
+  it('is not complete by an open connection alone: the end of that may be late', () => {
+    const body = new ClosedBody('unsafe', {openConnections: 1});
+    body.node.advance(100);
+    assert.equal(body.node.takeEffects('probeEngine').length, 1);
+    body.probe('refused');
+    body.node.advance(DECISION_MS);
+    assert.equal(body.isFinished, false);
+    assert.ok(body.isCut);
+  });
+
   for (const kind of ['streaming', 'safe', 'unsafe'] as const) {
     it(`is complete once its target answers, ${kind}`, () => {
       const body = new ClosedBody(kind);
@@ -155,12 +222,16 @@
       assert.equal(body.isOpen, false);
     });
 
-    it(`is complete if the target left, ${kind}`, () => {
+    it(`is complete if the target was leaving, and nothing else can take the request, ${kind}`, () => {
       for (const change of ['leaving', 'removed'] as const) {
-        const body = new ClosedBody(kind);
-        changeEngine(body.node, body.attempt.vmId, change);
+        const body = new ClosedBody(kind, {
+          prepare: ({node, attempt}) => {
+            removeOthers(node, attempt.vmId);
+            changeEngine(node, attempt.vmId, change);
+          },
+        });
         body.probe('refused');
-        body.node.advance(TOGETHER_MS);
+        body.node.advance(SILENCE_MS);
         assert.ok(body.isFinished, change);
         assert.equal(body.resumed, undefined);
       }
@@ -256,48 +327,179 @@
     assert.ok(body.isCut);
   });
 
-  it('is not complete if a leaving target cut another answer off at the same time', () => {
-    const body = new ClosedBody('unsafe');
-    const {vmId} = body.attempt;
-    const attempts = [0, 1, 2, 3].map(() => body.send('unsafe'));
-    const {attemptId} = attempts.find(attempt => attempt.vmId === vmId)!;
+  for (const kind of ['streaming', 'safe'] as const) {
+    it(`goes on elsewhere if a target that was leaving refuses connections, ${kind}`, () => {
+      const body = new ClosedBody(kind, {prepare: markLeaving});
+      body.probe('refused');
+      body.node.advance(TOGETHER_MS);
+      assert.ok(body.resumed);
+    });
+  }
+
+  it('is not complete if a leaving target cut a stream off at the same time', () => {
+    let beside: StartAttempt | undefined;
+    const body = new ClosedBody('unsafe', {
+      prepare: one => {
+        beside = one.sendBeside('streaming');
+        markLeaving(one);
+      },
+    });
+    const {attemptId} = beside!;
     body.node.dispatch({type: 'attemptFailed', attemptId, fault: 'broken'});
-    changeEngine(body.node, vmId, 'leaving');
-    body.node.effects.splice(0);
     body.probe('refused');
     body.node.advance(TOGETHER_MS);
     assert.equal(body.isFinished, false);
     assert.ok(body.isCut);
   });
 
-  it('goes on elsewhere if a leaving target closed several at the same time, and it may be resumed', () => {
-    const body = new ClosedBody('streaming');
-    const {vmId} = body.attempt;
-    for (let at = 0; at < 4; at++) {
-      const attempt = body.send('streaming');
-      if (attempt.vmId === vmId) body.close(attempt.attemptId);
-    }
-    changeEngine(body.node, vmId, 'leaving');
+  it('is complete if a leaving target resets a new connection at the same time', () => {
+    let beside: StartAttempt | undefined;
+    const body = new ClosedBody('unsafe', {
+      prepare: one => {
+        beside = one.sendBeside('unsafe');
+        markLeaving(one);
+      },
+    });
+    const {attemptId} = beside!;
+    body.node.dispatch({type: 'attemptFailed', attemptId, fault: 'broken'});
     body.node.effects.splice(0);
     body.probe('refused');
     body.node.advance(TOGETHER_MS);
-    assert.ok(body.resumed);
+    assert.ok(body.isFinished);
   });
 
-  it('is complete without a probe if a target that is leaving closes it alone', () => {
-    const body = new ClosedBody('streaming');
-    const {vmId} = body.attempt;
-    changeEngine(body.node, vmId, 'leaving');
+  // Rule ORDER: a leaving engine that was killed soon after it said so.
+  it('is not complete if the target has not been leaving for long enough to end by itself', () => {
+    for (const [leavingMs, isComplete] of [
+      [200, false],
+      [1900, true],
+    ] as const) {
+      const body = new ClosedBody('unsafe', {
+        drainMs: 2000,
+        prepare: one => {
+          const [record] = [...one.node.state.requests.values()];
+          Object.assign(record!, {deadlineAtMs: Infinity});
+          markLeaving(one);
+          one.node.advance(leavingMs);
+        },
+      });
+      body.probe('refused');
+      body.node.advance(DECISION_MS);
+      assert.equal(body.isFinished, isComplete);
+    }
+  });
+
+  it('is not complete because the entry of its target goes after the close', () => {
+    const body = new ClosedBody('unsafe');
+    body.probe('refused');
+    body.node.advance(300);
+    changeEngine(body.node, body.attempt.vmId, 'removed');
     body.node.advance(DECISION_MS);
-    body.node.effects.splice(0);
-    body.node.submitRequest('streaming');
-    const attempt = body.node.takeEffects('startAttempt')[0]!;
-    assert.notEqual(attempt.vmId, vmId);
-    changeEngine(body.node, attempt.vmId, 'leaving');
-    body.close(attempt.attemptId);
+    assert.equal(body.isFinished, false);
+    assert.ok(body.isCut);
+  });
+
+  it('is complete if its target was leaving, and starts again within the wait', () => {
+    const body = new ClosedBody('unsafe', {prepare: markLeaving});
+    changeEngine(body.node, body.attempt.vmId, 'restarted', 21);
     body.node.advance(TOGETHER_MS);
     assert.ok(body.isFinished);
+  });
+
+  it('is not complete by an answer that does not name the process, after a refusal or a restart', () => {
+    const refused = new ClosedBody('unsafe');
+    refused.probe('refused');
+    refused.node.advance(300);
+    refused.probe('answered');
+    assert.equal(refused.isFinished, false);
+    const restarted = new ClosedBody('unsafe');
+    changeEngine(restarted.node, restarted.attempt.vmId, 'restarted');
+    restarted.probe('answered');
+    assert.equal(restarted.isFinished, false);
+  });
+
+  it('is not complete by the answer to a probe that was sent before it closed', () => {
+    let beside: StartAttempt | undefined;
+    const body = new ClosedBody('unsafe', {
+      prepare: one => {
+        beside = one.sendBeside('unsafe');
+      },
+    });
+    body.node.takeEffects('probeEngine');
+    body.close(beside!.attemptId);
     assert.equal(body.node.takeEffects('probeEngine').length, 0);
+    body.probe('answered', 1);
+    const finished = body.node.takeEffects('finishAnswer');
+    assert.deepEqual(
+      finished.map(({attemptId}) => attemptId),
+      [body.attempt.attemptId],
+    );
+    body.node.advance(100);
+    assert.equal(body.node.takeEffects('probeEngine').length, 1);
+  });
+
+  it('is complete without another run if a peer reached its target since', () => {
+    const body = new ClosedBody('safe');
+    body.node.advance(150);
+    body.reportOfPeer(false, 10);
+    body.probe('refused');
+    assert.ok(body.isFinished);
+    assert.equal(body.resumed, undefined);
+  });
+
+  // Rule BUDGET: a request that crashes its engines has to be known by their losses.
+  it('is part of the report of the crash that ended it', () => {
+    const body = new ClosedBody('unsafe');
+    const [record] = [...body.node.state.requests.values()];
+    const {fingerprint} = record!.request;
+    const {vmId} = body.attempt;
+    for (let ms = 0; ms < 3000; ms += 50) {
+      for (const probe of body.node.takeEffects('probeEngine')) {
+        const outcome = probe.vmId === vmId ? 'refused' : 'answered';
+        body.node.dispatch({type: 'probeAnswered', vmId: probe.vmId, outcome});
+      }
+      body.node.advance(50);
+    }
+    assert.ok(body.node.state.lostEngines.has(vmId));
+    const runs = [...body.node.state.crashes.reports.values()].flatMap(
+      report => [...report.runs.keys()],
+    );
+    assert.ok(runs.includes(fingerprint));
+  });
+
+  // Whole answers of engines at their limit of connections took the path down.
+  it('takes a target that answers no probe neither for unreachable nor for lost', () => {
+    const body = new ClosedBody('unsafe');
+    const others = [0, 1, 2, 3].map(() => body.send('unsafe'));
+    for (const {attemptId} of others) body.close(attemptId);
+    for (let ms = 0; ms < DECISION_MS; ms += 50) {
+      for (const {vmId, isForClose} of body.node.takeEffects('probeEngine')) {
+        body.node.dispatch({
+          type: 'probeAnswered',
+          vmId,
+          outcome: 'silent',
+          isForClose,
+        });
+      }
+      body.node.advance(50);
+    }
+    for (const path of body.node.state.reachability.paths.values()) {
+      assert.equal(path.doubtedSinceMs, undefined);
+    }
+    assert.equal(body.node.state.lostEngines.size, 0);
+    assert.ok(body.isFinished);
+  });
+
+  it('requests no more probes of peers once its caller has left', () => {
+    const body = new ClosedBody('streaming', {
+      prepare: ({node, attempt}) => removeOthers(node, attempt.vmId),
+    });
+    const {requestId, vmId} = body.attempt;
+    body.reportOfPeer(true, 0);
+    body.probe('refused');
+    body.node.dispatch({type: 'callerGone', requestId});
+    body.node.advance(10_000);
+    assert.equal(body.node.state.steward.probeRequests.has(vmId), false);
   });
 
   it('is decided on at the deadline, and when the node exits', () => {
@@ -319,6 +521,20 @@
     }
   });
 
+  // An answer that had arrived in time was given up at its deadline.
+  it('is complete at the deadline also before other connections were counted', () => {
+    const node = new ServingNodeHarness().start();
+    node.submitRequest('unsafe');
+    const [{attemptId}] = node.takeEffects('startAttempt') as [StartAttempt];
+    const [record] = [...node.state.requests.values()];
+    node.nowMs = record!.deadlineAtMs - 1;
+    node.dispatch({type: 'attemptClosed', attemptId, aliveMs: 0});
+    node.nowMs += 1;
+    node.dispatch({type: 'tick'});
+    assert.equal(node.takeEffects('finishAnswer').length, 1);
+    assert.equal(node.takeEffects('refuse').length, 0);
+  });
+
   it('waits no longer when its caller leaves', () => {
     const body = new ClosedBody('streaming');
     const {requestId} = body.attempt;
@@ -344,13 +560,11 @@
       return node.takeEffects('startAttempt')[0]!;
     });
     for (const {attemptId} of attempts) {
-      node.dispatch({
-        type: 'attemptClosed',
-        attemptId,
-        status: 200,
-        sinceMs: SETTLE_MS,
-        openConnections: 0,
-      });
+      node.dispatch({type: 'attemptClosed', attemptId, aliveMs: 0});
+    }
+    node.nowMs += SETTLE_MS;
+    for (const {attemptId} of attempts) {
+      node.dispatch({type: 'closeSettled', attemptId, openConnections: 0});
     }
     const targets = new Set(attempts.map(({vmId}) => vmId));
     assert.equal(node.takeEffects('probeEngine').length, targets.size);
--- a/test/units/serving/closed_forwards.test.ts
+++ b/test/units/serving/closed_forwards.test.ts
@@ -8,8 +8,8 @@
 /** Long enough for the peer to count as stopped. */
 const SILENCE_MS = 1600;
 
-/** A node whose peer, of an earlier build, passed a stream on that ended with its connection. */
-function startClosed(): ServingNodeHarness {
+/** A node whose peer, of an earlier build and perhaps leaving, passed a stream on that ended with its connection. */
+function startClosed(isLeaving = false): ServingNodeHarness {
   const node = new ServingNodeHarness().start();
   node.dispatch({type: 'digestReceived', digest: node.createPeerDigest()});
   const path = resolvePath(node.state, makeId<ServiceName>('desk'));
@@ -17,12 +17,14 @@
   path.downSinceMs = node.nowMs;
   node.submitRequest('unsafe');
   const [forward] = node.takeEffects('startForward');
+  node.dispatch({
+    type: 'digestReceived',
+    digest: node.createPeerDigest({isLeaving}),
+  });
   node.dispatch({
     type: 'attemptClosed',
     attemptId: forward!.attemptId,
-    status: 200,
-    sinceMs: 30,
-    openConnections: 0,
+    aliveMs: 0,
   });
   node.effects.splice(0);
   return node;
@@ -45,6 +47,12 @@
     assert.equal(node.takeEffects('finishAnswer').length, 1);
   });
 
+  it('is complete if the node was leaving: it ends with its last request', () => {
+    const node = startClosed(true);
+    node.advance(50);
+    assert.equal(node.takeEffects('finishAnswer').length, 1);
+  });
+
   // Rule ORDER: a killed node closes its connections in an orderly way.
   it('is not complete if the node is silent', () => {
     const node = startClosed();
