Give a closed body's request up at its deadline if its answer could not be completed

Where completing the caller's response throws, the request stayed in the state for good: the deadline passed over bodies that had been decided on. Found in a second reading; the test fails without the change.

--- a/src/core/serving/closes/close_handlers.ts
+++ b/src/core/serving/closes/close_handlers.ts
@@ -66,12 +66,13 @@
     }
   },
 
-  /** Decides on a body at once, by the evidence so far: its request may not wait longer. Returns false if the request has no body to complete. */
+  /** Decides on a body at once, by the evidence so far: its request may not wait longer. Returns whether its response is being completed now. */
   settle(step: ServingStep, record: RequestRecord): boolean {
     const {attempt} = record;
     if (!attempt?.closed) return false;
     decideClosed(step, record, attempt, true);
-    return attempt.closed.proof !== undefined;
+    // A response that was to be completed earlier, and is still here, could not be.
+    return attempt.closed.finishedAtMs === step.nowMs;
   },
 };
 
--- a/src/core/serving/closes/finish_closed.ts
+++ b/src/core/serving/closes/finish_closed.ts
@@ -9,6 +9,7 @@
 ): void {
   if (!closed || closed.proof !== undefined) return;
   closed.proof = proof;
+  closed.finishedAtMs = step.nowMs;
   if (closed.isRefused) endPeerProbes(step.state, vmId);
   step.effects.push({type: 'finishAnswer', attemptId});
 }
--- a/src/core/serving/closes/types.ts
+++ b/src/core/serving/closes/types.ts
@@ -16,4 +16,6 @@
   isRefused: boolean;
   /** What showed that the body is complete; undefined until then. */
   proof?: string;
+  /** When that was decided. */
+  finishedAtMs?: number;
 }
--- a/test/units/serving/closed_bodies.test.ts
+++ b/test/units/serving/closed_bodies.test.ts
@@ -535,6 +535,16 @@
     assert.equal(node.takeEffects('refuse').length, 0);
   });
 
+  it('is given up at the deadline if it could not be completed', () => {
+    const body = new ClosedBody('unsafe');
+    body.probe('answered', 1);
+    assert.ok(body.isFinished);
+    const [record] = [...body.node.state.requests.values()];
+    body.node.nowMs = record!.deadlineAtMs;
+    body.node.dispatch({type: 'tick'});
+    assert.equal(body.node.state.requests.size, 0);
+  });
+
   it('waits no longer when its caller leaves', () => {
     const body = new ClosedBody('streaming');
     const {requestId} = body.attempt;
