Measure what endless bodies hold, not when V8 collects their garbage

Seen: "as the bodies of buffered responses" had 22,732,800 and 22,282,240 bytes more than before, with a bound of 20 MB, in one run of eight or so. Callers saw nothing.

Cause: the test compares the resident memory before with that after all is closed, when the node holds no body any more. What is left is garbage. Each byte of a body is allocated twice: Node's HTTP parser copies it out of the read buffer (seen: `chunk.buffer` is as long as the chunk). 3 or 4 responses are read up to the 4 MiB of RESPONSE_LIMITS, so that 25 to 33 MB are allocated, of which V8 had collected between nothing and two thirds by then (--trace-gc: none or one scavenge in between). Split, alone: 20 runs of the test's variants, resident 16.5 to 29.3 MiB, of it 6 to 22 MiB buffers and up to 8 MiB of young generation. With garbage collected in each turn of the event loop: 11.6 MiB of buffers at most at the peak (the total limit is 12 MiB), none at the end.

Ruled out: the engines and callers in the test's process (40 calls with no endless response: 1.2 to 2.6 MiB more); a budget that isn't kept (above).

Instead of the one look at the end the test now takes the peak over the whole run, after a collection in each turn, of resident and of reachable memory, whichever grows more, against the same bound of 20 MiB. The check of the answers' statuses comes after it, unchanged.

The resident memory with its garbage stays bounded by node_memory, in a process of its own.

--- a/test/units/platform_adapter/endless_bytes.test.ts
+++ b/test/units/platform_adapter/endless_bytes.test.ts
@@ -3,6 +3,7 @@
 import type {Socket} from 'node:net';
 import type {RawResponder} from '../../support/raw_engine.js';
 import {AdapterNode} from '../../support/adapter_node.js';
+import {HeldMemory} from '../../support/held_memory.js';
 import {RawEngine} from '../../support/raw_engine.js';
 import {fetchDocument} from '../../../src/serving/fetch_document.js';
 import {writeEndlessly} from '../../support/write_endlessly.js';
@@ -146,16 +147,16 @@
       completeResponse,
     ]);
     await adapter.call('safe');
-    const beforeBytes = process.memoryUsage().rss;
+    const memory = new HeldMemory();
     const answers = await Promise.all(
       Array.from({length: 40}, () => adapter.call('safe')),
     );
-    for (const {status} of answers) assert.ok(status === 200 || status === 502);
-    assert.ok(answers.some(({status}) => status === 200));
     await waitFor('closed connections', () => endlessResponse.areClosed);
-    const growthBytes = process.memoryUsage().rss - beforeBytes;
+    const growthBytes = memory.stop();
     assert.ok(growthBytes < MAX_RSS_GROWTH_BYTES, `${growthBytes} bytes more`);
     endlessResponse.assertBounded();
+    for (const {status} of answers) assert.ok(status === 200 || status === 502);
+    assert.ok(answers.some(({status}) => status === 200));
   });
 
   it('beyond the length of a response: the response is valid, and the connection is not reused', async () => {
