Keep bodies that arrive in tiny parts in as much memory as they have bytes

Callers saw: a node that ends in the midst of all its requests, when an engine, or a caller, sends a body in chunks of one byte.

Cause: the budgets of bodies count their bytes, but each part that Node's parser hands out is a buffer of its own, some 300 bytes and more besides what it holds (1 MiB of one-byte parts: 444,002,304 bytes). And a response's limit on raw bytes began anew at each part, so that an engine could keep the event loop busy with 25 MB of chunk heads for each answer.

What a response sends around the parts of a buffered body is limited to the 256 KB that hold for streams without progress: 50,000 parts of one byte, any number of parts of a hundred up to the 4 MiB that a body may have.

"a whole body in parts of one byte" shows that such a body still reaches the caller whole.

Not changed: src/callers/read_body.ts of the product's own node, which isn't deployed there, keeps each part.

--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -1,5 +1,6 @@
 export {isHeaderText} from './is_header_text.js';
 export {isRequestPath} from './is_request_path.js';
+export {BodyParts} from './body_parts.js';
 export {BodyEnd} from './body_end.js';
 export type {BodyEndKind} from './body_end_kind.js';
 export {ResponseSizeLimit} from './response_size_limit.js';
--- a/src/http/read_body.ts
+++ b/src/http/read_body.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage} from 'node:http';
+import {BodyParts} from './body_parts.js';
 
 /** 'broken': the connection closed or failed before the end of the body. 'no-memory': `reserve` returned false. */
 type BodyFault = 'too-large' | 'no-memory' | 'broken';
@@ -10,12 +11,12 @@
   reserve: (sizeBytes: number) => boolean = () => true,
 ): Promise<Buffer | BodyFault> {
   return new Promise(resolve => {
-    const chunks: Buffer[] = [];
+    const parts = new BodyParts();
     let sizeBytes = 0;
     let isDropped = false;
     const drop = (fault: BodyFault) => {
       isDropped = true;
-      chunks.length = 0;
+      parts.clear();
       resolve(fault);
     };
     message.on('data', (chunk: Buffer) => {
@@ -23,9 +24,9 @@
       sizeBytes += chunk.length;
       if (sizeBytes > limitBytes) drop('too-large');
       else if (!reserve(chunk.length)) drop('no-memory');
-      else chunks.push(chunk);
+      else parts.add(chunk);
     });
-    message.on('end', () => resolve(Buffer.concat(chunks)));
+    message.on('end', () => resolve(parts.join()));
     message.on('error', () => resolve('broken'));
     message.on('close', () => resolve('broken'));
   });
--- a/src/http/response_size_limit.ts
+++ b/src/http/response_size_limit.ts
@@ -31,6 +31,11 @@
     this.limitBytes = limitBytes;
   }
 
+  /** Subtracts bytes of the body, so that what is around them is limited. */
+  subtract(sizeBytes: number): void {
+    this.sizeBytes -= sizeBytes;
+  }
+
   /** Stops counting; happens by itself when the request closes. */
   close(): void {
     this.socket?.off('data', this.count);
--- a/src/serving/running_attempt.ts
+++ b/src/serving/running_attempt.ts
@@ -8,6 +8,7 @@
 import type {UpstreamFault} from './upstream_fault.js';
 import {
   BodyEnd,
+  BodyParts,
   ResponseSizeLimit,
   isHeaderText,
   splitAddress,
@@ -22,7 +23,7 @@
 const CONNECT_TIMEOUT_MS = 300;
 /** The largest response head that the HTTP parser accepts, and what may precede it. */
 const MAX_HEAD_BYTES = 64 * 1024;
-/** Bytes that a target may send without progress for the caller; room for several of the longest events. */
+/** Bytes that a target may send without progress for the caller, or around the parts of a buffered body; room for several of the longest events. */
 const MAX_BYTES_WITHOUT_PROGRESS = 256 * 1024;
 /** An event has a few hundred bytes; a hundred streams that each buffer this much of one fit into the memory of the smallest node. */
 const MAX_EVENT_BYTES = 128 * 1024;
@@ -233,7 +234,7 @@
   private forwardBuffered(response: IncomingMessage): void {
     const {call, upstream} = this;
     const status = response.statusCode ?? 0;
-    const chunks: Buffer[] = [];
+    const parts = new BodyParts();
     const buffer = this.options.bufferBudget.open();
     this.buffer = buffer;
     response.on('close', () => {
@@ -245,14 +246,14 @@
         this.failGarbled('answer too large');
         return;
       }
-      this.limit?.reset();
-      chunks.push(chunk);
+      this.limit?.subtract(chunk.length);
+      parts.add(chunk);
     });
     response.on('end', () => {
       if (this.isOver) return;
       this.endBody(() => {
         const headers = upstream.selectHeaders(response.headers);
-        const body = Buffer.concat(chunks);
+        const body = parts.join();
         if (
           call.isHeadSent ||
           (status >= MIN_SERVER_ERROR_STATUS && upstream.keepsErrors)
--- a/test/integration/node_memory.test.ts
+++ b/test/integration/node_memory.test.ts
@@ -5,6 +5,7 @@
 import {NodeProcess} from '../support/node_process.js';
 import {RawEngine} from '../support/raw_engine.js';
 import {callHttp} from '../support/call_http.js';
+import {sendRaw} from '../support/send_raw.js';
 import {withProbes} from '../support/with_probes.js';
 import {writeEndlessly} from '../support/write_endlessly.js';
 
@@ -15,6 +16,10 @@
 const KEY = 'secret-key';
 const CALLERS = 200;
 const SLOW_CALLERS = 20;
+const TINY_CALLERS = 12;
+const TINY_SENDERS = 3;
+/** Some 1.1 MB of body in parts of one byte. */
+const TINY_READS = 100;
 const BODY_BYTES = 4 * MIB;
 const BODIES = 60;
 
@@ -28,6 +33,8 @@
   Buffer.from('\r\n'),
 ]);
 
+const TINY = Buffer.from('1\r\nx\r\n'.repeat(READ_BYTES / 6));
+
 /** Bytes without end instead of an answer, in its head, or in its body. */
 const ENDLESS: readonly RawResponder[] = [
   socket => writeEndlessly(socket, filler),
@@ -46,6 +53,10 @@
     writeEndlessly(socket, chunked);
   },
 ];
+const tinyParts: RawResponder = (socket, request) => {
+  socket.write(`${headOf(request)}Transfer-Encoding: chunked\r\n\r\n`);
+  writeEndlessly(socket, TINY);
+};
 const answerOk: RawResponder = (socket, request) =>
   void socket.write(`${headOf(request)}Content-Length: 5\r\n\r\nhello`);
 
@@ -62,7 +73,7 @@
     store.close();
   });
 
-  async function startNode(): Promise<NodeProcess> {
+  async function startNode(faulty = ENDLESS): Promise<NodeProcess> {
     const address = await store.listen();
     const types = ['safe', 'unsafe', 'streaming'];
     store.put('op/config', {
@@ -96,7 +107,7 @@
       tenants: [{name: 'stable', 'api-keys': [KEY]}],
     });
     const all = [
-      ...ENDLESS.map(respond => ({service: 'faulty', respond})),
+      ...faulty.map(respond => ({service: 'faulty', respond})),
       {service: 'sound', respond: answerOk},
     ];
     for (const [at, {service, respond}] of all.entries()) {
@@ -161,6 +172,39 @@
     assertMemory();
   });
 
+  it('bounds the bodies that engines send in parts of one byte, while other requests are answered', async () => {
+    await startNode([tinyParts, tinyParts]);
+    const pending = Array.from({length: TINY_CALLERS}, () =>
+      call('faulty/safe').catch(() => undefined),
+    );
+    for (let at = 0; at < SLOW_CALLERS; at++) {
+      const answer = await call('sound/safe').catch(() => undefined);
+      if (!answer) assertMemory();
+      assert.equal(answer?.status, 200);
+    }
+    for (const answer of await Promise.all(pending)) {
+      assert.notEqual(answer?.whole && answer.status, 200);
+    }
+    assertMemory();
+  });
+
+  it('bounds the bodies of requests in parts of one byte', async () => {
+    await startNode();
+    const head =
+      'POST /sound/safe/x HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: tiny\r\n' +
+      `X-Deadline-Ms: 4000\r\nAuthorization: Bearer ${KEY}\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n`;
+    const answers = await Promise.all(
+      Array.from({length: TINY_SENDERS}, () =>
+        sendRaw(
+          node!.front,
+          `${head}${TINY.toString().repeat(TINY_READS)}0\r\n\r\n`,
+        ).catch(() => ''),
+      ),
+    );
+    assertMemory();
+    for (const answer of answers) assert.match(answer, /^HTTP\/1.1 200/);
+  });
+
   it('bounds the bodies of requests, and other requests are answered', async () => {
     await startNode();
     const body = 'x'.repeat(BODY_BYTES);
--- a/test/support/node_process.ts
+++ b/test/support/node_process.ts
@@ -63,7 +63,10 @@
   /** Largest resident memory of the process so far, in bytes. */
   readPeakMemoryBytes(): number {
     const status = readFileSync(`/proc/${this.process.pid}/status`, 'utf8');
-    return Number(/VmHWM:\s+(\d+) kB/.exec(status)![1]) * KIB;
+    const found = /VmHWM:\s+(\d+) kB/.exec(status);
+    if (!found)
+      throw new Error(`the node has ended: ${this.output.slice(-900)}`);
+    return Number(found[1]) * KIB;
   }
 
   async kill(): Promise<void> {
--- a/test/units/platform_adapter/endless_bytes.test.ts
+++ b/test/units/platform_adapter/endless_bytes.test.ts
@@ -159,6 +159,21 @@
     assert.ok(answers.some(({status}) => status === 200));
   });
 
+  it('not taken for such: a whole body in parts of one byte', async () => {
+    const body = Array.from({length: 20_000}, (_, at) => at % 10).join('');
+    adapter = await AdapterNode.start([
+      socket => {
+        const parts = [...body].map(chunk).join('');
+        socket.write(
+          `${SIGNED}Transfer-Encoding: chunked\r\n\r\n${parts}0\r\n\r\n`,
+        );
+      },
+    ]);
+    const answer = await adapter.call('safe');
+    assert.equal(answer.status, 200);
+    assert.equal(answer.body, body);
+  });
+
   it('beyond the length of a response: the response is valid, and the connection is not reused', async () => {
     const endlessResponse = new EndlessResponse(
       endless(`${SIGNED}Content-Length: 5\r\n\r\nhello`, fill(FILLER)),
