Prove no configuration of a store that may have been restored shortly before

Cause: proofs of the configuration wait 2.2 s after a change of the store's era, but a node's first era is no change. Its own first reading counted as proof. What peers know comes too late: the first digest arrived 1.4 s after that, since the registrations are gone with the copy (log of the new node); so a comparison of versions was ruled out. Whether an era is above zero tells nothing.

Now the steward marks an era in the store as settled (rhubarbstile/settled-era; one write per era), 2.2 s after it began, or at once on the first start of the system. A copy has at most the mark of an earlier era. A node that starts later reads the mark (one call) beside its other readings; a proof read meanwhile is held and counts once the mark is that of the present era. Without it, the node's own readings prove nothing for 2.2 s; a peer's proof of the same version counts as before. No format is changed: with an older build as steward there is no mark, and a node of this build waits for such a peer's proof or for the 2.2 s; an older node beside new ones still has the fault.

--- a/src/core/serving/effects.ts
+++ b/src/core/serving/effects.ts
@@ -100,6 +100,12 @@
   readonly type: 'relistEngines';
 }
 
+/** Marks an era in the store as settled. */
+interface MarkSettledEra {
+  readonly type: 'markSettledEra';
+  readonly era: number;
+}
+
 /** Sends a digest to several nodes. */
 interface SendDigest {
   readonly type: 'sendDigest';
@@ -146,6 +152,7 @@
   | ProbeEngine
   | SendDigest
   | RelistEngines
+  | MarkSettledEra
   | Log
   | Metric
   | Exit;
--- a/src/core/serving/events.ts
+++ b/src/core/serving/events.ts
@@ -113,6 +113,12 @@
   readonly era: number;
 }
 
+/** The era that is marked in the store as settled, as this node read it at its start. */
+interface SettledEraRead {
+  readonly type: 'settledEraRead';
+  readonly era: number;
+}
+
 /** The store is reachable again after `lostMs` without a response. */
 interface StoreRegained {
   readonly type: 'storeRegained';
@@ -214,6 +220,7 @@
   | PeersRegistered
   | StoreRegained
   | StoreEraRead
+  | SettledEraRead
   | DigestDue
   | DigestReceived
   | StewardLeaseHeld
--- a/src/core/serving/expire_state.ts
+++ b/src/core/serving/expire_state.ts
@@ -12,7 +12,7 @@
 import {crashDetection, expireCrashes} from './crashes/index.js';
 import {expireLimits} from './rate_limits/index.js';
 import {markTargetsStale} from './mark_targets_stale.js';
-import {relistAfterRestore} from './restore/index.js';
+import {markSettledEra, relistAfterRestore} from './restore/index.js';
 import {recordFleetSize} from './fleet_size/index.js';
 import {expireRetries} from './retries/index.js';
 import {refuseRequest} from './refuse_request.js';
@@ -62,6 +62,7 @@
   }
   if (hasExpiredLosses) markTargetsStale(state);
   relistAfterRestore(step);
+  markSettledEra(step);
   logAccessProofChange(step);
   applyDeferredRemovals(step);
   exitWhenDrained(step);
--- a/src/core/serving/reduce_serving.ts
+++ b/src/core/serving/reduce_serving.ts
@@ -24,7 +24,11 @@
 import {recordStoreContact} from './record_store_contact.js';
 import {planDigests} from './relays/plan_digests.js';
 import {isIdle} from './is_idle.js';
-import {isRestoring, applyStoreEra} from './restore/index.js';
+import {
+  applySettledEra,
+  applyStoreEra,
+  recordConfigProof,
+} from './restore/index.js';
 import {refreshTargets} from './refresh_targets.js';
 import {markTargetsStale} from './mark_targets_stale.js';
 import {reduceSteward} from '../steward/reduce_steward.js';
@@ -103,6 +107,9 @@
     case 'storeEraRead':
       applyStoreEra(step, event.era, 'the store');
       break;
+    case 'settledEraRead':
+      applySettledEra(state, event.era, nowMs);
+      break;
     case 'peersRegistered':
       updateRegisteredNodes(step, event.nodes);
       break;
@@ -155,12 +162,7 @@
 ): void {
   const {state} = step;
   const {config, provenAtMs} = event;
-  // A store restored from a backup may lack the operator's last writes, so its
-  // configuration isn't proof of the newest one until the restore is over.
-  if (!isRestoring(state, step.nowMs)) {
-    state.configReadAtMs = Math.max(state.configReadAtMs, provenAtMs);
-    state.configProvenAtMs = Math.max(state.configProvenAtMs, provenAtMs);
-  }
+  recordConfigProof(state, provenAtMs, step.nowMs);
   const version = state.config?.version ?? -1;
   if (!config || config.version <= version) return;
   state.config = config;
--- a/src/core/serving/restore/apply_store_era.ts
+++ b/src/core/serving/restore/apply_store_era.ts
@@ -21,6 +21,10 @@
   if (before !== undefined && era <= before) return;
   restore.era = era;
   if (before === undefined) {
+    const needsProof = state.bounds.accessProofMs !== undefined;
+    if (era > 0 && !state.isFirstStart && needsProof) {
+      restore.firstEraAtMs = nowMs;
+    }
     // A node that has just started cannot determine how long ago the store was restored.
     if (era > 0 && steward.hasTraffic) {
       steward.planningPausedUntilMs = nowMs + REREGISTRATION_MS;
@@ -28,6 +32,7 @@
     return;
   }
   restore.eraChangedAtMs = nowMs;
+  restore.heldProofAtMs = -Infinity;
   restore.isRelistPending = true;
   state.deferRemovalsUntilMs = nowMs + REREGISTRATION_MS;
   steward.planningPausedUntilMs = nowMs + REREGISTRATION_MS;
--- a/src/core/serving/restore/create_restore_state.ts
+++ b/src/core/serving/restore/create_restore_state.ts
@@ -2,5 +2,9 @@
 
 /** Creates the state of a node that does not know the store's era yet. */
 export function createRestoreState(): RestoreState {
-  return {eraChangedAtMs: -Infinity, isRelistPending: false};
+  return {
+    eraChangedAtMs: -Infinity,
+    heldProofAtMs: -Infinity,
+    isRelistPending: false,
+  };
 }
--- a/src/serving/create_serving_node.ts
+++ b/src/serving/create_serving_node.ts
@@ -23,6 +23,7 @@
 import {MetricsServer} from './metrics_server.js';
 import {NodeRegistry} from './node_registry.js';
 import {OrderClient} from './order_client.js';
+import {SettledEra} from './settled_era.js';
 import {SharedTimer} from './shared_timer.js';
 import {PeerExchange} from './peer_exchange.js';
 import {StatusServer} from './status_server.js';
@@ -131,11 +132,12 @@
   const configCache: ConfigCache = {version: -1};
   const documents = new DocumentServer(context, configCache);
   const steward = new StewardLease(context);
+  const settledEra = new SettledEra(context);
   const configWatch = watchConfig(context, configCache);
   const fleetWatch = watchFleet(context);
   const watches = [configWatch, fleetWatch];
   const peerSync = new PeerSync(context, configWatch, configCache);
-  for (const handler of [front, attempts, orders, peers])
+  for (const handler of [front, attempts, orders, peers, settledEra])
     events.addHandler(handler);
   events.addHandler(createTelemetryHandler(context));
   events.addHandler(createRelistHandler(context, fleetWatch));
@@ -149,6 +151,7 @@
     documents.listen(),
     metricsServer.listen(),
   ]);
+  settledEra.start();
   for (const watch of watches) watch.start();
   registry.start();
   peers.start();
@@ -161,7 +164,16 @@
     sharedTimer.close();
     events.stop();
     for (const watch of watches) watch.close();
-    const parts = [peerSync, registry, steward, peers, front, attempts, orders];
+    const parts = [
+      settledEra,
+      peerSync,
+      registry,
+      steward,
+      peers,
+      front,
+      attempts,
+      orders,
+    ];
     const servers = [status, directory, documents, metricsServer];
     await Promise.allSettled([...parts, ...servers].map(part => part.close()));
     await store.close();
--- a/test/support/adapter_node.ts
+++ b/test/support/adapter_node.ts
@@ -22,13 +22,15 @@
   readonly drainMs?: number;
   /** Addresses of engines that run as processes of their own. */
   readonly processes?: readonly string[];
+  /** A node that runs: this one starts later at its store and engines. */
+  readonly joined?: AdapterNode;
   /** The engines refuse connections, as behind a partition that resets them. */
   readonly isPartitioned?: boolean;
 }
 
 /** A serving node with the platform adapter, an in-memory stand-in of the store, and engines that respond with given bytes. */
 export class AdapterNode {
-  readonly store = new KvStandin();
+  store = new KvStandin();
   readonly engines: RawEngine[] = [];
   readonly logs: string[] = [];
   readonly engineAddresses: string[] = [];
@@ -143,10 +145,15 @@
       nodeId = 'edge-1',
       host = '127.0.0.1',
       peer,
+      joined,
       processes = [],
     } = options;
-    const storeAddress = await this.store.listen();
-    this.writeConfig(1);
+    if (joined) this.store = joined.store;
+    else {
+      await this.store.listen();
+      this.writeConfig(1);
+    }
+    const storeAddress = this.store.address;
     for (const [at, responder] of responders.entries()) {
       const engine = new RawEngine(responder);
       this.engines.push(engine);
@@ -158,8 +165,8 @@
     for (const [at, address] of processes.entries()) {
       this.putEngine(responders.length + at, address);
     }
-    this.store.put('servers/i-foreign', 'no JSON at all');
-    this.ports = options.peer?.ports ?? (await findUnusedPorts(7));
+    if (!joined) this.store.put('servers/i-foreign', 'no JSON at all');
+    this.ports = (joined ?? peer)?.ports ?? (await findUnusedPorts(7));
     const [front, ready, directory, peers, documents, metrics, forwards] =
       this.ports.map(port => `${host}:${port}`);
     this.peers = peers!;
@@ -189,7 +196,7 @@
           forwards: forwards!,
           metrics: this.metrics,
         },
-        isFirstStart: true,
+        isFirstStart: !joined,
         storeAddress,
         minLeaseMs: 1000,
         maxKeepMs: 5000,
@@ -205,7 +212,8 @@
     await waitFor(
       'targets',
       () =>
-        this.node.state.targets.size === responders.length + processes.length,
+        this.node.state.targets.size ===
+        (joined?.engines.length ?? responders.length + processes.length),
     );
   }
 }
--- a/test/units/platform_adapter/store_restore.test.ts
+++ b/test/units/platform_adapter/store_restore.test.ts
@@ -12,6 +12,10 @@
   'HTTP/1.1 200 OK\r\nX-Attempt-Id: attempt-1\r\nX-Response-Signature: signature\r\n';
 /** Time after a restore by which the operator and the engines have written their entries again. */
 const REWRITTEN_MS = 2200;
+/** When the operator has written its configuration again. */
+const OPERATOR_MS = 1000;
+/** A start with ample room for a loaded machine, well below the time that an unsettled era takes. */
+const SOUND_START_MS = 1000;
 
 const completeResponse: RawResponder = socket =>
   void socket.write(`${SIGNED}Content-Length: 5\r\n\r\nhello`);
@@ -154,6 +158,68 @@
     assert.ok(steward.planningPausedUntilMs > 0);
   });
 
+  it('lets no node that starts then accept a key that was taken away', async () => {
+    adapter = await AdapterNode.start([completeResponse]);
+    const {store, node} = adapter;
+    const backup = store.createBackup();
+    const tenants = [{name: 'stable', 'api-keys': ['other-key']}];
+    adapter.writeConfig(4, {tenants});
+    await waitFor('version 4', () => node.state.config?.version === 4);
+    store.restoreBackup(backup);
+    const late = await AdapterNode.start([], {
+      nodeId: 'edge-2',
+      host: '127.0.0.2',
+      joined: adapter,
+    });
+    try {
+      const restoredAtMs = Date.now();
+      const received = adapter.engines[0]!.requests.length;
+      while (Date.now() < restoredAtMs + OPERATOR_MS) {
+        await late.call('safe');
+        await sleep(50);
+      }
+      assert.equal(adapter.engines[0]!.requests.length, received);
+      adapter.writeConfig(4, {tenants});
+      await waitFor('version 4', () => late.node.state.config?.version === 4);
+      await waitFor(
+        'an answer',
+        async () =>
+          (await late.call('safe', {key: 'other-key'})).status === 200,
+      );
+      assert.equal((await late.call('safe')).status, 401);
+    } finally {
+      await late.close();
+    }
+  });
+
+  it('makes a node that starts wait only until its era is marked as settled', async () => {
+    adapter = await AdapterNode.start([completeResponse]);
+    const {store} = adapter;
+    const backup = store.createBackup();
+    store.restoreBackup(backup);
+    await waitFor('the mark of the new era', () =>
+      adapter.logs.some(line =>
+        line.includes('era marked as settled {"era":2}'),
+      ),
+    );
+    const startedAtMs = Date.now();
+    const late = await AdapterNode.start([], {
+      nodeId: 'edge-2',
+      host: '127.0.0.2',
+      joined: adapter,
+    });
+    try {
+      await waitFor(
+        'an answer',
+        async () => (await late.call('safe')).status === 200,
+      );
+      assert.ok(Date.now() - startedAtMs < SOUND_START_MS);
+      assert.equal(late.node.state.restore.settledEra, 2);
+    } finally {
+      await late.close();
+    }
+  });
+
   it('is read again after several restores in a row', async () => {
     adapter = await AdapterNode.start([completeResponse, completeResponse]);
     const {store} = adapter;
