--- a/src/core/fleet/is_engine_record.ts
+++ b/src/core/fleet/is_engine_record.ts
@@ -26,7 +26,6 @@
     isCount(record.sequence) &&
     isCount(record.revision) &&
     isTexts(record.models) &&
-    (record.lastModel === undefined || isText(record.lastModel)) &&
     isTexts(record.stagedModels) &&
     (record.membership === undefined || isMembership(record.membership))
   );
--- a/src/core/fleet/types.ts
+++ b/src/core/fleet/types.ts
@@ -35,8 +35,6 @@
   readonly bornAtMs: number;
   /** Models whose weights are in the engine's memory. */
   readonly models: readonly ModelName[];
-  /** Model of the last replica in this incarnation; only while the engine is in none and reports no models. */
-  readonly lastModel?: ModelName;
   /** Models whose weights are staged on the VM's host. */
   readonly stagedModels: readonly ModelName[];
   readonly membership?: Membership;
--- a/src/core/serving/apply_fleet.ts
+++ b/src/core/serving/apply_fleet.ts
@@ -2,7 +2,6 @@
 import type {ServingStep} from './types.js';
 import type {VmId} from '../ids/index.js';
 import {isStaleRestoredEntry} from './restore/index.js';
-import {keepLastModel} from '../fleet/index.js';
 import {logDecision} from './log_decision.js';
 import {markTargetsStale} from './mark_targets_stale.js';
 import {storeVersion} from '../store/index.js';
@@ -84,7 +83,7 @@
   const previous = state.engines.get(vmId);
   if (previous) state.revisionSum -= storeVersion.checksumOf(previous.revision);
   state.revisionSum += storeVersion.checksumOf(engine.revision);
-  state.engines.set(vmId, keepLastModel(engine, previous));
+  state.engines.set(vmId, engine);
   recordLeaving(step, engine);
   const lost = state.lostEngines.get(vmId);
   if (lost && lost.bornAtMs !== engine.bornAtMs) {
