Engines kept for a grace period without an entry; shares of models by measured use

Cause: engines cut off from the store took their replicas with them, and the configured shares of the work say nothing of the mix of requests now.

--- a/src/core/serving/apply_fleet.ts
+++ b/src/core/serving/apply_fleet.ts
@@ -1,5 +1,6 @@
 import type {EngineChange, EngineRecord} from '../fleet/types.js';
 import type {ServingStep} from './types.js';
+import {deferRemoval} from './defer_removal.js';
 import type {VmId} from '../ids/index.js';
 import {isStaleRestoredEntry} from './restore/index.js';
 import {logDecision} from './log_decision.js';
@@ -28,23 +29,15 @@
   const removed: VmId[] = [];
   let hasChanged = false;
   const isFromStore = change.revision !== undefined;
-  const defersRemovals = isFromStore && nowMs < state.deferRemovalsUntilMs;
   for (const engineChange of change.changes) {
-    if (
-      defersRemovals &&
-      !engineChange.engine &&
-      state.engines.has(engineChange.vmId)
-    ) {
-      state.deferredRemovals.set(engineChange.vmId, engineChange.revision);
-      continue;
-    }
+    const {vmId, revision, engine} = engineChange;
+    if (isFromStore && !engine && deferRemoval(step, vmId, revision)) continue;
     if (change.isFullList && isStaleRestoredEntry(step, engineChange)) continue;
     if (!applyChange(step, engineChange)) continue;
     hasChanged = true;
     if (!engineChange.engine) removed.push(engineChange.vmId);
   }
-  if (change.isFullList)
-    removed.push(...removeUnlisted(step, change, defersRemovals));
+  if (change.isFullList) removed.push(...removeUnlisted(step, change));
   if (change.revision !== undefined) {
     state.isFleetKnown = true;
     state.fleetRevision = Math.max(state.fleetRevision, change.revision);
@@ -80,6 +73,7 @@
   }
   state.departedEngines.delete(vmId);
   state.deferredRemovals.delete(vmId);
+  state.heartbeatAtMs.set(vmId, nowMs);
   const previous = state.engines.get(vmId);
   if (previous) state.revisionSum -= storeVersion.checksumOf(previous.revision);
   state.revisionSum += storeVersion.checksumOf(engine.revision);
@@ -104,22 +98,16 @@
 }
 
 /** Removes engines missing from a full list, unless they changed after the list's revision; returns their ids. */
-function removeUnlisted(
-  step: ServingStep,
-  change: FleetChange,
-  defersRemovals: boolean,
-): VmId[] {
+function removeUnlisted(step: ServingStep, change: FleetChange): VmId[] {
   const {state} = step;
+  const isFromStore = change.revision !== undefined;
   const listed = new Set<VmId>(change.changes.map(({vmId}) => vmId));
   const removed: VmId[] = [];
   for (const vmId of state.engines.keys()) {
     const changedAtRevision = state.engineRevisions.get(vmId) ?? 0;
     const revision = change.revision ?? 0;
     if (listed.has(vmId) || changedAtRevision > revision) continue;
-    if (defersRemovals) {
-      state.deferredRemovals.set(vmId, revision);
-      continue;
-    }
+    if (isFromStore && deferRemoval(step, vmId, revision)) continue;
     removeEngine(step, vmId);
     removed.push(vmId);
   }
@@ -141,5 +129,6 @@
   }
   state.engines.delete(vmId);
   state.deferredRemovals.delete(vmId);
+  state.heartbeatAtMs.delete(vmId);
   state.lostEngines.delete(vmId);
 }
--- a/src/core/serving/create_serving_state.ts
+++ b/src/core/serving/create_serving_state.ts
@@ -54,6 +54,7 @@
     fleetProvenAtMs: -Infinity,
     deferRemovalsUntilMs: -Infinity,
     deferredRemovals: new Map(),
+    heartbeatAtMs: new Map(),
     engineCount: 0,
     revisionSum: 0,
     engines: new Map(),
--- a/src/core/serving/expire_state.ts
+++ b/src/core/serving/expire_state.ts
@@ -1,3 +1,4 @@
+import type {EngineChange} from '../fleet/types.js';
 import type {ServingStep} from './types.js';
 import {LOST_ENGINE_TTL_MS} from './lost_engine_ttl_ms.js';
 import {EXIT_MARGIN_MS} from './exit_margin_ms.js';
@@ -73,13 +74,13 @@
 function applyDeferredRemovals(step: ServingStep): void {
   const {state, nowMs} = step;
   if (state.deferredRemovals.size === 0) return;
-  if (nowMs < state.deferRemovalsUntilMs) return;
-  const changes = [...state.deferredRemovals].map(([vmId, revision]) => ({
-    vmId,
-    revision,
-  }));
-  state.deferredRemovals.clear();
-  applyFleet(step, {changes, isFullList: false});
+  const changes: EngineChange[] = [];
+  for (const [vmId, {revision, untilMs}] of state.deferredRemovals) {
+    if (nowMs < untilMs) continue;
+    state.deferredRemovals.delete(vmId);
+    changes.push({vmId, revision});
+  }
+  if (changes.length > 0) applyFleet(step, {changes, isFullList: false});
 }
 
 /** Logs when API keys stop being accepted because the configuration proof is too old, and when they are accepted again. */
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -242,8 +242,10 @@
   fleetProvenAtMs: number;
   /** Until then engines that disappear from the store's list are kept. */
   deferRemovalsUntilMs: number;
-  /** Deferred removals: engine to the store revision at which its entry was missing. */
-  readonly deferredRemovals: Map<VmId, number>;
+  /** Deferred removals: engine to the store revision at which its entry was missing, and the end of the deferral. */
+  readonly deferredRemovals: Map<VmId, {revision: number; untilMs: number}>;
+  /** When this node learned of the last change of each listed engine's entry; engines renew their entries regularly. */
+  readonly heartbeatAtMs: Map<VmId, number>;
   engineCount: number;
   /** Checksum over the revisions of all engines, compared with the steward's to detect lost changes. */
   revisionSum: number;
--- a/src/core/steward/create_steward_state.ts
+++ b/src/core/steward/create_steward_state.ts
@@ -18,6 +18,9 @@
     reservedDomains: new Map(),
     weightLoadStartsMs: [],
     warmWaitSinceMs: new Map(),
+    workShares: new Map(),
+    sharesMeasuredAtMs: -Infinity,
+    reallocatedAtMs: -Infinity,
     hasTraffic,
   };
 }
--- a/src/core/steward/form_replicas.ts
+++ b/src/core/steward/form_replicas.ts
@@ -5,6 +5,7 @@
 import {countFreeLoadSlots} from './count_free_load_slots.js';
 import {rankWeightLocality} from './rank_weight_locality.js';
 import {isCold} from './is_cold.js';
+import {isHeartbeatOverdue} from './is_heartbeat_overdue.js';
 import {advanceReplica} from './advance_replica.js';
 import {logDecision} from '../serving/log_decision.js';
 import {nextEpoch} from './next_epoch.js';
@@ -173,17 +174,22 @@
   );
 }
 
-/** Sorts slow engines last, then by distance to the model's weights. */
+/** Sorts engines with an overdue heartbeat last, since a replica with one may not last, then slow engines, then by distance to the model's weights. */
 function compareFitness(
   step: ServingStep,
   a: EngineRecord,
   b: EngineRecord,
   model: ModelSpec,
 ): number {
-  const {slowEngines} = step.state.steward;
+  const {state, nowMs} = step;
+  const {slowEngines} = state.steward;
+  const isOverdue = ({vmId}: EngineRecord) =>
+    isHeartbeatOverdue(state, vmId, nowMs);
+  const overdueOrder = Number(isOverdue(a)) - Number(isOverdue(b));
   const slowOrder =
     Number(slowEngines.has(a.vmId)) - Number(slowEngines.has(b.vmId));
   return (
+    overdueOrder ||
     slowOrder ||
     rankWeightLocality(a, model.name) - rankWeightLocality(b, model.name) ||
     (a.vmId < b.vmId ? -1 : 1)
--- a/src/core/steward/is_reallocation_balanced.ts
+++ b/src/core/steward/is_reallocation_balanced.ts
@@ -1,6 +1,7 @@
 import type {ModelReallocation} from './types.js';
 import type {ModelSpec} from '../fleet/types.js';
 import type {ServingState} from '../serving/types.js';
+import {measureUse} from './measure_use.js';
 
 /** Share of slots in use from which a model counts as full: above it, requests are no longer spread evenly. */
 const FULL_SHARE = 0.8;
@@ -28,19 +29,3 @@
   if (isFull && donorLoadAfter < FULL_SHARE) return true;
   return to.inFlight / ((to.replicas + 1) * slotCount) >= donorLoadAfter;
 }
-
-/** Counts the open replicas of a model and the requests of all nodes there. Every replica has the same number of slots, whatever its model. */
-function measureUse(
-  {targets, targetLoads, peerLoads}: ServingState,
-  {name}: ModelSpec,
-): {readonly inFlight: number; readonly replicas: number} {
-  let inFlight = 0;
-  let replicas = 0;
-  for (const {vmId, engine, replica} of targets.values()) {
-    if (!replica || engine.models[0] !== name) continue;
-    replicas += 1;
-    inFlight += targetLoads.get(vmId)?.inFlight ?? 0;
-    inFlight += peerLoads.get(vmId)?.inFlight ?? 0;
-  }
-  return {inFlight, replicas};
-}
--- a/src/core/steward/plan_service.ts
+++ b/src/core/steward/plan_service.ts
@@ -7,6 +7,7 @@
 import {advanceReplica} from './advance_replica.js';
 import {formReplicas} from './form_replicas.js';
 import {listFreeEngines} from './list_free_engines.js';
+import {measureWorkShares} from './measure_work_shares.js';
 import {warmSpares} from './warm_spares.js';
 import {probeMembers} from './probe_members.js';
 import {probeSlow} from './probe_slow.js';
@@ -25,6 +26,7 @@
   const {state, nowMs} = step;
   const {steward} = state;
   expireWeightLoads(step);
+  measureWorkShares(step, service, costs);
   probeLeavingEngines(step, service);
   adoptReplicas(step, service);
   for (const track of [...steward.tracks.values()]) {
--- a/src/core/steward/rebalance_models.ts
+++ b/src/core/steward/rebalance_models.ts
@@ -17,6 +17,8 @@
 const IMBALANCE_MIN_MS = 3000;
 /** How long the freed engines stay reserved for the underprovisioned model: closing takes up to three seconds. */
 const RESERVATION_MS = 5000;
+/** Minimum time between two exchanges by measured shares: replicas of one domain at a time are missing while they close. */
+const MEASURED_INTERVAL_MS = 1500;
 
 /**
  * Closes replicas of the model with the most supply, one domain at a time,
@@ -42,10 +44,7 @@
   }
   steward.imbalancedSinceMs ??= nowMs;
   if (nowMs - steward.imbalancedSinceMs < IMBALANCE_MIN_MS) return;
-  const isInProgress = [...steward.reservedDomains.values()].some(
-    ({untilMs}) => nowMs < untilMs,
-  );
-  if (isInProgress) return;
+  if (nowMs - steward.reallocatedAtMs < resolveIntervalMs(step)) return;
   const tracks = [...steward.tracks.values()].filter(
     track => track.service === service,
   );
@@ -54,6 +53,7 @@
   for (const [domain, ofDomain] of groupByDomain(tracks)) {
     // Losses come in series: replicas of other domains that wait for a lost head must not block this one.
     if (ofDomain.some(({phase}) => phase !== 'open')) continue;
+    if (isReserved(step, domain)) continue;
     const reallocation = planReallocation(step, recipient, {
       domain,
       donor,
@@ -72,16 +72,30 @@
     prepareEngines(step, costs, recipient, best);
     return;
   }
-  steward.imbalancedSinceMs = undefined;
+  const isMeasured = steward.workShares.size > 0;
+  if (!isMeasured) steward.imbalancedSinceMs = undefined;
+  steward.reallocatedAtMs = nowMs;
+  const freed = best.replicasToClose.length * donor.size;
+  const spares = free.get(best.domain)?.length ?? 0;
   steward.reservedDomains.set(best.domain, {
     model: recipient.name,
     untilMs: nowMs + RESERVATION_MS,
+    replicaCount: isMeasured
+      ? Math.floor((freed + spares) / recipient.size)
+      : 0,
   });
   for (const track of best.replicasToClose) {
     setPhase(step, track, 'closing', `${recipient.name} has too few engines`);
   }
 }
 
+/** Minimum time between two exchanges. Measured shares show by how much one model lacks replicas, so the next one need not wait for the result of the last. */
+function resolveIntervalMs({state}: ServingStep): number {
+  return state.steward.workShares.size > 0
+    ? MEASURED_INTERVAL_MS
+    : RESERVATION_MS;
+}
+
 /** Stages the recipient's weights on the hosts of the cold engines, which keep serving meanwhile. */
 function prepareEngines(
   step: ServingStep,
@@ -97,6 +111,11 @@
   }
 }
 
+function isReserved({state, nowMs}: ServingStep, domain: string): boolean {
+  const reservation = state.steward.reservedDomains.get(domain);
+  return reservation !== undefined && nowMs < reservation.untilMs;
+}
+
 function groupByDomain(
   tracks: readonly ReplicaTrack[],
 ): Map<string, ReplicaTrack[]> {
--- a/src/core/steward/reduce_steward.ts
+++ b/src/core/steward/reduce_steward.ts
@@ -92,6 +92,8 @@
   steward.releasedReplicas.clear();
   steward.sentAtMs.clear();
   steward.weightLoadEndsMs.clear();
+  steward.workShares.clear();
+  steward.sharesMeasuredAtMs = -Infinity;
   steward.probeRequests.clear();
   logDecision(step, 'info', 'steward', 'steward term started', {
     term: steward.term,
--- a/src/core/steward/types.ts
+++ b/src/core/steward/types.ts
@@ -83,6 +83,14 @@
   unansweredCount: number;
 }
 
+/** Reservation of a domain's free engines for a model. */
+export interface DomainReservation {
+  readonly model: ModelName;
+  readonly untilMs: number;
+  /** Replicas that are expected to be formed from them. */
+  readonly replicaCount: number;
+}
+
 /** State of the steward role: the node that holds the steward's lease manages all replicas. */
 export interface StewardState {
   /** Rises with each holder of the lease, and above all terms found in engine records; undefined without the lease. */
@@ -115,11 +123,17 @@
   /** Expected end of each weight load in progress. */
   readonly weightLoadEndsMs: Map<VmId, number>;
   /** Domains whose free engines are reserved for a model. */
-  readonly reservedDomains: Map<string, {model: ModelName; untilMs: number}>;
+  readonly reservedDomains: Map<string, DomainReservation>;
   /** Start times of recent weight loads, for the rate limit of the weight store. */
   weightLoadStartsMs: number[];
   /** Start of each wait for warm engines, by `domain/model`, and of each wait for the one missing engine, by `domain/model/one-short`. */
   readonly warmWaitSinceMs: Map<string, number>;
+  /** Measured share of each model in the work; those of the configuration hold for models that are missing. */
+  readonly workShares: Map<ModelName, number>;
+  /** When the shares were last measured; -Infinity before. */
+  sharesMeasuredAtMs: number;
+  /** When a replica was last closed for another model; -Infinity for never. */
+  reallocatedAtMs: number;
   /** Since when one model has had much less supply than another; undefined while balanced. */
   imbalancedSinceMs?: number;
   /** Callers have sent requests: weight loads are slow and limited from then on. */
