--- a/src/core/serving/admit_request.ts
+++ b/src/core/serving/admit_request.ts
@@ -5,7 +5,7 @@
 import {canEndBeforeExit} from './can_end_before_exit.js';
 import {count} from './count.js';
 import {findCrashSuspect} from './crashes/index.js';
-import {estimateFirstSentAtMs} from './estimate_first_sent_at_ms.js';
+import {estimateFirstSentAtMs} from './caller_timeouts/index.js';
 import {isAccessProven} from './is_access_proven.js';
 import {hasStoppedAccepting} from './has_stopped_accepting.js';
 import {logDecision} from './log_decision.js';
--- a/src/core/serving/create_serving_state.ts
+++ b/src/core/serving/create_serving_state.ts
@@ -82,7 +82,7 @@
     peerLoads: new Map(),
     resumedAtMs: -Infinity,
     registeredPeerCount: 0,
-    longestTimeoutMsByRoute: new Map(),
+    callerTimeoutsByRoute: new Map(),
     longDurationMsByRoute: new Map(),
     requests: new Map(),
     requestsByAttempt: new Map(),
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -1,3 +1,4 @@
+import type {CallerTimeouts} from './caller_timeouts/types.js';
 import type {AnnouncementState} from './announcements/types.js';
 import type {ClosedBody} from './closes/types.js';
 import type {CrashState} from './crashes/types.js';
@@ -312,8 +313,8 @@
   resumedAtMs: number;
   /** Number of peers in the store's node registry. */
   registeredPeerCount: number;
-  /** Longest time-out that a caller sent, by route: a shorter one means that the caller retries and has used up the difference. */
-  readonly longestTimeoutMsByRoute: Map<string, number>;
+  /** Time-outs that callers sent lately, by route. */
+  readonly callerTimeoutsByRoute: Map<string, CallerTimeouts>;
   /** How long requests take at most, by route: a maximum that decays. */
   readonly longDurationMsByRoute: Map<string, number>;
   readonly requests: Map<RequestId, RequestRecord>;
