--- a/src/replay/serving/send_load.ts
+++ b/src/replay/serving/send_load.ts
@@ -38,6 +38,8 @@
   readonly requestsPerS: (atMs: number) => number;
   /** Shared parts of a request's prompt; none by default. */
   readonly sharedPartsOf?: (kind: string) => readonly PromptPartId[];
+  /** Time-out that a caller sends; that of the route by default. */
+  readonly timeoutMsOf?: (kind: string) => number;
 }
 
 /** Schedules a mix of streaming requests of different sizes, with Poisson arrivals. */
@@ -57,6 +59,7 @@
         kind: requestKind.kind,
         path: requestKind.path,
         model: requestKind.model,
+        callerTimeoutMs: shape.timeoutMsOf?.(requestKind.kind),
         sharedPartIds: shape.sharedPartsOf?.(requestKind.kind) ?? [],
         promptTokens: Math.round(requestKind.promptTokens * sizeFactor),
         events: Math.max(
--- a/src/replay/serving/simulated_callers.ts
+++ b/src/replay/serving/simulated_callers.ts
@@ -60,7 +60,7 @@
         host: 'host',
         path: request.path,
         apiKey: request.apiKey ?? 'key-0',
-        callerTimeoutMs: route.timeoutMs,
+        callerTimeoutMs: request.callerTimeoutMs ?? route.timeoutMs,
         model: request.model,
         promptTokens: request.promptTokens,
         sharedPartIds: request.sharedPartIds ?? [],
--- a/src/replay/serving/types.ts
+++ b/src/replay/serving/types.ts
@@ -118,6 +118,8 @@
   /** Number of events of the complete response. */
   readonly events: number;
   readonly apiKey?: string;
+  /** Time-out of the caller; that of the route by default. */
+  readonly callerTimeoutMs?: number;
 }
 
 /** State of a caller's request over all its attempts. */
