--- a/src/replay/serving/serving_world.ts
+++ b/src/replay/serving/serving_world.ts
@@ -71,6 +71,8 @@
   readonly coreCountOf?: (at: number) => number;
   /** Share of orders, 0 to 1, that time out and are executed seconds later. */
   readonly lateOrderShare?: number;
+  /** How long an engine serves after its entry was removed; none by default. */
+  readonly drainMs?: number;
 }
 
 /**
@@ -89,6 +91,7 @@
   readonly engines = new Map<VmId, ServingEngine>();
   readonly nodes: WorldNode[] = [];
   private readonly checks: InvariantChecks;
+  private readonly drainMs?: number;
   readonly logs: string[] = [];
   readonly network: SimulatedNetwork;
   /** Requests that nodes pass on for others. */
@@ -119,6 +122,7 @@
   constructor(options: WorldOptions) {
     this.random = createRandom(options.seed);
     this.zoneCount = options.zoneCount ?? ZONE_COUNT;
+    this.drainMs = options.drainMs;
     this.coreCountOf = options.coreCountOf ?? (() => 1);
     this.costs = this.config.services.get(SERVICE)!.engine!;
     this.checks = new InvariantChecks(this);
@@ -417,7 +421,7 @@
         coreCount: this.coreCountOf(at),
         isFirstStart: !this.hasTraffic,
       },
-      SERVING_BOUNDS,
+      {...SERVING_BOUNDS, drainMs: this.drainMs},
       this.random.nextInt(MAX_SEED),
     );
   }
