--- a/src/core/steward/rebalance_models.ts
+++ b/src/core/steward/rebalance_models.ts
@@ -19,6 +19,8 @@
 const RESERVATION_MS = 5000;
 /** Minimum time between two exchanges by measured shares: replicas of one domain at a time are missing while they close. */
 const MEASURED_INTERVAL_MS = 1500;
+/** Replicas that a model keeps when others are closed by measured shares: the loss of one then costs it a quarter of its slots at most. */
+const MIN_DONOR_REPLICAS = 4;
 
 /**
  * Closes replicas of the model with the most supply, one domain at a time,
@@ -48,6 +50,11 @@
   const tracks = [...steward.tracks.values()].filter(
     track => track.service === service,
   );
+  const isMeasured = steward.workShares.size > 0;
+  const donorCount = tracks.filter(
+    ({model, phase}) => model === donor.name && phase === 'open',
+  ).length;
+  const spareReplicas = isMeasured ? donorCount - MIN_DONOR_REPLICAS : Infinity;
   const free = listFreeEngines(state, service);
   const options: ModelReallocation[] = [];
   for (const [domain, ofDomain] of groupByDomain(tracks)) {
@@ -60,7 +67,9 @@
       candidates: ofDomain.filter(({model}) => model === donor.name),
       free: free.get(domain) ?? [],
     });
-    if (reallocation) options.push(reallocation);
+    if (!reallocation) continue;
+    if (reallocation.replicasToClose.length > spareReplicas) continue;
+    options.push(reallocation);
   }
   const best = options.sort(
     (a, b) => a.coldEngines.length - b.coldEngines.length,
@@ -72,7 +81,6 @@
     prepareEngines(step, costs, recipient, best);
     return;
   }
-  const isMeasured = steward.workShares.size > 0;
   if (!isMeasured) steward.imbalancedSinceMs = undefined;
   steward.reallocatedAtMs = nowMs;
   const freed = best.replicasToClose.length * donor.size;
