Evacuation of a zone: readings, digests, and targets of evacuated zones

Cause: the operator needs to take the engines of a zone out of service within 5 s of the store's acknowledgement, at every node in contact with the others, also where most nodes do not read the store.

Change: with evacuate-ms in the settings' bounds, the watch on op/config becomes one on op/, so that the same calls read op/evacuate/ZONE as well. The reading with the highest store version wins; digests of all scopes carry it in an optional field with the age of its proof, and a node whose proof is older than 2 s watches the store itself, as for the configuration. Engines of evacuated zones are no targets; a request whose pool has targets there only is refused at once as not run, to come back in 2 to 3 s. A node that does not know the evacuations has no targets and is not ready. While a restored store settles, zones are added only. Replicas with a head in such a zone are no supply for the steward, unless there are no others, and are not closed for another model.

--- a/src/core/serving/apply_digest.ts
+++ b/src/core/serving/apply_digest.ts
@@ -3,6 +3,7 @@
 import {acceptsDigest} from './relays/accepts_digest.js';
 import {addPeerLoads} from './add_peer_loads.js';
 import {applyCrashEvidence} from './crashes/index.js';
+import {applyEvacuationReport} from './evacuation/index.js';
 import {applyFleet} from './apply_fleet.js';
 import {logDecision} from './log_decision.js';
 import {applyLimitReports, recordPeerSends} from './rate_limits/index.js';
@@ -30,6 +31,12 @@
   const {state, nowMs} = step;
   if (received.from === state.nodeId) return;
   const link = recordDigestSender(step, received);
+  if (received.evacuation) {
+    // Its version may be of an era that this node has not learned of.
+    if (received.storeEra > 0)
+      applyStoreEra(step, received.storeEra, received.from);
+    applyEvacuationReport(step, received, link);
+  }
   if (!acceptsDigest(state, received)) return;
   const digest = subtractOwnLoads(state, received, nowMs);
   if (digest.storeEra > 0) applyStoreEra(step, digest.storeEra, digest.from);
--- a/src/core/serving/build_targets.ts
+++ b/src/core/serving/build_targets.ts
@@ -1,6 +1,7 @@
 import type {EngineRecord, ModelSpec, ReplicaView} from '../fleet/types.js';
 import type {ServingState, ServingTarget} from './types.js';
 import {buildReplicas, replicaKey} from '../fleet/index.js';
+import {isEvacuated, isEvacuationKnown} from './evacuation/index.js';
 import {isLeavingEngine} from './announcements/index.js';
 import {isLostEngine} from './is_lost_engine.js';
 import {poolOfTarget} from './pool_of_target.js';
@@ -10,10 +11,16 @@
   state.replicas = buildReplicas(state.engines.values());
   state.targetsByPool = new Map();
   state.targets = new Map();
+  const evacuatedPools = new Set<string>();
+  state.evacuation.evacuatedPools = evacuatedPools;
   for (const engine of state.engines.values()) {
     const target = resolveTarget(state, engine);
     if (!target) continue;
     const pool = poolOfTarget(target);
+    if (!isEvacuationKnown(state) || isEvacuated(state, engine.zone)) {
+      evacuatedPools.add(pool);
+      continue;
+    }
     const poolTargets = state.targetsByPool.get(pool);
     if (poolTargets) poolTargets.push(target);
     else state.targetsByPool.set(pool, [target]);
--- a/src/core/serving/create_digest.ts
+++ b/src/core/serving/create_digest.ts
@@ -1,6 +1,7 @@
 import type {DigestLoad, LoadDigest, ServingState} from './types.js';
 import type {VmId} from '../ids/index.js';
 import {listCrashEvidence} from './crashes/index.js';
+import {createEvacuationReport} from './evacuation/index.js';
 import {isSlow} from './is_slow.js';
 import {toAgeMs} from './to_age_ms.js';
 import {listLeavingReports} from './announcements/index.js';
@@ -90,6 +91,8 @@
       isSilent,
       ...(hasResponded && {ageMs: Math.round(nowMs - atMs)}),
     }));
+  const {readAtMs} = state.evacuation;
+  const evacuation = createEvacuationReport(state, readAtMs, nowMs);
   return {
     scope: 'node',
     nodeCount: 1,
@@ -123,5 +126,6 @@
     ...listCrashEvidence(state, hasNewPeer(state, nowMs), nowMs),
     lostEngines,
     leavingEngines: listLeavingReports(state, nowMs),
+    ...(evacuation && {evacuation}),
   };
 }
--- a/src/core/serving/create_serving_state.ts
+++ b/src/core/serving/create_serving_state.ts
@@ -2,6 +2,7 @@
 import type {ServingBounds, ServingState} from './types.js';
 import {createAnnouncementState} from './announcements/index.js';
 import {createCrashState} from './crashes/index.js';
+import {createEvacuationState} from './evacuation/index.js';
 import {createExchangeState} from './relays/create_exchange_state.js';
 import {createFleetSizeState} from './fleet_size/index.js';
 import {createForwardingState} from './forwarding/index.js';
@@ -44,6 +45,7 @@
     isFirstStart: options.isFirstStart ?? false,
     bounds,
     restore: createRestoreState(),
+    evacuation: createEvacuationState(bounds.evacuateMs !== undefined),
     random: createRandom(seed),
     idCounter: 0,
     incarnation: createRandom(seed).nextInt(MAX_INCARNATION),
--- a/src/core/serving/dispatch_waiting.ts
+++ b/src/core/serving/dispatch_waiting.ts
@@ -1,5 +1,6 @@
 import type {Placement, RequestRecord, ServingStep} from './types.js';
 import {resolvePoolBackoffMs} from './announcements/index.js';
+import {isPoolEvacuated} from './evacuation/index.js';
 import {forwardRequest} from './forwarding/index.js';
 import {findRetryDenial} from './find_retry_denial.js';
 import {isPathDown} from './reachability/index.js';
@@ -78,7 +79,11 @@
         ratePerS !== undefined ||
         isAwaitingSign(state, record);
       refuseRequest(step, record, {
-        reason: hasTarget ? 'overloaded' : 'no-target',
+        reason: isPoolEvacuated(state, pool)
+          ? 'evacuated'
+          : hasTarget
+            ? 'overloaded'
+            : 'no-target',
         retryAfterMs: retryAfterMs(step, record, placement),
       });
     }
@@ -127,7 +132,7 @@
   return findRetryDenial(step, record) === undefined;
 }
 
-/** Whether waiting is useless: every target was tried, or all targets refuse requests for longer than a retry takes. */
+/** Whether waiting is useless: every target was tried, all targets refuse requests for longer than a retry takes, or all are in evacuated zones. */
 function isWaitUseless(
   {state, nowMs}: ServingStep,
   record: RequestRecord,
@@ -143,6 +148,7 @@
     );
   }
   if (record.triedTargets.size > 0) return true;
+  if (isPoolEvacuated(state, record.pool)) return true;
   const backoffMs = resolvePoolBackoffMs(state, record.pool, nowMs) ?? 0;
   return backoffMs > MAX_BACKOFF_WAIT_MS;
 }
--- a/src/core/serving/effects.ts
+++ b/src/core/serving/effects.ts
@@ -9,6 +9,7 @@
   | 'unknown-route'
   | 'unknown-key'
   | 'no-target'
+  | 'evacuated'
   | 'unreachable'
   | 'overloaded'
   | 'crash-suspect'
--- /dev/null
+++ b/src/core/serving/evacuation/index.ts
@@ -0,0 +1,11 @@
+export {createEvacuationState} from './create_evacuation_state.js';
+export {createEvacuationReport} from './create_evacuation_report.js';
+export {applyEvacuationReading} from './apply_evacuation_reading.js';
+export {applyEvacuationReport} from './apply_evacuation_report.js';
+export {expireEvacuations} from './expire_evacuations.js';
+export {isEvacuated} from './is_evacuated.js';
+export {isEvacuationKnown} from './is_evacuation_known.js';
+export {isEvacuationStale} from './is_evacuation_stale.js';
+export {isPoolEvacuated} from './is_pool_evacuated.js';
+export {returnedAtMs} from './returned_at_ms.js';
+export type * from './types.js';
--- a/src/core/serving/events.ts
+++ b/src/core/serving/events.ts
@@ -1,5 +1,5 @@
 import type {AccessConfig} from '../access/types.js';
-import type {AttemptId, RequestId, VmId} from '../ids/index.js';
+import type {AttemptId, RequestId, VmId, ZoneId} from '../ids/index.js';
 import type {RefusalReason} from './effects.js';
 import type {EngineOrder} from '../steward/types.js';
 import type {EngineChange} from '../fleet/types.js';
@@ -83,6 +83,14 @@
   readonly provenAtMs: number;
 }
 
+/** The zones that the store listed as evacuated, and when it is known to have held no newer list. */
+interface EvacuationRead {
+  readonly type: 'evacuationRead';
+  readonly storeVersion: number;
+  readonly zones: readonly ZoneId[];
+  readonly provenAtMs: number;
+}
+
 /** The full list of registered engines at a store revision. */
 interface FleetListed {
   readonly type: 'fleetListed';
@@ -223,6 +231,7 @@
   | AttemptFailed
   | AttemptUnsent
   | ConfigRead
+  | EvacuationRead
   | FleetListed
   | FleetChanged
   | FleetProven
--- a/src/core/serving/forwarding/forward_handlers.ts
+++ b/src/core/serving/forwarding/forward_handlers.ts
@@ -18,6 +18,7 @@
 const FLEET_REFUSALS: readonly RefusalReason[] = [
   'overloaded',
   'no-target',
+  'evacuated',
   'crash-suspect',
 ];
 
--- a/src/core/serving/peers/types.ts
+++ b/src/core/serving/peers/types.ts
@@ -1,4 +1,5 @@
 import type {EngineChange} from '../../fleet/types.js';
+import type {EvacuationReport} from '../evacuation/types.js';
 import type {LeavingReport} from '../announcements/types.js';
 import type {NodeId, ServiceName, VmId, ZoneId} from '../../ids/index.js';
 import type {LimitReport} from '../rate_limits/types.js';
@@ -129,6 +130,8 @@
   readonly survivals: readonly SurvivalEntry[];
   /** Engines that announced that they are leaving, to the sender or to its peers. */
   readonly leavingEngines: readonly LeavingReport[];
+  /** Evacuated zones; undefined while the sender does not know them, and in digests of earlier builds. */
+  readonly evacuation?: EvacuationReport;
   /** Engines found to be lost before their store entries expired. */
   readonly lostEngines: readonly {
     readonly vmId: VmId;
--- a/src/core/serving/reduce_serving.ts
+++ b/src/core/serving/reduce_serving.ts
@@ -13,6 +13,7 @@
 import {applyAnnouncement} from './announcements/index.js';
 import {attemptHandlers} from './attempt_handlers.js';
 import {closeHandlers} from './closes/index.js';
+import {applyEvacuationReading} from './evacuation/index.js';
 import {crashDetection, refreshSuspects} from './crashes/index.js';
 import {
   checkEnds,
@@ -91,6 +92,10 @@
     case 'configRead':
       applyConfig(step, event);
       break;
+    case 'evacuationRead':
+      applyEvacuationReading(step, event);
+      dispatchAll(step);
+      break;
     case 'fleetListed':
       recordStoreContact(step, event.provenAtMs ?? nowMs);
       applyFleet(step, {
--- a/src/core/serving/refuse_request.ts
+++ b/src/core/serving/refuse_request.ts
@@ -44,6 +44,9 @@
     configVersion: step.state.config?.version,
   });
   count(step, 'requests', 1, {service: record.service, verdict});
+  if (reason === 'evacuated') {
+    count(step, 'evacuatedRefusals', 1, {service: record.service});
+  }
   if (record.hasPartialResponse) {
     step.effects.push({type: 'cutAnswer', requestId: request.requestId});
   } else {
--- a/src/core/serving/relays/create_summary.ts
+++ b/src/core/serving/relays/create_summary.ts
@@ -7,6 +7,7 @@
 } from '../types.js';
 import {toAgeMs} from '../to_age_ms.js';
 import {createDigest} from '../create_digest.js';
+import {createEvacuationReport} from '../evacuation/index.js';
 import {findSteward} from '../find_steward.js';
 import {listPeerNodes} from './list_peer_nodes.js';
 import {listRecentChanges} from '../list_recent_changes.js';
@@ -48,6 +49,8 @@
   const peerRequests = views
     .filter(({digest}) => digest.scope !== 'fleet')
     .flatMap(({digest}) => digest.probeRequests);
+  const {provenAtMs} = state.evacuation;
+  const evacuation = createEvacuationReport(state, provenAtMs, nowMs);
   const nodeCount = views.reduce((sum, one) => sum + one.digest.nodeCount, 1);
   return {
     ...own,
@@ -65,6 +68,7 @@
     probeReports: [...own.probeReports, ...peerReports].slice(
       -MAX_PROBE_REPORTS,
     ),
+    ...(evacuation && {evacuation}),
     roster: hasRoster ? createRoster(state, own, scope, nowMs) : [],
   };
 }
--- a/src/core/serving/retry_after_ms.ts
+++ b/src/core/serving/retry_after_ms.ts
@@ -1,4 +1,5 @@
 import {resolvePoolBackoffMs} from './announcements/index.js';
+import {isPoolEvacuated} from './evacuation/index.js';
 import type {Placement, RequestRecord, ServingStep} from './types.js';
 
 /** Usual time to replace a lost replica with a warm spare. */
@@ -9,7 +10,7 @@
 /** Random share added to the value, so that callers don't all retry at the same moment. */
 const JITTER_SHARE = 0.5;
 
-/** Retry-After of a refused request, in ms: the estimated time until a target has capacity for it. */
+/** Retry-After of a refused request, in ms: the estimated time until a target has capacity for it. An evacuation lasts until the operator ends it, so its refusals carry the longest time. */
 export function retryAfterMs(
   step: ServingStep,
   record: RequestRecord,
@@ -21,6 +22,9 @@
   if (backoffMs !== undefined) {
     return Math.round(Math.max(MIN_RETRY_MS, backoffMs * jitter));
   }
+  if (isPoolEvacuated(state, record.pool)) {
+    return Math.round(MAX_RETRY_MS * jitter);
+  }
   const waiting = state.waitingByPool.get(record.pool)?.length ?? 0;
   const targets = state.targetsByPool.get(record.pool)?.length ?? 0;
   const base = placement
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -1,6 +1,7 @@
 import type {AnnouncementState} from './announcements/types.js';
 import type {ClosedBody} from './closes/types.js';
 import type {CrashState} from './crashes/types.js';
+import type {EvacuationState} from './evacuation/types.js';
 import type {FleetSizeState} from './fleet_size/types.js';
 import type {ExchangeState, PeerView, PeerLoad} from './peers/types.js';
 import type {AccessConfig, Route} from '../access/types.js';
@@ -202,6 +203,8 @@
   readonly loadWindowMs: number;
   /** How long the store keeps an engine's entry after its last heartbeat. */
   readonly listingMs: number;
+  /** Time within which an evacuated zone gets no more requests; undefined: zones can't be evacuated. */
+  readonly evacuateMs?: number;
 }
 
 /** Key of a digest by what it covers: a node's id, `zone/` and a zone's name, or `fleet` for all nodes. */
@@ -224,6 +227,8 @@
   readonly bounds: ServingBounds;
   /** Tracks restores of the store from a backup. */
   readonly restore: RestoreState;
+  /** Zones that the operator has evacuated. */
+  readonly evacuation: EvacuationState;
   readonly random: Random;
   /** Makes the ids of attempts unique. */
   idCounter: number;
--- a/src/core/steward/rebalance_models.ts
+++ b/src/core/steward/rebalance_models.ts
@@ -3,6 +3,7 @@
 import type {ServiceName} from '../ids/index.js';
 import type {ServingStep} from '../serving/types.js';
 import {countFreeLoadSlots} from './count_free_load_slots.js';
+import {isEvacuatedTrack} from './is_evacuated_track.js';
 import {sendOrder} from './send_order.js';
 import {planReallocation} from './plan_reallocation.js';
 import {recordWeightLoad} from './record_weight_load.js';
@@ -46,8 +47,9 @@
     ({untilMs}) => nowMs < untilMs,
   );
   if (isInProgress) return;
+  // Replicas in evacuated zones stay as they are: closing one frees no engine that gets requests.
   const tracks = [...steward.tracks.values()].filter(
-    track => track.service === service,
+    track => track.service === service && !isEvacuatedTrack(state, track),
   );
   const free = listFreeEngines(state, service);
   const options: ModelReallocation[] = [];
--- a/src/metrics/metric_definitions.ts
+++ b/src/metrics/metric_definitions.ts
@@ -139,6 +139,21 @@
     help: 'Repeats of the last seconds at this node, the number that its part of the shared budget allows, and the number of nodes that share it, by service.',
     labels: ['service', 'of'],
   },
+  zoneEvacuations: {
+    kind: 'counter',
+    help: 'Zones that this node learned to be evacuated or returned to service, by change.',
+    labels: ['change'],
+  },
+  evacuatedRefusals: {
+    kind: 'counter',
+    help: 'Requests refused since all targets are in evacuated zones, by service.',
+    labels: ['service'],
+  },
+  evacuatedZones: {
+    kind: 'gauge',
+    help: 'Zones that are evacuated as this node knows, by zone.',
+    labels: ['zone'],
+  },
   unlisted: {
     kind: 'counter',
     help: 'Measurements that have no definition, by name.',
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -132,6 +132,10 @@
 /** Keys under which the store holds the platform's data, and the parsers of their values. */
 export interface PlatformSources {
   readonly configKey: string;
+  /** Prefix of all that the operator writes: the configuration and the evacuations. */
+  readonly operatorPrefix: string;
+  /** Returns the zone that a key evacuates; undefined for other keys. */
+  parseEvacuatedZone(key: string): ZoneId | undefined;
   /** Returns an error message for invalid text. */
   readConfig(text: string): AccessConfig | string;
   readonly enginesPrefix: string;
--- a/src/serving/update_gauges.ts
+++ b/src/serving/update_gauges.ts
@@ -19,7 +19,15 @@
   for (const [pool, waiting] of state.waitingByPool) {
     metrics.count('waitingRequests', waiting.length, {pool});
   }
+  const {zones, keptZones, provenAtMs, storeVersion} = state.evacuation;
+  for (const zone of new Set([...zones, ...keptZones])) {
+    metrics.count('evacuatedZones', 1, {zone});
+  }
+  if (storeVersion !== undefined) {
+    metrics.count('beliefVersion', storeVersion, {belief: 'evacuations'});
+  }
   const ages = {
+    evacuations: nowMs - provenAtMs,
     'configuration-proof': nowMs - state.configProvenAtMs,
     'configuration-read': nowMs - state.configReadAtMs,
     engines: nowMs - state.fleetProvenAtMs,
