Evacuation of a zone under load and one failure at a time, in virtual time

Change: the simulated fleet can place engines of a domain in a zone, has store entries of evacuations that nodes read as their watch does, and can rewrite digests to stand for nodes of an earlier build.

--- a/src/replay/serving/serving_world.ts
+++ b/src/replay/serving/serving_world.ts
@@ -17,6 +17,7 @@
 import type {EngineChange, EngineCosts} from '../../core/fleet/types.js';
 import type {Random} from '../../core/random/index.js';
 import type {
+  ServingBounds,
   ServingEffect,
   ServingEvent,
   ServingRequest,
@@ -27,6 +28,7 @@
 import {createServingConfig} from './create_serving_config.js';
 import {InvariantChecks} from './invariant_checks.js';
 import {SimulatedCallers} from './simulated_callers.js';
+import {SimulatedEvacuations} from './simulated_evacuations.js';
 import {SimulatedPeerExchange} from './simulated_peer_exchange.js';
 import {SimulatedEngineRegistry} from './simulated_engine_registry.js';
 import {SimulatedForwards} from './simulated_forwards.js';
@@ -71,6 +73,10 @@
   readonly coreCountOf?: (at: number) => number;
   /** Share of orders, 0 to 1, that time out and are executed seconds later. */
   readonly lateOrderShare?: number;
+  /** Zone of the engines of a domain; one zone for all by default. */
+  readonly zoneOfDomain?: (domain: string) => string;
+  /** Bounds that differ from those of a typical deployment. */
+  readonly bounds?: Partial<ServingBounds>;
 }
 
 /**
@@ -111,7 +117,10 @@
     after: (delayMs, run) => this.after(delayMs, run),
     dispatch: (node, event) => this.dispatch(node, event),
   });
+  readonly evacuations: SimulatedEvacuations;
   private readonly zoneCount: number;
+  private readonly zoneOfDomain: (domain: string) => string;
+  private readonly bounds: ServingBounds;
   private readonly coreCountOf: (at: number) => number;
   private electionCount = 0;
   private steward?: WorldNode;
@@ -119,6 +128,8 @@
   constructor(options: WorldOptions) {
     this.random = createRandom(options.seed);
     this.zoneCount = options.zoneCount ?? ZONE_COUNT;
+    this.zoneOfDomain = options.zoneOfDomain ?? (() => 'zone');
+    this.bounds = {...SERVING_BOUNDS, ...options.bounds};
     this.coreCountOf = options.coreCountOf ?? (() => 1);
     this.costs = this.config.services.get(SERVICE)!.engine!;
     this.checks = new InvariantChecks(this);
@@ -152,6 +163,12 @@
       this.startTimers(node, at / this.nodes.length);
     }
     this.electSteward();
+    this.evacuations = new SimulatedEvacuations({
+      nodes: this.nodes,
+      nowMs: () => this.nowMs,
+      after: (delayMs, run) => this.after(delayMs, run),
+      dispatch: (node, event) => this.dispatch(node, event),
+    });
   }
 
   /** Adds a node that starts now, and registers it. */
@@ -186,7 +203,7 @@
         vmId,
         service: SERVICE,
         address: `10.0.0.1:${this.engines.size + 1000}`,
-        zone: makeId<ZoneId>('zone'),
+        zone: makeId<ZoneId>(this.zoneOfDomain(domain)),
         domain: makeId<DomainId>(domain),
         slotCount: this.costs.slotCount,
         isLeaving: false,
@@ -417,7 +434,7 @@
         coreCount: this.coreCountOf(at),
         isFirstStart: !this.hasTraffic,
       },
-      SERVING_BOUNDS,
+      this.bounds,
       this.random.nextInt(MAX_SEED),
     );
   }
--- a/src/replay/serving/simulated_peer_exchange.ts
+++ b/src/replay/serving/simulated_peer_exchange.ts
@@ -1,4 +1,5 @@
 import type {
+  LoadDigest,
   RegisteredNode,
   ServingEffect,
   ServingEvent,
@@ -22,6 +23,8 @@
   rowCount = 0;
   /** Whether digests reach one node from another, by their peer addresses; tests replace it to simulate partitions. */
   isConnected: (from: string, to: string) => boolean = () => true;
+  /** Changes a digest on its way; tests replace it, to simulate nodes of other builds. */
+  rewrite: (digest: LoadDigest) => LoadDigest = digest => digest;
   private readonly nodes = new Map<string, WorldNode>();
 
   constructor(private readonly options: ExchangeOptions) {}
@@ -48,7 +51,9 @@
       const peer = this.nodes.get(address);
       if (!peer || !this.isConnected(digest.peerAddress, address)) continue;
       const sentDigest =
-        countedSentAtMs === undefined ? digest : {...digest, countedSentAtMs};
+        countedSentAtMs === undefined
+          ? this.rewrite(digest)
+          : {...this.rewrite(digest), countedSentAtMs};
       this.digestCount += 1;
       this.rowCount += digest.loads.length + digest.changes.length;
       after(NETWORK_LATENCY_MS, () =>
