--- a/test/support/adapter_node.ts
+++ b/test/support/adapter_node.ts
@@ -30,6 +30,10 @@
   readonly timeoutMs?: number;
   /** How long engines serve at least after they have reported that they leave. */
   readonly drainMs?: number;
+  /** Time within which an evacuated zone gets no more requests; none by default. */
+  readonly evacuateMs?: number;
+  /** Number of targets that the node has at its start; that of the engines by default. */
+  readonly targetCount?: number;
   /** Addresses of engines that run as processes of their own. */
   readonly processes?: readonly string[];
   /** A node that runs: this one starts later at its store and engines. */
@@ -217,7 +221,11 @@
         storeAddress,
         minLeaseMs: 1000,
         maxKeepMs: 5000,
-        bounds: {...SERVING_BOUNDS, drainMs: options.drainMs ?? 0},
+        bounds: {
+          ...SERVING_BOUNDS,
+          drainMs: options.drainMs ?? 0,
+          evacuateMs: options.evacuateMs,
+        },
       },
       wire: WIRE,
       store: new KvPlatformStore(storeAddress),
@@ -230,7 +238,9 @@
       'targets',
       () =>
         this.node.state.targets.size ===
-        (joined?.engines.length ?? responders.length + processes.length),
+        (options.targetCount ??
+          joined?.engines.length ??
+          responders.length + processes.length),
     );
   }
 }
--- a/test/support/kv_standin.ts
+++ b/test/support/kv_standin.ts
@@ -40,6 +40,8 @@
   /** Whether POST calls take effect without a response. */
   isDroppingResponses = false;
   callCount = 0;
+  /** Number of watch calls by prefix. */
+  readonly watchCounts = new Map<string, number>();
   /** Increases with each restore from a backup. */
   era = 1;
   private readonly items = new Map<string, Item>();
@@ -195,6 +197,7 @@
     parameters: URLSearchParams,
   ): Promise<{status: number; body: unknown}> {
     const after = Number(parameters.get('after'));
+    this.watchCounts.set(prefix, (this.watchCounts.get(prefix) ?? 0) + 1);
     const waitMs = Number(parameters.get('wait-ms'));
     const find = () =>
       this.changes.filter(
--- a/test/units/serving/evacuation_load.test.ts
+++ b/test/units/serving/evacuation_load.test.ts
@@ -121,6 +121,24 @@
     assert.ok(late.every(({refusalCount}) => refusalCount > 0));
   });
 
+  it('sends no stream beside a silent one to the zone', () => {
+    const world = createWorld();
+    const atMs = evacuate(world, 'zone-1');
+    const heads = [...world.engines].filter(
+      ([, {isServing, record}]) => isServing && record.zone !== 'zone-2',
+    );
+    world.pauseEngines(
+      heads.map(([vmId]) => vmId),
+      1500,
+    );
+    world.runFor(LOAD_MS);
+    const moves = world.logs.filter(line =>
+      line.includes('stream sent beside a silent target'),
+    );
+    assert.ok(moves.length > 0);
+    assert.equal(countArrivals(world, 'zone-1', atMs + 1000), 0);
+  });
+
   it('stays in force while the store is down, also at a node that starts meanwhile', () => {
     const world = createWorld();
     const atMs = evacuate(world, 'zone-1');
