--- a/test/units/serving/lapsed_entries.test.ts
+++ b/test/units/serving/lapsed_entries.test.ts
@@ -21,7 +21,7 @@
     nodeCount: 6,
     domainCount: 6,
     domainSize: 11,
-    drainMs,
+    bounds: {drainMs},
   });
   world.runFor(ASSEMBLY_MS);
   const startMs = world.nowMs;
@@ -62,7 +62,7 @@
       nodeCount: 6,
       domainCount: 3,
       domainSize: 11,
-      drainMs: 3000,
+      bounds: {drainMs: 3000},
     });
     world.runFor(ASSEMBLY_MS);
     const [node] = world.nodes;
