A large replica that lost members is completed by one small replica

Cause: where one replica of the large model takes the engines of several small ones, each loss in it freed engines for several small replicas, which all had to close again before it came back. Change: if the free engines of a domain and those of one small replica suffice, that replica is closed at once and the engines are reserved, as long as the small model bears it. Only from a size ratio of 3.

--- a/src/core/steward/form_replicas.ts
+++ b/src/core/steward/form_replicas.ts
@@ -2,6 +2,7 @@
 import type {EngineCosts, EngineRecord, ModelSpec} from '../fleet/types.js';
 import type {ReplicaTrack} from './types.js';
 import type {ServingStep} from '../serving/types.js';
+import {completeReplica} from './complete_replica.js';
 import {countFreeLoadSlots} from './count_free_load_slots.js';
 import {rankWeightLocality} from './rank_weight_locality.js';
 import {isCold} from './is_cold.js';
@@ -73,6 +74,9 @@
     const coldEngines = members.filter(one => isCold(one, model.name));
     if (members.length < model.size) {
       steward.warmWaitSinceMs.delete(key);
+      if (model === models[0]) {
+        if (completeReplica(step, costs, domain, free, model)) return undefined;
+      }
       continue;
     }
     const isNeediest = model === models[0];
--- a/src/core/steward/measure_work_shares.ts
+++ b/src/core/steward/measure_work_shares.ts
@@ -6,7 +6,7 @@
 /** Time constant of the measured shares: longer than a burst, so that replicas follow the mix of requests and not each peak. */
 const AVERAGING_MS = 6000;
 /** Lower bound of a measured share, as a fraction of the configured one: some replicas stay for requests that are rare now. */
-const MIN_SHARE_FRACTION = 0.3;
+const MIN_SHARE_FRACTION = 0.5;
 /** Use of all slots below which the mix of requests says nothing. */
 const MIN_USE = 0.05;
 /**
--- a/src/core/steward/rebalance_models.ts
+++ b/src/core/steward/rebalance_models.ts
@@ -20,8 +20,8 @@
 const RESERVATION_MS = 5000;
 /** Minimum time between two exchanges by measured shares: replicas of one domain at a time are missing while they close. */
 const MEASURED_INTERVAL_MS = 1500;
-/** Replicas that a model keeps when others are closed by measured shares: the loss of one then costs it a quarter of its slots at most. */
-const MIN_DONOR_REPLICAS = 4;
+/** Replicas that a model keeps when others are closed by measured shares: losses that come in series take two or three at a time. */
+const MIN_DONOR_REPLICAS = 6;
 
 /**
  * Closes replicas of the model with the most supply, one domain at a time,
--- a/src/replay/serving/create_serving_config.ts
+++ b/src/replay/serving/create_serving_config.ts
@@ -7,7 +7,10 @@
 const ORGANISATION_COUNT = 4;
 
 /** Creates a configuration of one service with two models and three streaming routes. */
-export function createServingConfig(service: ServiceName): AccessConfig {
+export function createServingConfig(
+  service: ServiceName,
+  largeSize = 6,
+): AccessConfig {
   const route = (
     name: string,
     goalMs: number,
@@ -63,7 +66,7 @@
             models: [
               {
                 name: SERVING_MODELS.large,
-                size: 6,
+                size: largeSize,
                 workShare: 0.67,
                 pace: 1,
                 loadMs: 16_000,
--- a/src/replay/serving/serving_world.ts
+++ b/src/replay/serving/serving_world.ts
@@ -1,3 +1,4 @@
+import type {AccessConfig} from '../../core/access/types.js';
 import type {
   DomainId,
   NodeId,
@@ -73,6 +74,8 @@
   readonly coreCountOf?: (at: number) => number;
   /** Share of orders, 0 to 1, that time out and are executed seconds later. */
   readonly lateOrderShare?: number;
+  /** Engines of a replica of the large model; 6 by default. */
+  readonly largeSize?: number;
   /** Zone of the engines of a domain; one zone for all by default. */
   readonly zoneOfDomain?: (domain: string) => string;
   /** Bounds that differ from those of a typical deployment. */
@@ -104,7 +107,7 @@
   /** A caller has sent a request. */
   hasTraffic = false;
   private readonly random: Random;
-  private readonly config = createServingConfig(SERVICE);
+  private readonly config: AccessConfig;
   private readonly callers: SimulatedCallers;
   private readonly registry = new SimulatedEngineRegistry({
     engines: this.engines,
@@ -127,6 +130,7 @@
 
   constructor(options: WorldOptions) {
     this.random = createRandom(options.seed);
+    this.config = createServingConfig(SERVICE, options.largeSize);
     this.zoneCount = options.zoneCount ?? ZONE_COUNT;
     this.zoneOfDomain = options.zoneOfDomain ?? (() => 'zone');
     this.bounds = {...SERVING_BOUNDS, ...options.bounds};
