Rate ceiling of cold engines over all nodes

Cause: an engine that has just started tolerates 17 requests a second and crashes well above that.

Change: the first two nodes by rendezvous hash over the store's registry own a cold engine, and each sends at most a quarter of the bound in 1.2 s, counted exactly. Coldness is read from the entry, from X-Cold-Ms of any response, from peers' digests (optional rows), and presumed for processes that are new to a node and for zones that were returned to service (presumed_cold_since_ms.ts). Values that are not plausible count as the whole cold time, and leave the entry valid. Requests whose attempt failed at a cold engine avoid others. Off without the fields of the service and both bounds.

--- a/src/core/access/types.ts
+++ b/src/core/access/types.ts
@@ -48,6 +48,10 @@
   readonly name: ServiceName;
   /** Present for model services. */
   readonly engine?: EngineCosts;
+  /** How long an engine is cold after a start under load; undefined: never. */
+  readonly coldMs?: number;
+  /** Requests per second that a cold engine tolerates from all nodes together. */
+  readonly coldRequestsPerS?: number;
 }
 
 /** Limits on requests of callers. */
@@ -69,4 +73,6 @@
   /** Organisations by API key; undefined if callers need no key. */
   readonly organisationsByKey?: ReadonlyMap<string, Organisation>;
   readonly limits: CallerLimits;
+  /** Fields that are not understood and replaced by safe values. */
+  readonly warnings?: readonly string[];
 }
--- a/src/core/fleet/types.ts
+++ b/src/core/fleet/types.ts
@@ -38,6 +38,8 @@
   /** Models whose weights are staged on the VM's host. */
   readonly stagedModels: readonly ModelName[];
   readonly membership?: Membership;
+  /** Time for which the engine was still cold when it wrote the entry; not necessarily a plausible one. Undefined: it does not say. */
+  readonly coldLeftMs?: number;
   /** Rises with each entry that the engine writes in this incarnation. */
   readonly sequence: number;
   /** Store version of the last change of the entry: a `storeVersion`. */
--- a/src/core/serving/announcements/apply_announcement.ts
+++ b/src/core/serving/announcements/apply_announcement.ts
@@ -1,5 +1,6 @@
 import type {ServingEvent} from '../events.js';
 import type {ServingStep} from '../types.js';
+import {recordAnnouncedCold} from '../coldness/index.js';
 import {applyLimit} from '../rate_limits/index.js';
 import {count} from '../count.js';
 import {logDecision} from '../log_decision.js';
@@ -11,13 +12,16 @@
 const BACKOFF_JITTER = 0.2;
 const MAX_BACKOFF_JITTER_MS = 500;
 
-/** Applies what an engine announces: that it is leaving, accepts no requests for a time, or limits the requests that it takes. */
+/** Applies what an engine announces: that it is leaving, accepts no requests for a time, limits the requests that it takes, or is cold. */
 export function applyAnnouncement(step: ServingStep, event: Announced): void {
   if (event.isLeaving) markLeaving(step, event);
   if (event.backoffMs !== undefined) applyBackoff(step, event, event.backoffMs);
   if (event.limitPerS !== undefined || event.isLimitOver) {
     recordLimit(step, event);
   }
+  if (event.coldLeftMs !== undefined) {
+    recordAnnouncedCold(step, event.vmId, event.coldLeftMs);
+  }
 }
 
 /** Records the engine as leaving until it restarts: the announcement is never withdrawn. */
--- a/src/core/serving/apply_digest.ts
+++ b/src/core/serving/apply_digest.ts
@@ -2,6 +2,7 @@
 import {LOST_ENGINE_TTL_MS} from './lost_engine_ttl_ms.js';
 import {acceptsDigest} from './relays/accepts_digest.js';
 import {addPeerLoads} from './add_peer_loads.js';
+import {applyColdReports} from './coldness/index.js';
 import {applyCrashEvidence} from './crashes/index.js';
 import {applyFleet} from './apply_fleet.js';
 import {logDecision} from './log_decision.js';
@@ -61,6 +62,7 @@
   if (!isOutdated && !isRestoring(state, nowMs)) adoptConfigProof(state, view);
   applyCrashEvidence(step, digest);
   applyLimitReports(step, digest.from, digest.limits);
+  applyColdReports(step, digest.coldEngines);
   applyPredecessors(step, digest.predecessors);
   applyLost(step, digest);
   applyDeparted(step, digest);
--- a/src/core/serving/apply_fleet.ts
+++ b/src/core/serving/apply_fleet.ts
@@ -1,6 +1,7 @@
 import type {EngineChange, EngineRecord} from '../fleet/types.js';
 import type {ServingStep} from './types.js';
 import type {VmId} from '../ids/index.js';
+import {recordColdEntry} from './coldness/index.js';
 import {isStaleRestoredEntry} from './restore/index.js';
 import {logDecision} from './log_decision.js';
 import {markTargetsStale} from './mark_targets_stale.js';
@@ -78,13 +79,18 @@
     removeEngine(step, vmId);
     return true;
   }
+  const previous = state.engines.get(vmId);
+  const known = previous ?? state.departedEngines.get(vmId);
   state.departedEngines.delete(vmId);
   state.deferredRemovals.delete(vmId);
-  const previous = state.engines.get(vmId);
   if (previous) state.revisionSum -= storeVersion.checksumOf(previous.revision);
   state.revisionSum += storeVersion.checksumOf(engine.revision);
   state.engines.set(vmId, engine);
   recordLeaving(step, engine);
+  recordColdEntry(step, engine, {
+    isFirstList: !state.isFleetKnown,
+    knownBornAtMs: known?.bornAtMs,
+  });
   const lost = state.lostEngines.get(vmId);
   if (lost && lost.bornAtMs !== engine.bornAtMs) {
     state.lostEngines.delete(vmId);
--- a/src/core/serving/attempt_handlers.ts
+++ b/src/core/serving/attempt_handlers.ts
@@ -2,6 +2,7 @@
 import type {AttemptId, VmId} from '../ids/index.js';
 import type {ServingStep} from './types.js';
 import {count} from './count.js';
+import {recordColdFailure} from './coldness/index.js';
 import {dispatchWaiting} from './dispatch_waiting.js';
 import {endAttempt} from './end_attempt.js';
 import {chooseRun, continueOtherRun, findAttempt} from './hedges/index.js';
@@ -164,6 +165,7 @@
       resolveTargetLoad(state, vmId).brokenAtMs = nowMs;
     }
     endAttempt(state, record, attempt);
+    recordColdFailure(state, record, attempt, nowMs);
     const isSent = fault !== 'not-sent' && fault !== 'unsendable';
     if (fault === 'turned-away') record.refusedAtMs.set(vmId, nowMs);
     if (!isSent || fault === 'turned-away') {
--- /dev/null
+++ b/src/core/serving/coldness/index.ts
@@ -0,0 +1,13 @@
+export {applyColdReports} from './apply_cold_reports.js';
+export {createColdnessState} from './create_coldness_state.js';
+export {expireColdness} from './expire_coldness.js';
+export {isClosedByCold} from './is_closed_by_cold.js';
+export {isEngineCold} from './is_engine_cold.js';
+export {listColdReports} from './list_cold_reports.js';
+export {recordAnnouncedCold} from './record_announced_cold.js';
+export {recordColdEntry} from './record_cold_entry.js';
+export {recordColdFailure} from './record_cold_failure.js';
+export {recordColdSend} from './record_cold_send.js';
+export {recordRegistryRead} from './record_registry_read.js';
+export {resolveColdWait} from './resolve_cold_wait.js';
+export type * from './types.js';
--- a/src/core/serving/create_digest.ts
+++ b/src/core/serving/create_digest.ts
@@ -1,5 +1,6 @@
 import type {DigestLoad, LoadDigest, ServingState} from './types.js';
 import type {VmId} from '../ids/index.js';
+import {listColdReports} from './coldness/index.js';
 import {listCrashEvidence} from './crashes/index.js';
 import {isSlow} from './is_slow.js';
 import {toAgeMs} from './to_age_ms.js';
@@ -119,6 +120,7 @@
     loads,
     retries: listRetryCounts(state, nowMs),
     limits: listLimitReports(state, nowMs),
+    coldEngines: listColdReports(state, {isSummary: false}, nowMs),
     predecessors: listPredecessors(state, nowMs),
     ...listCrashEvidence(state, hasNewPeer(state, nowMs), nowMs),
     lostEngines,
--- a/src/core/serving/create_serving_state.ts
+++ b/src/core/serving/create_serving_state.ts
@@ -1,6 +1,7 @@
 import type {NodeId, ZoneId} from '../ids/index.js';
 import type {ServingBounds, ServingState} from './types.js';
 import {createAnnouncementState} from './announcements/index.js';
+import {createColdnessState} from './coldness/index.js';
 import {createCrashState} from './crashes/index.js';
 import {createExchangeState} from './relays/create_exchange_state.js';
 import {createFleetSizeState} from './fleet_size/index.js';
@@ -74,6 +75,7 @@
     lostEngines: new Map(),
     announcements: createAnnouncementState(),
     rateLimits: createRateLimitState(),
+    coldness: createColdnessState(),
     reachability: createReachabilityState(),
     targetLoads: new Map(),
     poolSigns: new Map(),
--- a/src/core/serving/dispatch_waiting.ts
+++ b/src/core/serving/dispatch_waiting.ts
@@ -1,5 +1,6 @@
 import type {Placement, RequestRecord, ServingStep} from './types.js';
 import {resolvePoolBackoffMs} from './announcements/index.js';
+import {resolveColdWait} from './coldness/index.js';
 import {forwardRequest} from './forwarding/index.js';
 import {findRetryDenial} from './find_retry_denial.js';
 import {isPathDown} from './reachability/index.js';
@@ -70,13 +71,14 @@
     } else if (
       nowMs >= record.waitDeadlineAtMs ||
       (ratePerS === undefined
-        ? isWaitUseless(step, record, placement)
+        ? isWaitUseless(step, record, placement, waiting.indexOf(record))
         : !canWaitForLimit(step, record, ratePerS, waiting.indexOf(record)))
     ) {
       const hasTarget =
         placement !== undefined ||
         ratePerS !== undefined ||
-        isAwaitingSign(state, record);
+        isAwaitingSign(state, record) ||
+        resolveColdWait(state, record, 0, nowMs) !== undefined;
       refuseRequest(step, record, {
         reason: hasTarget ? 'overloaded' : 'no-target',
         retryAfterMs: retryAfterMs(step, record, placement),
@@ -132,6 +134,7 @@
   {state, nowMs}: ServingStep,
   record: RequestRecord,
   placement: Placement | undefined,
+  ahead: number,
 ): boolean {
   if (placement || isAwaitingSign(state, record)) return false;
   if (record.hasPartialResponse) {
@@ -142,6 +145,8 @@
         record.triedTargets.has(vmId) && !record.refusedAtMs.has(vmId),
     );
   }
+  const coldWait = resolveColdWait(state, record, ahead, nowMs);
+  if (coldWait) return !coldWait.canWait;
   if (record.triedTargets.size > 0) return true;
   const backoffMs = resolvePoolBackoffMs(state, record.pool, nowMs) ?? 0;
   return backoffMs > MAX_BACKOFF_WAIT_MS;
--- a/src/core/serving/events.ts
+++ b/src/core/serving/events.ts
@@ -197,6 +197,8 @@
   readonly limitPerS?: number;
   /** A limit that the engine named before has ended. */
   readonly isLimitOver?: boolean;
+  /** Time for which the engine is still cold; undefined: it does not say. */
+  readonly coldLeftMs?: number;
 }
 
 /** The event loop, or the process, was held up: nothing was read for `lateMs`. */
--- a/src/core/serving/expire_state.ts
+++ b/src/core/serving/expire_state.ts
@@ -4,6 +4,7 @@
 import {applyFleet} from './apply_fleet.js';
 import {dispatchWaiting} from './dispatch_waiting.js';
 import {expireAnnouncements} from './announcements/index.js';
+import {expireColdness} from './coldness/index.js';
 import {dropPeer} from './drop_peer.js';
 import {isAccessProven} from './is_access_proven.js';
 import {hasStoppedAccepting} from './has_stopped_accepting.js';
@@ -34,6 +35,7 @@
     if (!state.requests.has(record.request.requestId)) continue;
     refuseRequest(step, record, {reason: 'timeout'});
   }
+  expireColdness(step);
   for (const pool of state.waitingByPool.keys()) dispatchWaiting(step, pool);
   expirePeers(step);
   recordFleetSize(step);
--- a/src/core/serving/peers/types.ts
+++ b/src/core/serving/peers/types.ts
@@ -1,3 +1,4 @@
+import type {ColdReport} from '../coldness/types.js';
 import type {EngineChange} from '../../fleet/types.js';
 import type {LeavingReport} from '../announcements/types.js';
 import type {NodeId, ServiceName, VmId, ZoneId} from '../../ids/index.js';
@@ -97,6 +98,8 @@
   readonly retries?: readonly RetryCount[];
   /** Limits that engines name, or have ceased to name. */
   readonly limits: readonly LimitReport[];
+  /** Engines that said that they are cold. */
+  readonly coldEngines?: readonly ColdReport[];
   /** Replaced processes of other nodes, for the processes that replaced them. */
   readonly predecessors: readonly PredecessorEntry[];
   /** Number of nodes whose requests the digest counts. */
--- a/src/core/serving/relays/create_summary.ts
+++ b/src/core/serving/relays/create_summary.ts
@@ -5,6 +5,7 @@
   RosterNode,
   ServingState,
 } from '../types.js';
+import {listColdReports} from '../coldness/index.js';
 import {toAgeMs} from '../to_age_ms.js';
 import {createDigest} from '../create_digest.js';
 import {findSteward} from '../find_steward.js';
@@ -58,6 +59,7 @@
       own.loads,
       ...views.map(view => withCurrentAges(view, nowMs)),
     ]),
+    coldEngines: listColdReports(state, {isSummary: true}, nowMs),
     configProofAgeMs: toAgeMs(state.configProvenAtMs, nowMs),
     probeRequests: [...own.probeRequests, ...peerRequests].slice(
       -MAX_PROBE_REPORTS,
--- a/src/core/serving/relays/update_registered_nodes.ts
+++ b/src/core/serving/relays/update_registered_nodes.ts
@@ -1,5 +1,6 @@
 import type {RegisteredNode, ServingStep} from '../types.js';
 import {MAX_DIRECT_ZONE_SIZE} from './max_direct_zone_size.js';
+import {recordRegistryRead} from '../coldness/index.js';
 import {recordFleetSize} from '../fleet_size/index.js';
 import {setRelayMode} from './set_relay_mode.js';
 
@@ -17,6 +18,7 @@
     exchange.registeredNodes.set(node.nodeId, node);
     sizes.set(node.zone, (sizes.get(node.zone) ?? 0) + 1);
   }
+  recordRegistryRead(step);
   const isRegistered = exchange.registeredNodes.has(state.nodeId);
   state.registeredPeerCount = nodes.length - (isRegistered ? 1 : 0);
   // Hysteresis: temporary losses of nodes must not switch a large fleet to direct exchange.
--- a/src/core/serving/retry_after_ms.ts
+++ b/src/core/serving/retry_after_ms.ts
@@ -1,3 +1,4 @@
+import {resolveColdWait} from './coldness/index.js';
 import {resolvePoolBackoffMs} from './announcements/index.js';
 import type {Placement, RequestRecord, ServingStep} from './types.js';
 
@@ -21,6 +22,13 @@
   if (backoffMs !== undefined) {
     return Math.round(Math.max(MIN_RETRY_MS, backoffMs * jitter));
   }
+  const coldWait = placement
+    ? undefined
+    : resolveColdWait(state, record, 0, nowMs);
+  if (coldWait) {
+    const opensMs = (coldWait.opensAtMs - nowMs) * jitter;
+    return Math.round(Math.max(MIN_RETRY_MS, opensMs));
+  }
   const waiting = state.waitingByPool.get(record.pool)?.length ?? 0;
   const targets = state.targetsByPool.get(record.pool)?.length ?? 0;
   const base = placement
--- a/src/core/serving/select_target.ts
+++ b/src/core/serving/select_target.ts
@@ -1,6 +1,7 @@
 import type {Placement, RequestRecord, ServingStep} from './types.js';
 import {estimateFirstEventMs} from './estimate_first_event_ms.js';
 import {isBackoffActive} from './announcements/index.js';
+import {isClosedByCold} from './coldness/index.js';
 import {isLimitReached} from './rate_limits/index.js';
 import {refreshTargets} from './refresh_targets.js';
 import {isSuspectTarget} from './is_suspect_target.js';
@@ -43,6 +44,7 @@
     if (record.triedTargets.has(target.vmId)) continue;
     if (isBackoffActive(state, target.vmId, nowMs)) continue;
     if (isLimitReached(state, target.vmId, nowMs)) continue;
+    if (isClosedByCold(state, record, target, nowMs)) continue;
     const isSilent = isTargetSilent(state, target, nowMs);
     const load = resolveTargetLoad(state, target.vmId);
     noteSilence(step, load, isSilent, {target: target.vmId});
--- a/src/core/serving/send_attempt.ts
+++ b/src/core/serving/send_attempt.ts
@@ -7,6 +7,7 @@
 } from './types.js';
 import type {RetryUsage} from './retries/types.js';
 import {count} from './count.js';
+import {recordColdSend} from './coldness/index.js';
 import {logDecision} from './log_decision.js';
 import {makeId} from '../ids/index.js';
 import {findRunTarget, keepSilentRun} from './hedges/index.js';
@@ -32,6 +33,7 @@
   const load = resolveTargetLoad(state, target.vmId);
   const isRetry = record.arrivalCount > 0;
   keepSilentRun(step, record);
+  const isCold = recordColdSend(step, target.engine);
   record.attempt = {
     attemptId,
     vmId: target.vmId,
@@ -39,6 +41,7 @@
     address: target.engine.address,
     sentAtMs: nowMs,
     expectedFirstMs: placement.firstEventMs,
+    ...(isCold && {isCold}),
     promptTokens: request.promptTokens,
     hasSurvived: false,
     progressAtMs: nowMs,
@@ -76,6 +79,7 @@
     heardAgeMs: toHeardAgeMs(load, nowMs),
     unheard: load.unheardCount,
     limitPerS: findLimitPerS(state, target.vmId),
+    isCold: isCold || undefined,
     retries: isRetry
       ? describeUsage(retryBudget.usage(state, record.service, nowMs))
       : undefined,
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -1,4 +1,5 @@
 import type {AnnouncementState} from './announcements/types.js';
+import type {ColdnessState} from './coldness/types.js';
 import type {ClosedBody} from './closes/types.js';
 import type {CrashState} from './crashes/types.js';
 import type {FleetSizeState} from './fleet_size/types.js';
@@ -70,6 +71,8 @@
   readonly sentAtMs: number;
   /** Estimate at dispatch of the time to the first event. */
   readonly expectedFirstMs: number;
+  /** The target was cold at the dispatch. */
+  readonly isCold?: boolean;
   /** Prompt tokens that the target processes for this attempt. */
   readonly promptTokens: number;
   /** When the first event arrived; undefined before. */
@@ -114,6 +117,8 @@
   readonly triedTargets: Set<VmId>;
   /** Those of them that refused it without running it, and when. */
   readonly refusedAtMs: Map<VmId, number>;
+  /** An attempt at a cold engine failed. */
+  hasFailedCold?: boolean;
   /** Whether it may have run at a target so far. */
   verdict: Verdict;
   attempt?: AttemptRecord;
@@ -202,6 +207,9 @@
   readonly loadWindowMs: number;
   /** How long the store keeps an engine's entry after its last heartbeat. */
   readonly listingMs: number;
+  /** Requests that may reach a cold engine in a second, from all nodes together: this factor on the rate of its service, plus the tolerance. Undefined: cold engines are not limited. */
+  readonly coldOvershoot?: number;
+  readonly coldTolerance?: number;
 }
 
 /** Key of a digest by what it covers: a node's id, `zone/` and a zone's name, or `fleet` for all nodes. */
@@ -294,6 +302,8 @@
   readonly announcements: AnnouncementState;
   /** Limits on requests that engines name in their responses. */
   readonly rateLimits: RateLimitState;
+  /** Engines that tolerate few requests after a start. */
+  readonly coldness: ColdnessState;
   /** This node's own network paths to the engines. */
   readonly reachability: ReachabilityState;
   /** Load and health of targets, as measured by this node's own requests. */
--- a/src/metrics/metric_definitions.ts
+++ b/src/metrics/metric_definitions.ts
@@ -103,6 +103,16 @@
     help: 'Engines that said in an answer that they leave, or want no requests for a time, by kind.',
     labels: ['kind'],
   },
+  coldEngines: {
+    kind: 'counter',
+    help: 'Engines that this node took to be cold, by what showed it.',
+    labels: ['source'],
+  },
+  coldSends: {
+    kind: 'counter',
+    help: 'Requests that were sent to cold engines, by service.',
+    labels: ['service'],
+  },
   turnedAway: {
     kind: 'counter',
     help: 'Requests that were answered on arrival without a dispatch, by reason.',
--- a/src/replay/serving/create_serving_config.ts
+++ b/src/replay/serving/create_serving_config.ts
@@ -1,4 +1,8 @@
-import type {AccessConfig, Route} from '../../core/access/types.js';
+import type {
+  AccessConfig,
+  Route,
+  ServiceSpec,
+} from '../../core/access/types.js';
 import type {OrganisationId, ServiceName} from '../../core/ids/index.js';
 import {SERVING_MODELS} from './serving_models.js';
 import {indexRoutes} from '../../core/access/index.js';
@@ -7,7 +11,10 @@
 const ORGANISATION_COUNT = 4;
 
 /** Creates a configuration of one service with two models and three streaming routes. */
-export function createServingConfig(service: ServiceName): AccessConfig {
+export function createServingConfig(
+  service: ServiceName,
+  spec: Partial<ServiceSpec> = {},
+): AccessConfig {
   const route = (
     name: string,
     goalMs: number,
@@ -50,6 +57,7 @@
       [
         service,
         {
+          ...spec,
           name: service,
           engine: {
             slotCount: 18,
--- a/src/replay/serving/serving_bounds.ts
+++ b/src/replay/serving/serving_bounds.ts
@@ -10,4 +10,6 @@
   stallMs: 6000,
   loadWindowMs: 5000,
   listingMs: 3600,
+  coldOvershoot: 1.5,
+  coldTolerance: 5,
 };
--- a/src/replay/serving/serving_engine.ts
+++ b/src/replay/serving/serving_engine.ts
@@ -207,6 +207,7 @@
     const {generation} = this;
     this.after(this.world.costs.formMs, () => {
       if (this.generation !== generation) return;
+      this.world.recordOpen(this.record.vmId);
       this.setMembership({...membership, stage: 'open'}, false);
     });
     return 'begun';
--- a/src/replay/serving/serving_world.ts
+++ b/src/replay/serving/serving_world.ts
@@ -14,6 +14,7 @@
   WorldNode,
   WorldRequest,
 } from './types.js';
+import type {AccessConfig, ServiceSpec} from '../../core/access/types.js';
 import type {EngineChange, EngineCosts} from '../../core/fleet/types.js';
 import type {Random} from '../../core/random/index.js';
 import type {
@@ -27,6 +28,7 @@
 import {createServingConfig} from './create_serving_config.js';
 import {InvariantChecks} from './invariant_checks.js';
 import {SimulatedCallers} from './simulated_callers.js';
+import {SimulatedColdness} from './simulated_coldness.js';
 import {SimulatedPeerExchange} from './simulated_peer_exchange.js';
 import {SimulatedEngineRegistry} from './simulated_engine_registry.js';
 import {SimulatedForwards} from './simulated_forwards.js';
@@ -71,6 +73,10 @@
   readonly coreCountOf?: (at: number) => number;
   /** Share of orders, 0 to 1, that time out and are executed seconds later. */
   readonly lateOrderShare?: number;
+  /** Fields of the service; engines are cold after they open under load if it names a cold time. */
+  readonly service?: Partial<ServiceSpec>;
+  /** Engines are cold as the service says, but nodes don't know it. */
+  readonly hidesColdness?: boolean;
 }
 
 /**
@@ -98,7 +104,8 @@
   /** A caller has sent a request. */
   hasTraffic = false;
   private readonly random: Random;
-  private readonly config = createServingConfig(SERVICE);
+  readonly coldness: SimulatedColdness;
+  private readonly config: AccessConfig;
   private readonly callers: SimulatedCallers;
   private readonly registry = new SimulatedEngineRegistry({
     engines: this.engines,
@@ -106,6 +113,7 @@
     after: (delayMs, run) => this.after(delayMs, run),
     randomInt: limit => this.random.nextInt(limit),
     notifyNodes: change => this.notifyNodes(change),
+    coldLeftMs: vmId => this.coldness.leftMs(vmId),
   });
   readonly exchange = new SimulatedPeerExchange({
     after: (delayMs, run) => this.after(delayMs, run),
@@ -120,6 +128,22 @@
     this.random = createRandom(options.seed);
     this.zoneCount = options.zoneCount ?? ZONE_COUNT;
     this.coreCountOf = options.coreCountOf ?? (() => 1);
+    const {service, hidesColdness} = options;
+    this.config = createServingConfig(SERVICE, {
+      ...service,
+      ...(hidesColdness && {coldMs: undefined, coldRequestsPerS: undefined}),
+    });
+    const {coldOvershoot = 0, coldTolerance = 0} = SERVING_BOUNDS;
+    this.coldness = new SimulatedColdness({
+      coldMs: service?.coldMs ?? 0,
+      boundPerS:
+        (service?.coldRequestsPerS ?? 0) * coldOvershoot + coldTolerance,
+      nowMs: () => this.nowMs,
+      crash: vmId => {
+        this.crashEngine(vmId, {isSilent: false});
+        this.after(ENGINE_RESTART_MS, () => this.restartEngine(vmId));
+      },
+    });
     this.costs = this.config.services.get(SERVICE)!.engine!;
     this.checks = new InvariantChecks(this);
     this.callers = new SimulatedCallers({
@@ -135,6 +159,7 @@
       dispatch: (node, event) => this.dispatch(node, event),
     });
     this.network = new SimulatedNetwork({
+      coldness: this.coldness,
       engines: this.engines,
       callers: this.forwards,
       random: this.random,
@@ -391,6 +416,11 @@
     this.checks.recordJoin(vmId, order);
   }
 
+  recordOpen(vmId: VmId): void {
+    const {coldMs} = this.coldness;
+    if (this.hasTraffic && coldMs > 0) this.coldness.start(vmId, coldMs);
+  }
+
   recordReady(vmId: VmId): void {
     this.checks.recordReady(vmId);
   }
--- a/src/replay/serving/simulated_engine_registry.ts
+++ b/src/replay/serving/simulated_engine_registry.ts
@@ -13,6 +13,8 @@
   readonly nowMs: () => number;
   after(delayMs: number, run: () => void): void;
   randomInt(limit: number): number;
+  /** What an engine's entry says of its cold time; undefined: nothing. */
+  coldLeftMs(vmId: VmId): number | undefined;
   /** Notifies the nodes of a change. */
   notifyNodes(change: EngineChange): void;
 }
@@ -117,7 +119,13 @@
     const {revision, version} = this;
     if (engine) {
       const sequence = engine.record.sequence + 1;
-      engine.record = {...engine.record, sequence, revision: version};
+      const coldLeftMs = this.options.coldLeftMs(vmId);
+      engine.record = {
+        ...engine.record,
+        sequence,
+        revision: version,
+        ...(coldLeftMs === undefined ? {} : {coldLeftMs}),
+      };
       this.records.set(vmId, engine.record);
     } else this.records.delete(vmId);
     const record = engine?.record;
--- a/src/replay/serving/simulated_network.ts
+++ b/src/replay/serving/simulated_network.ts
@@ -8,6 +8,7 @@
 import type {Random} from '../../core/random/index.js';
 import type {ServingEffect, ServingEvent} from '../../core/serving/types.js';
 import type {ServingEngine} from './serving_engine.js';
+import type {SimulatedColdness} from './simulated_coldness.js';
 import {findLimitPerS} from '../../core/serving/index.js';
 import type {
   AttemptArrival,
@@ -34,6 +35,7 @@
 }
 
 interface NetworkOptions {
+  readonly coldness: SimulatedColdness;
   readonly engines: ReadonlyMap<VmId, ServingEngine>;
   readonly callers: CallerSide;
   readonly random: Random;
@@ -192,6 +194,11 @@
     }
     const arrive = () => {
       this.arrivals.push({atMs: nowMs(), requestId, vmId});
+      this.options.coldness.recordArrival(vmId);
+      if (!engine.isUp) {
+        report({type: 'attemptFailed', attemptId, fault: 'broken'});
+        return;
+      }
       const refusalShare = this.refusalShareOf(vmId);
       if (refusalShare > 0 && random.next() < refusalShare) {
         report({type: 'attemptFailed', attemptId, fault: 'turned-away'});
@@ -206,16 +213,19 @@
         hasStarted: false,
         onStart: () => {
           const limitPerS = this.limitPerSOf(vmId);
+          const coldLeftMs = this.options.coldness.leftMs(vmId) || undefined;
           const isLimitOver =
             limitPerS === undefined &&
             findLimitPerS(node.state, vmId) !== undefined;
-          if (limitPerS === undefined && !isLimitOver) return;
+          const saysLimit = limitPerS !== undefined || isLimitOver;
+          if (!saysLimit && coldLeftMs === undefined) return;
           report({
             type: 'engineAnnounced',
             vmId,
             isLeaving: false,
             limitPerS,
             isLimitOver,
+            coldLeftMs,
           });
         },
         onEvent: () => {
--- a/src/replay/serving/types.ts
+++ b/src/replay/serving/types.ts
@@ -41,6 +41,8 @@
   /** Reports that an engine starts to join a replica; like the next three, for the invariant checks. */
   recordJoin(vmId: VmId, order: JoinOrder): void;
   recordReady(vmId: VmId): void;
+  /** Reports that a head opens. */
+  recordOpen(vmId: VmId): void;
   recordRequestStart(vmId: VmId): void;
   recordWeightLoad(vmId: VmId): void;
   /** Ends the engine's process because of a prompt part; it restarts after some seconds. */
--- a/src/serving/apply_config_text.ts
+++ b/src/serving/apply_config_text.ts
@@ -19,6 +19,12 @@
     });
     return;
   }
+  for (const fault of config.warnings ?? []) {
+    logger.write('warn', 'config', 'configuration field not understood', {
+      version: config.version,
+      fault,
+    });
+  }
   if (configCache.text === undefined || config.version > configCache.version) {
     configCache.text = text;
     configCache.version = config.version;
--- a/src/serving/digest_codec.ts
+++ b/src/serving/digest_codec.ts
@@ -8,6 +8,7 @@
   RosterNode,
 } from '../core/serving/types.js';
 import {isAddress, isEngineChange} from '../core/fleet/index.js';
+import {coldRows} from './cold_rows.js';
 import {crashRows} from './crash_rows.js';
 import {isRows} from './is_rows.js';
 import {limitRows} from './limit_rows.js';
@@ -65,7 +66,8 @@
   extends
     ReturnType<typeof crashRows.encode>,
     ReturnType<typeof retryRows.encode>,
-    ReturnType<typeof limitRows.encode> {
+    ReturnType<typeof limitRows.encode>,
+    ReturnType<typeof coldRows.encode> {
   /** Format version. */
   readonly v: number;
   /** Index of the digest's scope. */
@@ -159,6 +161,7 @@
       ...crashRows.encode(digest),
       ...retryRows.encode(digest),
       ...limitRows.encode(digest.limits),
+      ...coldRows.encode(digest.coldEngines),
     };
     const bytes = Buffer.from(JSON.stringify(datagram));
     const isCompressed = bytes.length > COMPRESS_ABOVE_BYTES;
@@ -272,6 +275,7 @@
       ...crashFields,
       ...retryRows.decode(datagram),
       limits: limitRows.decode(datagram),
+      ...coldRows.decode(datagram),
     };
   },
 };
--- a/src/serving/dispatch_announcement.ts
+++ b/src/serving/dispatch_announcement.ts
@@ -11,7 +11,8 @@
 
 /**
  * Reports to the core what an engine announces in the head of a response: that
- * it is leaving, that it accepts no requests for some time, or how many it takes.
+ * it is leaving, that it accepts no requests for some time, how many it takes, or
+ * that it is cold.
  * Does nothing when the response carries no news.
  */
 export function dispatchAnnouncement(
@@ -22,6 +23,7 @@
 ): void {
   const announced = wire.engines.readAnnouncement(status, headers);
   const {isLeaving, backoffMs, limitPerS, hasUnreadableLimit} = announced;
+  const coldLeftMs = announced.coldLeftMs || undefined;
   if (hasUnreadableLimit) {
     logger.write('warn', 'routing', 'limit not understood', {vmId});
   }
@@ -34,6 +36,7 @@
     isLeaving ||
     backoffMs !== undefined ||
     limitPerS !== undefined ||
+    coldLeftMs !== undefined ||
     isLimitOver;
   if (!hasNews) return;
   events.dispatch({
@@ -43,5 +46,6 @@
     backoffMs,
     limitPerS,
     isLimitOver,
+    coldLeftMs,
   });
 }
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -72,6 +72,8 @@
   readonly limitPerS?: number;
   /** A limit is named that can't be read. */
   readonly hasUnreadableLimit?: boolean;
+  /** Time for which the engine is still cold, a large one for a value that can't be read; undefined if it does not say. */
+  readonly coldLeftMs?: number;
 }
 
 /** Maps the headers of callers and targets to fields and back. Contains no decisions. */
