Slow start of targets from learned pace

Change: a recovering target gets a window of requests without a first event, which the nodes divide by rank. First events on time widen it, late ones and failures halve it; digests carry it in optional rows.

--- a/src/core/access/types.ts
+++ b/src/core/access/types.ts
@@ -52,6 +52,8 @@
   readonly coldMs?: number;
   /** Requests per second that a cold engine tolerates from all nodes together. */
   readonly coldRequestsPerS?: number;
+  /** Targets that open or come back start slowly. */
+  readonly learnsPace?: boolean;
 }
 
 /** Limits on requests of callers. */
--- a/src/core/serving/apply_digest.ts
+++ b/src/core/serving/apply_digest.ts
@@ -4,6 +4,7 @@
 import {addPeerLoads} from './add_peer_loads.js';
 import {applyColdReports} from './coldness/index.js';
 import {applyCrashEvidence} from './crashes/index.js';
+import {applyPaceReports} from './pace/index.js';
 import {applyFleet} from './apply_fleet.js';
 import {logDecision} from './log_decision.js';
 import {applyLimitReports, recordPeerSends} from './rate_limits/index.js';
@@ -63,6 +64,7 @@
   applyCrashEvidence(step, digest);
   applyLimitReports(step, digest.from, digest.limits);
   applyColdReports(step, digest.coldEngines);
+  applyPaceReports(step, digest.paces);
   applyPredecessors(step, digest.predecessors);
   applyLost(step, digest);
   applyDeparted(step, digest);
--- a/src/core/serving/attempt_handlers.ts
+++ b/src/core/serving/attempt_handlers.ts
@@ -9,6 +9,7 @@
 import {removeRequest} from './remove_request.js';
 import {logDecision} from './log_decision.js';
 import {MAX_WAIT_MS} from './closes/max_wait_ms.js';
+import {recordPaceEvent, startRecovery} from './pace/index.js';
 import {refuseRequest} from './refuse_request.js';
 import {recordDuration} from './record_duration.js';
 import {recordEventGap} from './record_event_gap.js';
@@ -90,6 +91,8 @@
     attempt.startedAtMs = step.nowMs;
     recordStarted(step.state, record.pool, attempt.vmId);
     load.unreadTokens -= attempt.promptTokens;
+    load.unstartedCount -= 1;
+    recordPaceEvent(step, record, attempt, 'first-event');
     if (!record.hasPartialResponse) {
       const {arrivedAtMs} = record.request;
       count(step, 'firstTokenMs', step.nowMs - arrivedAtMs, {
@@ -114,6 +117,10 @@
     load.progressAtMs = nowMs;
     recordHeard(step, record.pool, attempt.vmId);
     resolvePath(state, record.service).progressAtMs = nowMs;
+    if (attempt.startedAtMs === undefined) {
+      const kind = status < 500 ? 'first-event' : 'failure';
+      recordPaceEvent(step, record, attempt, kind);
+    }
     const {requestId, callerId, arrivedAtMs} = record.request;
     logDecision(step, 'info', 'requests', 'request answered', {
       requestId,
@@ -166,6 +173,7 @@
     }
     endAttempt(state, record, attempt);
     recordColdFailure(state, record, attempt, nowMs);
+    recordPaceEvent(step, record, attempt, 'failure');
     const isSent = fault !== 'not-sent' && fault !== 'unsendable';
     if (fault === 'turned-away') record.refusedAtMs.set(vmId, nowMs);
     if (!isSent || fault === 'turned-away') {
@@ -201,6 +209,10 @@
 ): void {
   const load = resolveTargetLoad(step.state, vmId);
   load.consecutiveFailures += 1;
+  const isDown = failure.fault === 'not-sent' || failure.fault === 'broken';
+  if (isDown && load.consecutiveFailures >= FAILURES_TO_SUSPECT) {
+    startRecovery(step.state, vmId, step.nowMs);
+  }
   switch (failure.fault) {
     case 'not-sent':
       recordUnreachable(
--- a/src/core/serving/create_digest.ts
+++ b/src/core/serving/create_digest.ts
@@ -5,6 +5,7 @@
 import {isSlow} from './is_slow.js';
 import {toAgeMs} from './to_age_ms.js';
 import {listLeavingReports} from './announcements/index.js';
+import {listPaceReports} from './pace/index.js';
 import {isReady} from './is_ready.js';
 import {
   countRecent,
@@ -120,6 +121,7 @@
     loads,
     retries: listRetryCounts(state, nowMs),
     limits: listLimitReports(state, nowMs),
+    paces: listPaceReports(state, nowMs),
     coldEngines: listColdReports(state, {isSummary: false}, nowMs),
     predecessors: listPredecessors(state, nowMs),
     ...listCrashEvidence(state, hasNewPeer(state, nowMs), nowMs),
--- a/src/core/serving/create_serving_state.ts
+++ b/src/core/serving/create_serving_state.ts
@@ -6,6 +6,7 @@
 import {createExchangeState} from './relays/create_exchange_state.js';
 import {createFleetSizeState} from './fleet_size/index.js';
 import {createForwardingState} from './forwarding/index.js';
+import {createPaceState} from './pace/index.js';
 import {createRandom} from '../random/index.js';
 import {createRetryState} from './retries/index.js';
 import {createRateLimitState} from './rate_limits/index.js';
@@ -76,6 +77,7 @@
     announcements: createAnnouncementState(),
     rateLimits: createRateLimitState(),
     coldness: createColdnessState(),
+    pace: createPaceState(),
     reachability: createReachabilityState(),
     targetLoads: new Map(),
     poolSigns: new Map(),
--- a/src/core/serving/dispatch_waiting.ts
+++ b/src/core/serving/dispatch_waiting.ts
@@ -6,6 +6,7 @@
 import {isPathDown} from './reachability/index.js';
 import {findCrashSuspect} from './crashes/index.js';
 import {canWaitForLimit, resolvePoolRatePerS} from './rate_limits/index.js';
+import {isPaceLimited} from './pace/index.js';
 import {readmitTargets} from './readmit_targets.js';
 import {refuseRequest} from './refuse_request.js';
 import {retryAfterMs} from './retry_after_ms.js';
@@ -78,7 +79,8 @@
         placement !== undefined ||
         ratePerS !== undefined ||
         isAwaitingSign(state, record) ||
-        resolveColdWait(state, record, 0, nowMs) !== undefined;
+        resolveColdWait(state, record, 0, nowMs) !== undefined ||
+        isPaceLimited(state, record);
       refuseRequest(step, record, {
         reason: hasTarget ? 'overloaded' : 'no-target',
         retryAfterMs: retryAfterMs(step, record, placement),
@@ -147,6 +149,7 @@
   }
   const coldWait = resolveColdWait(state, record, ahead, nowMs);
   if (coldWait) return !coldWait.canWait;
+  if (isPaceLimited(state, record)) return false;
   if (record.triedTargets.size > 0) return true;
   const backoffMs = resolvePoolBackoffMs(state, record.pool, nowMs) ?? 0;
   return backoffMs > MAX_BACKOFF_WAIT_MS;
--- a/src/core/serving/end_attempt.ts
+++ b/src/core/serving/end_attempt.ts
@@ -10,8 +10,10 @@
 ): void {
   const load = resolveTargetLoad(state, attempt.vmId);
   recordEnded(state, record.pool, attempt);
-  if (attempt.startedAtMs === undefined)
+  if (attempt.startedAtMs === undefined) {
     load.unreadTokens -= attempt.promptTokens;
+    load.unstartedCount -= 1;
+  }
   state.requestsByAttempt.delete(attempt.attemptId);
   if (record.attempt === attempt) record.attempt = undefined;
   else record.silentRun = undefined;
--- a/src/core/serving/expire_state.ts
+++ b/src/core/serving/expire_state.ts
@@ -11,6 +11,7 @@
 import {logDecision} from './log_decision.js';
 import {closeHandlers} from './closes/index.js';
 import {crashDetection, expireCrashes} from './crashes/index.js';
+import {expirePace} from './pace/index.js';
 import {expireLimits} from './rate_limits/index.js';
 import {markTargetsStale} from './mark_targets_stale.js';
 import {markSettledEra, relistAfterRestore} from './restore/index.js';
@@ -36,6 +37,7 @@
     refuseRequest(step, record, {reason: 'timeout'});
   }
   expireColdness(step);
+  expirePace(step);
   for (const pool of state.waitingByPool.keys()) dispatchWaiting(step, pool);
   expirePeers(step);
   recordFleetSize(step);
--- a/src/core/serving/peers/types.ts
+++ b/src/core/serving/peers/types.ts
@@ -3,6 +3,7 @@
 import type {LeavingReport} from '../announcements/types.js';
 import type {NodeId, ServiceName, VmId, ZoneId} from '../../ids/index.js';
 import type {LimitReport} from '../rate_limits/types.js';
+import type {PaceReport} from '../pace/types.js';
 import type {PredecessorEntry, RetryCount} from '../retries/types.js';
 import type {
   CrashReportEntry,
@@ -98,6 +99,8 @@
   readonly retries?: readonly RetryCount[];
   /** Limits that engines name, or have ceased to name. */
   readonly limits: readonly LimitReport[];
+  /** Targets that start slowly, or have recovered lately. */
+  readonly paces?: readonly PaceReport[];
   /** Engines that said that they are cold. */
   readonly coldEngines?: readonly ColdReport[];
   /** Replaced processes of other nodes, for the processes that replaced them. */
--- a/src/core/serving/resolve_target_load.ts
+++ b/src/core/serving/resolve_target_load.ts
@@ -8,6 +8,7 @@
   if (!load) {
     load = {
       ...createSignRecord(),
+      unstartedCount: 0,
       unreadTokens: 0,
       progressAtMs: -Infinity,
       suspectUntilMs: -Infinity,
--- a/src/core/serving/select_target.ts
+++ b/src/core/serving/select_target.ts
@@ -3,6 +3,7 @@
 import {isBackoffActive} from './announcements/index.js';
 import {isClosedByCold} from './coldness/index.js';
 import {isLimitReached} from './rate_limits/index.js';
+import {isTargetOpen} from './pace/index.js';
 import {refreshTargets} from './refresh_targets.js';
 import {isSuspectTarget} from './is_suspect_target.js';
 import {
@@ -45,6 +46,7 @@
     if (isBackoffActive(state, target.vmId, nowMs)) continue;
     if (isLimitReached(state, target.vmId, nowMs)) continue;
     if (isClosedByCold(state, record, target, nowMs)) continue;
+    if (!isTargetOpen(state, target, nowMs)) continue;
     const isSilent = isTargetSilent(state, target, nowMs);
     const load = resolveTargetLoad(state, target.vmId);
     noteSilence(step, load, isSilent, {target: target.vmId});
--- a/src/core/serving/send_attempt.ts
+++ b/src/core/serving/send_attempt.ts
@@ -51,6 +51,7 @@
   recordSent(state, record.pool, target.vmId, nowMs);
   recordSend(state, target.vmId, nowMs);
   load.unreadTokens += request.promptTokens;
+  load.unstartedCount += 1;
   record.arrivalCount += 1;
   if (isRetry) retryBudget.recordRetry(state, record.service, nowMs);
   record.dispatchCount += 1;
--- a/src/core/serving/silence/record_heard.ts
+++ b/src/core/serving/silence/record_heard.ts
@@ -3,6 +3,7 @@
 import type {VmId} from '../../ids/index.js';
 import {noteSilence} from './note_silence.js';
 import {recordWait} from './record_wait.js';
+import {startRecovery} from '../pace/index.js';
 import {resolvePoolSigns} from './resolve_pool_signs.js';
 import {resolveTargetLoad} from '../resolve_target_load.js';
 
@@ -17,6 +18,7 @@
   const signs = resolvePoolSigns(state, pool);
   const isPoolHeardAgain = signs.silentSinceMs !== undefined;
   const isHeardAgain = load.silentSinceMs !== undefined;
+  if (isHeardAgain) startRecovery(state, vmId, step.nowMs);
   noteSilence(step, load, false, {target: vmId});
   noteSilence(step, signs, false, {pool});
   hear(load, step.nowMs);
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -31,6 +31,7 @@
   ForwardingState,
 } from './forwarding/types.js';
 import type {Run} from './hedges/types.js';
+import type {PaceState} from './pace/types.js';
 import type {RateLimitState} from './rate_limits/types.js';
 import type {ReachabilityState} from './reachability/types.js';
 import type {RestoreState} from './restore/types.js';
@@ -170,6 +171,8 @@
 
 /** Load and health of one target, from the requests that this node sent there. */
 export interface TargetLoad extends SignRecord {
+  /** Attempts that have had no event yet. */
+  unstartedCount: number;
   /** Prompt tokens of attempts that have had no event yet. */
   unreadTokens: number;
   /** Last event of any stream at the target; -Infinity for none. */
@@ -304,6 +307,8 @@
   readonly rateLimits: RateLimitState;
   /** Engines that tolerate few requests after a start. */
   readonly coldness: ColdnessState;
+  /** Targets that start slowly. */
+  readonly pace: PaceState;
   /** This node's own network paths to the engines. */
   readonly reachability: ReachabilityState;
   /** Load and health of targets, as measured by this node's own requests. */
--- a/src/metrics/metric_definitions.ts
+++ b/src/metrics/metric_definitions.ts
@@ -113,6 +113,11 @@
     help: 'Requests that were sent to cold engines, by service.',
     labels: ['service'],
   },
+  recoveries: {
+    kind: 'counter',
+    help: 'Targets that this node began to use slowly, by service.',
+    labels: ['service'],
+  },
   turnedAway: {
     kind: 'counter',
     help: 'Requests that were answered on arrival without a dispatch, by reason.',
--- a/src/serving/digest_codec.ts
+++ b/src/serving/digest_codec.ts
@@ -12,6 +12,7 @@
 import {crashRows} from './crash_rows.js';
 import {isRows} from './is_rows.js';
 import {limitRows} from './limit_rows.js';
+import {paceRows} from './pace_rows.js';
 import {retryRows} from './retry_rows.js';
 import {toCount} from './to_count.js';
 
@@ -67,7 +68,8 @@
     ReturnType<typeof crashRows.encode>,
     ReturnType<typeof retryRows.encode>,
     ReturnType<typeof limitRows.encode>,
-    ReturnType<typeof coldRows.encode> {
+    ReturnType<typeof coldRows.encode>,
+    ReturnType<typeof paceRows.encode> {
   /** Format version. */
   readonly v: number;
   /** Index of the digest's scope. */
@@ -162,6 +164,7 @@
       ...retryRows.encode(digest),
       ...limitRows.encode(digest.limits),
       ...coldRows.encode(digest.coldEngines),
+      ...paceRows.encode(digest.paces),
     };
     const bytes = Buffer.from(JSON.stringify(datagram));
     const isCompressed = bytes.length > COMPRESS_ABOVE_BYTES;
@@ -276,6 +279,7 @@
       ...retryRows.decode(datagram),
       limits: limitRows.decode(datagram),
       ...coldRows.decode(datagram),
+      ...paceRows.decode(datagram),
     };
   },
 };
