--- a/src/core/serving/create_digest.ts
+++ b/src/core/serving/create_digest.ts
@@ -1,10 +1,12 @@
 import type {DigestLoad, LoadDigest, ServingState} from './types.js';
 import type {VmId} from '../ids/index.js';
+import {listColdReports} from './coldness/index.js';
 import {listCrashEvidence} from './crashes/index.js';
 import {createEvacuationReport} from './evacuation/index.js';
 import {isSlow} from './is_slow.js';
 import {toAgeMs} from './to_age_ms.js';
 import {listLeavingReports} from './announcements/index.js';
+import {listPaceReports} from './pace/index.js';
 import {isReady} from './is_ready.js';
 import {
   countRecent,
@@ -122,6 +124,8 @@
     loads,
     retries: listRetryCounts(state, nowMs),
     limits: listLimitReports(state, nowMs),
+    paces: listPaceReports(state, nowMs),
+    coldEngines: listColdReports(state, {isSummary: false}, nowMs),
     predecessors: listPredecessors(state, nowMs),
     ...listCrashEvidence(state, hasNewPeer(state, nowMs), nowMs),
     lostEngines,
--- a/src/core/serving/create_serving_state.ts
+++ b/src/core/serving/create_serving_state.ts
@@ -1,11 +1,13 @@
 import type {NodeId, ZoneId} from '../ids/index.js';
 import type {ServingBounds, ServingState} from './types.js';
 import {createAnnouncementState} from './announcements/index.js';
+import {createColdnessState} from './coldness/index.js';
 import {createCrashState} from './crashes/index.js';
 import {createEvacuationState} from './evacuation/index.js';
 import {createExchangeState} from './relays/create_exchange_state.js';
 import {createFleetSizeState} from './fleet_size/index.js';
 import {createForwardingState} from './forwarding/index.js';
+import {createPaceState} from './pace/index.js';
 import {createRandom} from '../random/index.js';
 import {createRetryState} from './retries/index.js';
 import {createRateLimitState} from './rate_limits/index.js';
@@ -77,6 +79,8 @@
     lostEngines: new Map(),
     announcements: createAnnouncementState(),
     rateLimits: createRateLimitState(),
+    coldness: createColdnessState(),
+    pace: createPaceState(),
     reachability: createReachabilityState(),
     targetLoads: new Map(),
     poolSigns: new Map(),
--- a/src/core/serving/dispatch_waiting.ts
+++ b/src/core/serving/dispatch_waiting.ts
@@ -1,11 +1,13 @@
 import type {Placement, RequestRecord, ServingStep} from './types.js';
 import {resolvePoolBackoffMs} from './announcements/index.js';
 import {isPoolEvacuated} from './evacuation/index.js';
+import {resolveColdWait} from './coldness/index.js';
 import {forwardRequest} from './forwarding/index.js';
 import {findRetryDenial} from './find_retry_denial.js';
 import {isPathDown} from './reachability/index.js';
 import {findCrashSuspect} from './crashes/index.js';
 import {canWaitForLimit, resolvePoolRatePerS} from './rate_limits/index.js';
+import {isPaceLimited} from './pace/index.js';
 import {readmitTargets} from './readmit_targets.js';
 import {refuseRequest} from './refuse_request.js';
 import {retryAfterMs} from './retry_after_ms.js';
@@ -71,13 +73,15 @@
     } else if (
       nowMs >= record.waitDeadlineAtMs ||
       (ratePerS === undefined
-        ? isWaitUseless(step, record, placement)
+        ? isWaitUseless(step, record, placement, waiting.indexOf(record))
         : !canWaitForLimit(step, record, ratePerS, waiting.indexOf(record)))
     ) {
       const hasTarget =
         placement !== undefined ||
         ratePerS !== undefined ||
-        isAwaitingSign(state, record);
+        isAwaitingSign(state, record) ||
+        resolveColdWait(state, record, 0, nowMs) !== undefined ||
+        isPaceLimited(state, record);
       refuseRequest(step, record, {
         reason: isPoolEvacuated(state, pool)
           ? 'evacuated'
@@ -137,6 +141,7 @@
   {state, nowMs}: ServingStep,
   record: RequestRecord,
   placement: Placement | undefined,
+  ahead: number,
 ): boolean {
   if (placement || isAwaitingSign(state, record)) return false;
   if (record.hasPartialResponse) {
@@ -147,6 +152,9 @@
         record.triedTargets.has(vmId) && !record.refusedAtMs.has(vmId),
     );
   }
+  const coldWait = resolveColdWait(state, record, ahead, nowMs);
+  if (coldWait) return !coldWait.canWait;
+  if (isPaceLimited(state, record)) return false;
   if (record.triedTargets.size > 0) return true;
   if (isPoolEvacuated(state, record.pool)) return true;
   const backoffMs = resolvePoolBackoffMs(state, record.pool, nowMs) ?? 0;
--- a/src/core/serving/expire_state.ts
+++ b/src/core/serving/expire_state.ts
@@ -5,6 +5,7 @@
 import {applyFleet} from './apply_fleet.js';
 import {dispatchWaiting} from './dispatch_waiting.js';
 import {expireAnnouncements} from './announcements/index.js';
+import {expireColdness} from './coldness/index.js';
 import {dropPeer} from './drop_peer.js';
 import {isAccessProven} from './is_access_proven.js';
 import {hasStoppedAccepting} from './has_stopped_accepting.js';
@@ -12,6 +13,7 @@
 import {closeHandlers} from './closes/index.js';
 import {crashDetection, expireCrashes} from './crashes/index.js';
 import {expireEvacuations} from './evacuation/index.js';
+import {expirePace} from './pace/index.js';
 import {expireLimits} from './rate_limits/index.js';
 import {markTargetsStale} from './mark_targets_stale.js';
 import {markSettledEra, relistAfterRestore} from './restore/index.js';
@@ -36,6 +38,8 @@
     if (!state.requests.has(record.request.requestId)) continue;
     refuseRequest(step, record, {reason: 'timeout'});
   }
+  expireColdness(step);
+  expirePace(step);
   for (const pool of state.waitingByPool.keys()) dispatchWaiting(step, pool);
   expirePeers(step);
   recordFleetSize(step);
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -1,5 +1,6 @@
 import type {CallerTimeouts} from './caller_timeouts/types.js';
 import type {AnnouncementState} from './announcements/types.js';
+import type {ColdnessState} from './coldness/types.js';
 import type {ClosedBody} from './closes/types.js';
 import type {CrashState} from './crashes/types.js';
 import type {EvacuationState} from './evacuation/types.js';
@@ -32,6 +33,7 @@
   ForwardingState,
 } from './forwarding/types.js';
 import type {Run} from './hedges/types.js';
+import type {PaceState} from './pace/types.js';
 import type {RateLimitState} from './rate_limits/types.js';
 import type {ReachabilityState} from './reachability/types.js';
 import type {RestoreState} from './restore/types.js';
@@ -72,6 +74,8 @@
   readonly sentAtMs: number;
   /** Estimate at dispatch of the time to the first event. */
   readonly expectedFirstMs: number;
+  /** The target was cold at the dispatch. */
+  readonly isCold?: boolean;
   /** Prompt tokens that the target processes for this attempt. */
   readonly promptTokens: number;
   /** When the first event arrived; undefined before. */
@@ -116,6 +120,8 @@
   readonly triedTargets: Set<VmId>;
   /** Those of them that refused it without running it, and when. */
   readonly refusedAtMs: Map<VmId, number>;
+  /** An attempt at a cold engine failed. */
+  hasFailedCold?: boolean;
   /** Whether it may have run at a target so far. */
   verdict: Verdict;
   attempt?: AttemptRecord;
@@ -167,6 +173,8 @@
 
 /** Load and health of one target, from the requests that this node sent there. */
 export interface TargetLoad extends SignRecord {
+  /** Attempts that have had no event yet. */
+  unstartedCount: number;
   /** Prompt tokens of attempts that have had no event yet. */
   unreadTokens: number;
   /** Last event of any stream at the target; -Infinity for none. */
@@ -206,6 +214,9 @@
   readonly listingMs: number;
   /** Time within which an evacuated zone gets no more requests; undefined: zones can't be evacuated. */
   readonly evacuateMs?: number;
+  /** Requests that may reach a cold engine in a second, from all nodes together: this factor on the rate of its service, plus the tolerance. Undefined: cold engines are not limited. */
+  readonly coldOvershoot?: number;
+  readonly coldTolerance?: number;
 }
 
 /** Key of a digest by what it covers: a node's id, `zone/` and a zone's name, or `fleet` for all nodes. */
@@ -302,6 +313,10 @@
   readonly announcements: AnnouncementState;
   /** Limits on requests that engines name in their responses. */
   readonly rateLimits: RateLimitState;
+  /** Engines that tolerate few requests after a start. */
+  readonly coldness: ColdnessState;
+  /** Targets that start slowly. */
+  readonly pace: PaceState;
   /** This node's own network paths to the engines. */
   readonly reachability: ReachabilityState;
   /** Load and health of targets, as measured by this node's own requests. */
--- a/src/replay/serving/create_serving_config.ts
+++ b/src/replay/serving/create_serving_config.ts
@@ -1,4 +1,8 @@
-import type {AccessConfig, Route} from '../../core/access/types.js';
+import type {
+  AccessConfig,
+  Route,
+  ServiceSpec,
+} from '../../core/access/types.js';
 import type {OrganisationId, ServiceName} from '../../core/ids/index.js';
 import {SERVING_MODELS} from './serving_models.js';
 import {indexRoutes} from '../../core/access/index.js';
@@ -9,6 +13,7 @@
 /** Creates a configuration of one service with two models and three streaming routes. */
 export function createServingConfig(
   service: ServiceName,
+  spec: Partial<ServiceSpec> = {},
   largeSize = 6,
 ): AccessConfig {
   const route = (
@@ -53,6 +58,7 @@
       [
         service,
         {
+          ...spec,
           name: service,
           engine: {
             slotCount: 18,
--- a/src/replay/serving/serving_world.ts
+++ b/src/replay/serving/serving_world.ts
@@ -1,4 +1,3 @@
-import type {AccessConfig} from '../../core/access/types.js';
 import type {
   DomainId,
   NodeId,
@@ -15,6 +14,7 @@
   WorldNode,
   WorldRequest,
 } from './types.js';
+import type {AccessConfig, ServiceSpec} from '../../core/access/types.js';
 import type {EngineChange, EngineCosts} from '../../core/fleet/types.js';
 import type {Random} from '../../core/random/index.js';
 import type {
@@ -30,6 +30,7 @@
 import {InvariantChecks} from './invariant_checks.js';
 import {SimulatedCallers} from './simulated_callers.js';
 import {SimulatedEvacuations} from './simulated_evacuations.js';
+import {SimulatedColdness} from './simulated_coldness.js';
 import {SimulatedPeerExchange} from './simulated_peer_exchange.js';
 import {SimulatedEngineRegistry} from './simulated_engine_registry.js';
 import {SimulatedForwards} from './simulated_forwards.js';
@@ -80,6 +81,10 @@
   readonly zoneOfDomain?: (domain: string) => string;
   /** Bounds that differ from those of a typical deployment. */
   readonly bounds?: Partial<ServingBounds>;
+  /** Fields of the service; engines are cold after they open under load if it names a cold time. */
+  readonly service?: Partial<ServiceSpec>;
+  /** Engines are cold as the service says, but nodes don't know it. */
+  readonly hidesColdness?: boolean;
 }
 
 /**
@@ -107,6 +112,7 @@
   /** A caller has sent a request. */
   hasTraffic = false;
   private readonly random: Random;
+  readonly coldness: SimulatedColdness;
   private readonly config: AccessConfig;
   private readonly callers: SimulatedCallers;
   private readonly registry = new SimulatedEngineRegistry({
@@ -115,6 +121,7 @@
     after: (delayMs, run) => this.after(delayMs, run),
     randomInt: limit => this.random.nextInt(limit),
     notifyNodes: change => this.notifyNodes(change),
+    coldLeftMs: vmId => this.coldness.leftMs(vmId),
   });
   readonly exchange = new SimulatedPeerExchange({
     after: (delayMs, run) => this.after(delayMs, run),
@@ -130,11 +137,30 @@
 
   constructor(options: WorldOptions) {
     this.random = createRandom(options.seed);
-    this.config = createServingConfig(SERVICE, options.largeSize);
     this.zoneCount = options.zoneCount ?? ZONE_COUNT;
     this.zoneOfDomain = options.zoneOfDomain ?? (() => 'zone');
     this.bounds = {...SERVING_BOUNDS, ...options.bounds};
     this.coreCountOf = options.coreCountOf ?? (() => 1);
+    const {service, hidesColdness} = options;
+    this.config = createServingConfig(
+      SERVICE,
+      {
+        ...service,
+        ...(hidesColdness && {coldMs: undefined, coldRequestsPerS: undefined}),
+      },
+      options.largeSize,
+    );
+    const {coldOvershoot = 0, coldTolerance = 0} = this.bounds;
+    this.coldness = new SimulatedColdness({
+      coldMs: service?.coldMs ?? 0,
+      boundPerS:
+        (service?.coldRequestsPerS ?? 0) * coldOvershoot + coldTolerance,
+      nowMs: () => this.nowMs,
+      crash: vmId => {
+        this.crashEngine(vmId, {isSilent: false});
+        this.after(ENGINE_RESTART_MS, () => this.restartEngine(vmId));
+      },
+    });
     this.costs = this.config.services.get(SERVICE)!.engine!;
     this.checks = new InvariantChecks(this);
     this.callers = new SimulatedCallers({
@@ -150,6 +176,7 @@
       dispatch: (node, event) => this.dispatch(node, event),
     });
     this.network = new SimulatedNetwork({
+      coldness: this.coldness,
       engines: this.engines,
       callers: this.forwards,
       random: this.random,
@@ -412,6 +439,11 @@
     this.checks.recordJoin(vmId, order);
   }
 
+  recordOpen(vmId: VmId): void {
+    const {coldMs} = this.coldness;
+    if (this.hasTraffic && coldMs > 0) this.coldness.start(vmId, coldMs);
+  }
+
   recordReady(vmId: VmId): void {
     this.checks.recordReady(vmId);
   }
--- a/src/serving/digest_codec.ts
+++ b/src/serving/digest_codec.ts
@@ -8,10 +8,12 @@
   RosterNode,
 } from '../core/serving/types.js';
 import {isAddress, isEngineChange} from '../core/fleet/index.js';
+import {coldRows} from './cold_rows.js';
 import {crashRows} from './crash_rows.js';
 import {evacuationRows} from './evacuation_rows.js';
 import {isRows} from './is_rows.js';
 import {limitRows} from './limit_rows.js';
+import {paceRows} from './pace_rows.js';
 import {retryRows} from './retry_rows.js';
 import {toCount} from './to_count.js';
 
@@ -67,7 +69,9 @@
     ReturnType<typeof crashRows.encode>,
     ReturnType<typeof retryRows.encode>,
     ReturnType<typeof limitRows.encode>,
-    ReturnType<typeof evacuationRows.encode> {
+    ReturnType<typeof evacuationRows.encode>,
+    ReturnType<typeof coldRows.encode>,
+    ReturnType<typeof paceRows.encode> {
   /** Format version. */
   readonly v: number;
   /** Index of the digest's scope. */
@@ -162,6 +166,8 @@
       ...retryRows.encode(digest),
       ...limitRows.encode(digest.limits),
       ...evacuationRows.encode(digest.evacuation),
+      ...coldRows.encode(digest.coldEngines),
+      ...paceRows.encode(digest.paces),
     };
     const bytes = Buffer.from(JSON.stringify(datagram));
     const isCompressed = bytes.length > COMPRESS_ABOVE_BYTES;
@@ -276,6 +282,8 @@
       ...retryRows.decode(datagram),
       limits: limitRows.decode(datagram),
       ...evacuationRows.decode(datagram),
+      ...coldRows.decode(datagram),
+      ...paceRows.decode(datagram),
     };
   },
 };
