--- a/test/units/serving/cold_targets.test.ts
+++ b/test/units/serving/cold_targets.test.ts
@@ -343,9 +343,7 @@
   it('of the engines of a zone that was returned to service lasts from then on', () => {
     const node = startNode();
     const zone = createTestEngine(0).zone;
-    const returnedAtMsByZone = new Map([[zone, node.nowMs]]);
-    const view = {evacuation: {returnedAtMsByZone}};
-    Object.assign(node.state, view);
+    node.state.evacuation.returnedAtMsByZone.set(zone, node.nowMs);
     assert.equal(
       presumedColdSinceMs(node.state, createTestEngine(0)),
       node.nowMs,
