Simulated callers of several organisations, priorities and nodes

Cause: loads that compete for a pool could not be simulated: all requests had one key, routes one priority, and nodes were drawn at random. Change: a world takes organisations and priorities of routes; a request may name its node; outcomes have the key and the retry times. Defaults and random draws are as before.

--- a/src/replay/serving/create_serving_config.ts
+++ b/src/replay/serving/create_serving_config.ts
@@ -1,4 +1,5 @@
 import type {AccessConfig, Route} from '../../core/access/types.js';
+import type {AccessOptions} from './types.js';
 import type {OrganisationId, ServiceName} from '../../core/ids/index.js';
 import {SERVING_MODELS} from './serving_models.js';
 import {indexRoutes} from '../../core/access/index.js';
@@ -7,7 +8,10 @@
 const ORGANISATION_COUNT = 4;
 
 /** Creates a configuration of one service with two models and three streaming routes. */
-export function createServingConfig(service: ServiceName): AccessConfig {
+export function createServingConfig(
+  service: ServiceName,
+  {organisationsByKey, priorities}: AccessOptions = {},
+): AccessConfig {
   const route = (
     name: string,
     goalMs: number,
@@ -23,7 +27,7 @@
     timeoutMs,
     goalMs,
     gapGoalMs,
-    priority: 1,
+    priority: priorities?.[name] ?? 1,
     maxAttempts: 2,
     shares: [{service, weight: 1}],
   });
@@ -39,7 +43,7 @@
   return {
     version: 1,
     routesByHost: indexRoutes(routes),
-    organisationsByKey: new Map(organisations),
+    organisationsByKey: organisationsByKey ?? new Map(organisations),
     limits: {
       maxHeaderBytes: 16_384,
       maxBodyBytes: 4_194_304,
--- a/src/replay/serving/serving_world.ts
+++ b/src/replay/serving/serving_world.ts
@@ -7,6 +7,7 @@
   ZoneId,
 } from '../../core/ids/index.js';
 import type {
+  AccessOptions,
   CallerOutcome,
   CrashingPartEvent,
   EngineWorld,
@@ -15,6 +16,7 @@
   WorldRequest,
 } from './types.js';
 import type {EngineChange, EngineCosts} from '../../core/fleet/types.js';
+import type {AccessConfig} from '../../core/access/types.js';
 import type {Random} from '../../core/random/index.js';
 import type {
   ServingEffect,
@@ -69,6 +71,8 @@
   readonly zoneCount?: number;
   /** Number of cores of the node with index `at`; 1 by default. */
   readonly coreCountOf?: (at: number) => number;
+  /** Organisations and priorities; four organisations of equal priority by default. */
+  readonly access?: AccessOptions;
   /** Share of orders, 0 to 1, that time out and are executed seconds later. */
   readonly lateOrderShare?: number;
 }
@@ -98,7 +102,7 @@
   /** A caller has sent a request. */
   hasTraffic = false;
   private readonly random: Random;
-  private readonly config = createServingConfig(SERVICE);
+  private readonly config: AccessConfig;
   private readonly callers: SimulatedCallers;
   private readonly registry = new SimulatedEngineRegistry({
     engines: this.engines,
@@ -118,6 +122,7 @@
 
   constructor(options: WorldOptions) {
     this.random = createRandom(options.seed);
+    this.config = createServingConfig(SERVICE, options.access);
     this.zoneCount = options.zoneCount ?? ZONE_COUNT;
     this.coreCountOf = options.coreCountOf ?? (() => 1);
     this.costs = this.config.services.get(SERVICE)!.engine!;
@@ -125,7 +130,7 @@
     this.callers = new SimulatedCallers({
       time: this.time,
       config: this.config,
-      dispatchToRandomNode: request => this.dispatchToRandomNode(request),
+      dispatchToNode: (request, at) => this.dispatchToNode(request, at),
     });
     this.forwards = new SimulatedForwards({
       callers: this.callers,
@@ -531,10 +536,16 @@
     }
   }
 
-  /** Returns the node; undefined if none is running. */
-  private dispatchToRandomNode(request: ServingRequest): NodeId | undefined {
+  /** Sends a request to the node with index `at`, by default a random one, and returns it; undefined if none is running. */
+  private dispatchToNode(
+    request: ServingRequest,
+    at: number | undefined,
+  ): NodeId | undefined {
     const nodes = this.nodes.filter(
-      node => node.isUp && this.acceptsCallers(node),
+      (node, index) =>
+        node.isUp &&
+        this.acceptsCallers(node) &&
+        (at === undefined || at === index),
     );
     const node = nodes[this.random.nextInt(nodes.length)];
     if (!node) return undefined;
--- a/src/replay/serving/simulated_callers.ts
+++ b/src/replay/serving/simulated_callers.ts
@@ -14,8 +14,11 @@
 interface CallersOptions {
   readonly time: VirtualTime;
   readonly config: AccessConfig;
-  /** Returns the node; undefined if none is running. */
-  dispatchToRandomNode(request: ServingRequest): NodeId | undefined;
+  /** Sends to a given or a random node, and returns it; undefined if none is running. */
+  dispatchToNode(
+    request: ServingRequest,
+    nodeIndex: number | undefined,
+  ): NodeId | undefined;
 }
 
 /** Simulated callers: they send requests, retry once after a refusal, and record the outcomes. */
@@ -43,6 +46,8 @@
       model: request.model,
       sharedPartIds: request.sharedPartIds ?? [],
       promptTokens: request.promptTokens,
+      apiKey: request.apiKey ?? 'key-0',
+      retryAfterMs: [],
       arrivedAtMs: this.world.time.nowMs,
       goalMs: route.goalMs,
       gapGoalMs: route.gapGoalMs ?? Infinity,
@@ -53,6 +58,7 @@
     const call: CallerCallState = {
       outcome,
       events: request.events,
+      nodeIndex: request.nodeIndex,
       eventsReceived: 0,
       attemptCount: 0,
       request: {
@@ -97,12 +103,13 @@
     const requestId = makeId<RequestId>(`r${this.requestCount}`);
     this.openCalls.set(requestId, call);
     call.attemptCount += 1;
-    const nodeId = this.world.dispatchToRandomNode({
+    const request = {
       ...call.request,
       callerTimeoutMs: remainingMs,
       requestId,
       arrivedAtMs: this.world.time.nowMs,
-    });
+    };
+    const nodeId = this.world.dispatchToNode(request, call.nodeIndex);
     if (nodeId !== undefined) {
       call.outcome.nodeId ??= nodeId;
       this.sentAtMs.push(this.world.time.nowMs);
@@ -123,6 +130,9 @@
       (call.request.callerTimeoutMs ?? 0) -
       this.world.time.nowMs;
     outcome.refusalCount += 1;
+    if (effect.retryAfterMs !== undefined) {
+      outcome.retryAfterMs.push(effect.retryAfterMs);
+    }
     if (effect.status !== 503 || call.attemptCount > 1 || remainingMs <= 0) {
       this.end(effect.requestId, effect.status === 503 ? 'refused' : 'failed');
       return;
--- a/src/replay/serving/types.ts
+++ b/src/replay/serving/types.ts
@@ -1,3 +1,4 @@
+import type {Organisation} from '../../core/access/types.js';
 import type {AttemptFault} from '../../core/serving/types.js';
 import type {EngineCosts, EngineRecord} from '../../core/fleet/types.js';
 import type {EngineOrder} from '../../core/steward/types.js';
@@ -10,6 +11,14 @@
 } from '../../core/ids/index.js';
 import type {ServingRequest, ServingState} from '../../core/serving/types.js';
 
+/** Organisations and priorities of a simulation's configuration. */
+export interface AccessOptions {
+  /** Organisations by API key. */
+  readonly organisationsByKey?: ReadonlyMap<string, Organisation>;
+  /** Priority of each route, 1 by default. */
+  readonly priorities?: Readonly<Record<string, number>>;
+}
+
 /** A request at a simulated engine. */
 export interface EngineJob {
   readonly attemptId: string;
@@ -93,7 +102,10 @@
   readonly model?: ModelName;
   readonly sharedPartIds: readonly PromptPartId[];
   readonly promptTokens: number;
+  readonly apiKey: string;
   readonly arrivedAtMs: number;
+  /** Retry times of the refusals, in ms. */
+  readonly retryAfterMs: number[];
   /** The node that got the caller's first attempt; undefined before. */
   nodeId?: NodeId;
   readonly goalMs: number;
@@ -118,12 +130,15 @@
   /** Number of events of the complete response. */
   readonly events: number;
   readonly apiKey?: string;
+  /** Index of the node that the caller uses; a random one by default. */
+  readonly nodeIndex?: number;
 }
 
 /** State of a caller's request over all its attempts. */
 export interface CallerCallState {
   readonly outcome: CallerOutcome;
   readonly request: Omit<ServingRequest, 'requestId' | 'arrivedAtMs'>;
+  readonly nodeIndex?: number;
   /** Number of events of the complete response. */
   readonly events: number;
   eventsReceived: number;
