Pools short of capacity are shared by organisation and priority

Cause: requests that wait are ordered by priority, lateness and goal alone, so an organisation is served in proportion to what it sends, and a flood takes the slots of all others. What waits in vain is refused only at the end of its wait. Change: src/core/serving/fair_queue. Among requests of equal priority and lateness the organisation with the least recent service relative to its weight goes first; service is counted over all nodes, by optional rows of digests (at most 24) that relays sum. Over-served organisations leave the targets' own queues to others. Requests that exceed what the pool serves within their remaining wait are refused at once, least urgent and most over-served first, with successive times at which there is room. Enabled by two or more organisations; the order is unchanged otherwise. Organisations have an optional weight.

--- a/src/core/access/types.ts
+++ b/src/core/access/types.ts
@@ -41,6 +41,8 @@
   readonly organisationId: OrganisationId;
   /** Takes precedence over the priority of the route. */
   readonly priority?: number;
+  /** Its part of a pool that is short of capacity, relative to other organisations; 1 by default. */
+  readonly weight?: number;
 }
 
 /** A service that routes can select. */
--- a/src/core/serving/admit_request.ts
+++ b/src/core/serving/admit_request.ts
@@ -4,6 +4,7 @@
 import type {RequestRecord, ServingRequest, ServingStep} from './types.js';
 import {canEndBeforeExit} from './can_end_before_exit.js';
 import {count} from './count.js';
+import {fairQueue} from './fair_queue/index.js';
 import {findCrashSuspect} from './crashes/index.js';
 import {estimateFirstSentAtMs} from './estimate_first_sent_at_ms.js';
 import {isAccessProven} from './is_access_proven.js';
@@ -100,6 +101,7 @@
     refuseRequest(step, record, {reason: 'overloaded', retryDenial: 'budget'});
     return;
   }
+  fairQueue.recordArrival(step, record);
   queueRequest(step, record);
 }
 
--- a/src/core/serving/apply_digest.ts
+++ b/src/core/serving/apply_digest.ts
@@ -4,6 +4,7 @@
 import {addPeerLoads} from './add_peer_loads.js';
 import {applyCrashEvidence} from './crashes/index.js';
 import {applyFleet} from './apply_fleet.js';
+import {recordPeerWork, subtractOwnWork} from './fair_queue/index.js';
 import {logDecision} from './log_decision.js';
 import {applyLimitReports, recordPeerSends} from './rate_limits/index.js';
 import {applyPredecessors} from './retries/index.js';
@@ -48,6 +49,7 @@
   addPeerLoads(state, digest.loads, 1);
   applyTargetProgress(state, digest, nowMs);
   recordPeerSends(state, key, digest.loads, nowMs);
+  recordPeerWork(state, key, subtractOwnWork(state, digest, nowMs), nowMs);
   const hasRoster = digest.roster.length > 0;
   const view: PeerView = {
     digest,
--- a/src/core/serving/create_digest.ts
+++ b/src/core/serving/create_digest.ts
@@ -1,6 +1,7 @@
 import type {DigestLoad, LoadDigest, ServingState} from './types.js';
 import type {VmId} from '../ids/index.js';
 import {listCrashEvidence} from './crashes/index.js';
+import {listWorkRows} from './fair_queue/index.js';
 import {isSlow} from './is_slow.js';
 import {toAgeMs} from './to_age_ms.js';
 import {listLeavingReports} from './announcements/index.js';
@@ -90,6 +91,7 @@
       isSilent,
       ...(hasResponded && {ageMs: Math.round(nowMs - atMs)}),
     }));
+  const work = listWorkRows(state, nowMs);
   return {
     scope: 'node',
     nodeCount: 1,
@@ -119,6 +121,7 @@
     loads,
     retries: listRetryCounts(state, nowMs),
     limits: listLimitReports(state, nowMs),
+    ...(work && {work}),
     predecessors: listPredecessors(state, nowMs),
     ...listCrashEvidence(state, hasNewPeer(state, nowMs), nowMs),
     lostEngines,
--- a/src/core/serving/create_serving_state.ts
+++ b/src/core/serving/create_serving_state.ts
@@ -3,6 +3,7 @@
 import {createAnnouncementState} from './announcements/index.js';
 import {createCrashState} from './crashes/index.js';
 import {createExchangeState} from './relays/create_exchange_state.js';
+import {createFairQueueState} from './fair_queue/index.js';
 import {createFleetSizeState} from './fleet_size/index.js';
 import {createForwardingState} from './forwarding/index.js';
 import {createRandom} from '../random/index.js';
@@ -87,6 +88,7 @@
     requestsByAttempt: new Map(),
     forwarding: createForwardingState(),
     waitingByPool: new Map(),
+    fairQueue: createFairQueueState(),
     retries: createRetryState(),
     crashes: createCrashState(),
     hasExited: false,
--- a/src/core/serving/dispatch_waiting.ts
+++ b/src/core/serving/dispatch_waiting.ts
@@ -1,6 +1,9 @@
+import type {VmId} from '../ids/index.js';
 import type {Placement, RequestRecord, ServingStep} from './types.js';
 import {resolvePoolBackoffMs} from './announcements/index.js';
+import {fairQueue} from './fair_queue/index.js';
 import {forwardRequest} from './forwarding/index.js';
+import {count} from './count.js';
 import {findRetryDenial} from './find_retry_denial.js';
 import {isPathDown} from './reachability/index.js';
 import {findCrashSuspect} from './crashes/index.js';
@@ -35,7 +38,11 @@
   const {state, nowMs} = step;
   const waiting = state.waitingByPool.get(pool);
   if (!waiting || waiting.length === 0) return;
-  waiting.sort((a, b) => compareUrgency(a, b, nowMs));
+  fairQueue.order(step, pool, waiting);
+  const reservedTargets = new Set<VmId>();
+  let hasTarget = false;
+  // Slots that are kept from late urgent requests are not for less urgent ones that are on time.
+  let blockedPriority = Infinity;
   for (const record of [...waiting]) {
     const suspicion = findCrashSuspect(state, record.request, nowMs);
     if (suspicion) {
@@ -57,12 +64,15 @@
     }
     if (record.hasPartialResponse) readmitTargets(step, record);
     const placement = selectTarget(step, record);
+    hasTarget ||= placement !== undefined;
     const ratePerS = placement
       ? undefined
       : resolvePoolRatePerS(state, record, nowMs);
     if (
       placement &&
-      canDispatch(record, placement, nowMs) &&
+      record.priority <= blockedPriority &&
+      !isReservedFor(record, placement, reservedTargets) &&
+      canDispatch(step, record, placement) &&
       isRetryAllowed(step, record)
     ) {
       waiting.splice(waiting.indexOf(record), 1);
@@ -73,45 +83,77 @@
         ? isWaitUseless(step, record, placement)
         : !canWaitForLimit(step, record, ratePerS, waiting.indexOf(record)))
     ) {
-      const hasTarget =
+      const isOverloaded =
         placement !== undefined ||
         ratePerS !== undefined ||
         isAwaitingSign(state, record);
       refuseRequest(step, record, {
-        reason: hasTarget ? 'overloaded' : 'no-target',
+        reason: isOverloaded ? 'overloaded' : 'no-target',
         retryAfterMs: retryAfterMs(step, record, placement),
       });
+    } else if (placement && fairQueue.isEnabled(state)) {
+      blockedPriority = Math.min(blockedPriority, record.priority);
+      if (waitsForPrompts(placement)) {
+        reservedTargets.add(placement.target.vmId);
+      }
     }
   }
+  if (hasTarget) refuseExcess(step, pool, waiting);
 }
 
-/** Orders by priority, then requests that can still meet their goal before late ones, then by the earlier goal. */
-function compareUrgency(
-  a: RequestRecord,
-  b: RequestRecord,
-  nowMs: number,
-): number {
-  if (a.priority !== b.priority) return a.priority - b.priority;
-  const aLate = nowMs > a.goalAtMs ? 1 : 0;
-  const bLate = nowMs > b.goalAtMs ? 1 : 0;
-  return aLate - bLate || a.goalAtMs - b.goalAtMs;
+/** Refuses waiting requests at once where the queue is longer than what the pool serves in time. */
+function refuseExcess(
+  step: ServingStep,
+  pool: string,
+  waiting: readonly RequestRecord[],
+): void {
+  for (const record of fairQueue.selectRejected(step, pool, waiting)) {
+    count(step, 'shedRequests', 1, {
+      service: record.service,
+      priority: String(record.priority),
+    });
+    refuseRequest(step, record, {
+      reason: 'overloaded',
+      retryAfterMs: retryAfterMs(step, record, undefined),
+    });
+  }
+}
+
+/** Whether a request waits for prompt capacity alone. Those behind it leave the target to it: smaller prompts would take what becomes free, and a large one would wait until they end. */
+function waitsForPrompts({
+  target,
+  inFlight,
+  hasPromptCapacity,
+}: Placement): boolean {
+  return !hasPromptCapacity && inFlight < target.slotCount;
+}
+
+function isReservedFor(
+  {hasPartialResponse}: RequestRecord,
+  {target}: Placement,
+  reservedTargets: ReadonlySet<VmId>,
+): boolean {
+  return !hasPartialResponse && reservedTargets.has(target.vmId);
 }
 
 function canDispatch(
+  step: ServingStep,
   record: RequestRecord,
   placement: Placement,
-  nowMs: number,
 ): boolean {
+  const {nowMs} = step;
   const {target, inFlight, firstEventMs, hasPromptCapacity, hasRoom, canQueue} =
     placement;
   // The caller already has part of this stream, so it must resume at once.
   if (record.hasPartialResponse) return canQueue;
   if (nowMs + firstEventMs >= record.deadlineAtMs) return false;
   const isLate = nowMs + firstEventMs > record.goalAtMs;
-  if (!isLate)
-    return (
-      inFlight < ON_TIME_SLOT_SHARE * target.slotCount && hasPromptCapacity
-    );
+  if (!isLate) {
+    const slotShare = fairQueue.canUseTargetQueue(step, record)
+      ? ON_TIME_SLOT_SHARE
+      : 1;
+    return inFlight < slotShare * target.slotCount && hasPromptCapacity;
+  }
   if (hasRoom && inFlight < LATE_SLOT_SHARE * target.slotCount) return true;
   const {waitingSinceMs, waitDeadlineAtMs} = record;
   const lateDispatchAtMs =
--- a/src/core/serving/expire_state.ts
+++ b/src/core/serving/expire_state.ts
@@ -10,6 +10,7 @@
 import {logDecision} from './log_decision.js';
 import {closeHandlers} from './closes/index.js';
 import {crashDetection, expireCrashes} from './crashes/index.js';
+import {expireWork} from './fair_queue/index.js';
 import {expireLimits} from './rate_limits/index.js';
 import {markTargetsStale} from './mark_targets_stale.js';
 import {markSettledEra, relistAfterRestore} from './restore/index.js';
@@ -42,6 +43,7 @@
   expireCrashes(state, nowMs);
   expireAnnouncements(state, nowMs);
   expireLimits(state, nowMs);
+  expireWork(state, nowMs);
   for (const [vmId, {atMs}] of state.departedEngines) {
     if (nowMs - atMs > DEPARTED_RETENTION_MS)
       state.departedEngines.delete(vmId);
--- a/src/core/serving/peers/types.ts
+++ b/src/core/serving/peers/types.ts
@@ -2,6 +2,7 @@
 import type {LeavingReport} from '../announcements/types.js';
 import type {NodeId, ServiceName, VmId, ZoneId} from '../../ids/index.js';
 import type {LimitReport} from '../rate_limits/types.js';
+import type {WorkRow} from '../fair_queue/types.js';
 import type {PredecessorEntry, RetryCount} from '../retries/types.js';
 import type {
   CrashReportEntry,
@@ -97,6 +98,8 @@
   readonly retries?: readonly RetryCount[];
   /** Limits that engines name, or have ceased to name. */
   readonly limits: readonly LimitReport[];
+  /** Recently admitted work by pool and organisation, the largest counts only; undefined if there is none, and in digests of earlier builds. */
+  readonly work?: readonly WorkRow[];
   /** Replaced processes of other nodes, for the processes that replaced them. */
   readonly predecessors: readonly PredecessorEntry[];
   /** Number of nodes whose requests the digest counts. */
--- a/src/core/serving/relays/create_summary.ts
+++ b/src/core/serving/relays/create_summary.ts
@@ -13,6 +13,7 @@
 import {decayCount} from '../rate_limits/index.js';
 import {resolveProofAtMs} from '../resolve_proof_at_ms.js';
 import {rankRoster} from './rank_roster.js';
+import {sumWorkRows} from '../fair_queue/index.js';
 import {sumLoads} from './sum_loads.js';
 
 /** Maximum number of probe reports, and of requests for probes, in one datagram. */
@@ -49,6 +50,7 @@
     .filter(({digest}) => digest.scope !== 'fleet')
     .flatMap(({digest}) => digest.probeRequests);
   const nodeCount = views.reduce((sum, one) => sum + one.digest.nodeCount, 1);
+  const work = sumWorkRows(own.work, views, nowMs);
   return {
     ...own,
     ...describeSteward(state, own, views, nowMs),
@@ -58,6 +60,7 @@
       own.loads,
       ...views.map(view => withCurrentAges(view, nowMs)),
     ]),
+    ...(work && {work}),
     configProofAgeMs: toAgeMs(state.configProvenAtMs, nowMs),
     probeRequests: [...own.probeRequests, ...peerRequests].slice(
       -MAX_PROBE_REPORTS,
--- a/src/core/serving/relays/plan_digests.ts
+++ b/src/core/serving/relays/plan_digests.ts
@@ -6,6 +6,7 @@
 } from '../types.js';
 import type {NodeId} from '../../ids/index.js';
 import {ROSTER_INTERVAL_MS} from './roster_interval_ms.js';
+import {recordSentRows} from '../fair_queue/index.js';
 import {createDigest} from '../create_digest.js';
 import {createSummary} from './create_summary.js';
 import {updateRelays} from './update_relays.js';
@@ -135,6 +136,7 @@
 }
 
 function recordSentLoads({state}: ServingStep, digest: LoadDigest): void {
+  recordSentRows(state, digest);
   const {sentLoads} = state.exchange;
   sentLoads.set(digest.sentAtMs, digest.loads);
   for (const sentAtMs of sentLoads.keys()) {
--- a/src/core/serving/retry_after_ms.ts
+++ b/src/core/serving/retry_after_ms.ts
@@ -1,4 +1,5 @@
 import {resolvePoolBackoffMs} from './announcements/index.js';
+import {fairQueue} from './fair_queue/index.js';
 import type {Placement, RequestRecord, ServingStep} from './types.js';
 
 /** Usual time to replace a lost replica with a warm spare. */
@@ -23,11 +24,15 @@
   }
   const waiting = state.waitingByPool.get(record.pool)?.length ?? 0;
   const targets = state.targetsByPool.get(record.pool)?.length ?? 0;
+  const roomMs = fairQueue.bookRoomMs(step, record.pool);
   const base = placement
     ? placement.firstEventMs +
       (waiting * placement.firstEventMs) / Math.max(1, targets)
     : REPLICA_REPAIR_MS;
   const leftMs = record.deadlineAtMs - nowMs;
-  const boundedMs = Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, base));
+  const boundedMs = Math.min(
+    MAX_RETRY_MS,
+    Math.max(MIN_RETRY_MS, roomMs ?? base),
+  );
   return Math.round(Math.min(boundedMs * jitter, Math.max(1, leftMs / 3)));
 }
--- a/src/core/serving/send_attempt.ts
+++ b/src/core/serving/send_attempt.ts
@@ -7,6 +7,7 @@
 } from './types.js';
 import type {RetryUsage} from './retries/types.js';
 import {count} from './count.js';
+import {fairQueue} from './fair_queue/index.js';
 import {logDecision} from './log_decision.js';
 import {makeId} from '../ids/index.js';
 import {findRunTarget, keepSilentRun} from './hedges/index.js';
@@ -47,6 +48,7 @@
   };
   recordSent(state, record.pool, target.vmId, nowMs);
   recordSend(state, target.vmId, nowMs);
+  fairQueue.recordAdmitted(step, record);
   load.unreadTokens += request.promptTokens;
   record.arrivalCount += 1;
   if (isRetry) retryBudget.recordRetry(state, record.service, nowMs);
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -1,6 +1,7 @@
 import type {AnnouncementState} from './announcements/types.js';
 import type {ClosedBody} from './closes/types.js';
 import type {CrashState} from './crashes/types.js';
+import type {FairQueueState} from './fair_queue/types.js';
 import type {FleetSizeState} from './fleet_size/types.js';
 import type {ExchangeState, PeerView, PeerLoad} from './peers/types.js';
 import type {AccessConfig, Route} from '../access/types.js';
@@ -319,6 +320,8 @@
   readonly forwarding: ForwardingState;
   /** Requests without a target, by pool. */
   readonly waitingByPool: Map<string, RequestRecord[]>;
+  /** Recent use of the pools by organisations, of this node and its peers. */
+  readonly fairQueue: FairQueueState;
   readonly retries: RetryState;
   /** Evidence of crashes that requests cause. */
   readonly crashes: CrashState;
--- a/src/metrics/metric_definitions.ts
+++ b/src/metrics/metric_definitions.ts
@@ -103,6 +103,11 @@
     help: 'Engines that said in an answer that they leave, or want no requests for a time, by kind.',
     labels: ['kind'],
   },
+  shedRequests: {
+    kind: 'counter',
+    help: 'Waiting requests that were refused since the queue was longer than what the pool serves in time, by service and priority.',
+    labels: ['service', 'priority'],
+  },
   turnedAway: {
     kind: 'counter',
     help: 'Requests that were answered on arrival without a dispatch, by reason.',
--- a/src/serving/digest_codec.ts
+++ b/src/serving/digest_codec.ts
@@ -13,6 +13,7 @@
 import {limitRows} from './limit_rows.js';
 import {retryRows} from './retry_rows.js';
 import {toCount} from './to_count.js';
+import {workRows} from './work_rows.js';
 
 /** Version of the datagram format; datagrams of other versions are dropped. */
 const FORMAT_VERSION = 6;
@@ -65,7 +66,8 @@
   extends
     ReturnType<typeof crashRows.encode>,
     ReturnType<typeof retryRows.encode>,
-    ReturnType<typeof limitRows.encode> {
+    ReturnType<typeof limitRows.encode>,
+    ReturnType<typeof workRows.encode> {
   /** Format version. */
   readonly v: number;
   /** Index of the digest's scope. */
@@ -159,6 +161,7 @@
       ...crashRows.encode(digest),
       ...retryRows.encode(digest),
       ...limitRows.encode(digest.limits),
+      ...workRows.encode(digest.work),
     };
     const bytes = Buffer.from(JSON.stringify(datagram));
     const isCompressed = bytes.length > COMPRESS_ABOVE_BYTES;
@@ -272,6 +275,7 @@
       ...crashFields,
       ...retryRows.decode(datagram),
       limits: limitRows.decode(datagram),
+      ...workRows.decode(datagram),
     };
   },
 };
