A pool that one organisation uses with one priority works as before

Ruled out in trials, each alone: shedding, retry times, reserved targets. The cause is not traced further. The average service was also that of an earlier time where one request waited, so a single organisation could count as over-served. Change: the mechanism acts on pools that several organisations or priorities used lately, and the average is updated at each ordering.

--- a/src/core/serving/dispatch_waiting.ts
+++ b/src/core/serving/dispatch_waiting.ts
@@ -91,7 +91,7 @@
         reason: isOverloaded ? 'overloaded' : 'no-target',
         retryAfterMs: retryAfterMs(step, record, placement),
       });
-    } else if (placement && fairQueue.isEnabled(state)) {
+    } else if (placement && fairQueue.isActive(state, pool)) {
       blockedPriority = Math.min(blockedPriority, record.priority);
       if (waitsForPrompts(placement)) {
         reservedTargets.add(placement.target.vmId);
--- a/src/core/serving/fair_queue/book_room_ms.ts
+++ b/src/core/serving/fair_queue/book_room_ms.ts
@@ -1,5 +1,6 @@
 import type {ServingState} from '../types.js';
 import {estimateRatePerS} from './estimate_rate_per_s.js';
+import {isPoolShared} from './is_pool_shared.js';
 
 const MS_PER_S = 1000;
 
@@ -14,7 +15,7 @@
   nowMs: number,
 ): number | undefined {
   const work = state.fairQueue.pools.get(pool);
-  if (!work || !state.fairQueue.weights) return undefined;
+  if (!work || !isPoolShared(state, pool)) return undefined;
   const ratePerS = estimateRatePerS(state, pool, nowMs);
   if (ratePerS === undefined) return undefined;
   const waiting = state.waitingByPool.get(pool)?.length ?? 0;
--- a/src/core/serving/fair_queue/fair_queue.ts
+++ b/src/core/serving/fair_queue/fair_queue.ts
@@ -1,6 +1,7 @@
 import type {RequestRecord, ServingState, ServingStep} from '../types.js';
 import {addWork} from './add_work.js';
 import {bookRoomMs} from './book_room_ms.js';
+import {isPoolShared} from './is_pool_shared.js';
 import {isOverServed} from './is_over_served.js';
 import {orderWaiting} from './order_waiting.js';
 import {resolvePoolWork} from './resolve_pool_work.js';
@@ -19,8 +20,8 @@
   recordAdmitted(step: ServingStep, record: RequestRecord): void;
   /** Whether a request may be sent to a target's own queue: that is left to organisations that are not over-served, at whichever node. */
   canUseTargetQueue(step: ServingStep, record: RequestRecord): boolean;
-  /** Whether the configuration has organisations between which pools are shared. */
-  isEnabled(state: ServingState): boolean;
+  /** Whether several organisations or priorities share the pool; otherwise the queue works as without the mechanism. */
+  isActive(state: ServingState, pool: string): boolean;
   /** Returns the waiting requests to refuse now, since they or others would wait in vain. */
   selectRejected(
     step: ServingStep,
@@ -56,9 +57,7 @@
   canUseTargetQueue({state, nowMs}, record) {
     return !resolveWeights(state) || !isOverServed(state, record, nowMs);
   },
-  isEnabled(state) {
-    return resolveWeights(state) !== undefined;
-  },
+  isActive: isPoolShared,
   selectRejected,
   bookRoomMs({state, nowMs}, pool) {
     return bookRoomMs(state, pool, nowMs);
--- a/src/core/serving/fair_queue/order_waiting.ts
+++ b/src/core/serving/fair_queue/order_waiting.ts
@@ -1,5 +1,6 @@
 import type {RequestRecord, ServingStep} from '../types.js';
 import {compareUrgency} from './compare_urgency.js';
+import {isPoolShared} from './is_pool_shared.js';
 import {needsGuarantee} from './needs_guarantee.js';
 import {resolvePoolWork} from './resolve_pool_work.js';
 import {resolveServiceTags} from './resolve_service_tags.js';
@@ -11,8 +12,8 @@
  * part of, then by priority, then requests that can still meet their goal, then
  * the organisation with the least service relative to its weight. The first
  * request of a less urgent priority that has had less than its guaranteed part
- * is moved ahead of the others. Where the mechanism is disabled, the order is by
- * urgency alone.
+ * is moved ahead of the others. Where the mechanism is disabled or the pool is not
+ * shared, the order is by urgency alone.
  */
 export function orderWaiting(
   step: ServingStep,
@@ -20,12 +21,12 @@
   waiting: RequestRecord[],
 ): void {
   const {state, nowMs} = step;
-  if (!resolveWeights(state)) {
+  if (resolveWeights(state)) updateLevel(step, pool, waiting);
+  if (!isPoolShared(state, pool)) {
     waiting.sort((a, b) => compareUrgency(a, b, nowMs));
     return;
   }
   if (waiting.length < 2) return;
-  updateLevel(step, pool, waiting);
   const partialFirst = (a: RequestRecord, b: RequestRecord) =>
     Number(b.hasPartialResponse) - Number(a.hasPartialResponse);
   waiting.sort((a, b) => partialFirst(a, b) || compareUrgency(a, b, nowMs));
--- a/src/core/serving/fair_queue/select_rejected.ts
+++ b/src/core/serving/fair_queue/select_rejected.ts
@@ -1,8 +1,8 @@
 import type {RequestRecord, ServingStep} from '../types.js';
 import {estimateRatePerS} from './estimate_rate_per_s.js';
 import {isOverServed} from './is_over_served.js';
+import {isPoolShared} from './is_pool_shared.js';
 import {resolveServiceTags} from './resolve_service_tags.js';
-import {resolveWeights} from './resolve_weights.js';
 
 const MS_PER_S = 1000;
 /** A request is refused only if the queue needs this multiple of its remaining wait: the rate is an estimate, and other requests leave the queue. */
@@ -24,7 +24,7 @@
   pool: string,
   waiting: readonly RequestRecord[],
 ): RequestRecord[] {
-  if (waiting.length <= MIN_QUEUE || !resolveWeights(state)) return [];
+  if (waiting.length <= MIN_QUEUE || !isPoolShared(state, pool)) return [];
   const ratePerS = estimateRatePerS(state, pool, nowMs);
   if (ratePerS === undefined) return [];
   const served = ({waitDeadlineAtMs}: RequestRecord) =>
--- a/src/core/serving/fair_queue/update_level.ts
+++ b/src/core/serving/fair_queue/update_level.ts
@@ -37,7 +37,8 @@
     mostService = service;
     most = id;
   }
-  work.levelTokens = weightSum > 0 ? tokens / weightSum : Infinity;
+  // An organisation that has the pool to itself takes nothing from others.
+  work.levelTokens = active.size > 1 ? tokens / weightSum : Infinity;
   if (mostService < LOG_FACTOR * work.levelTokens) most = undefined;
   if (most === work.overServed) return;
   if (nowMs - work.overServedLoggedAtMs < LOG_INTERVAL_MS) return;
