--- a/test/units/serving/fair_queue_decisions.test.ts
+++ b/test/units/serving/fair_queue_decisions.test.ts
@@ -141,6 +141,24 @@
   });
 });
 
+describe('a pool that one organisation uses with one priority', () => {
+  // Guards against a change of order and refusals where nothing is shared.
+  it('is served and refused as without the mechanism', () => {
+    const step = createStep(3);
+    const {nowMs} = step;
+    const stream = createRecord(0, nowMs, {
+      hasPartialResponse: true,
+      goalAtMs: nowMs - 500,
+    });
+    const waiting = [stream, ...createRecords(80, 0, nowMs)];
+    step.state.waitingByPool.set(POOL, waiting);
+    fairQueue.order(step, POOL, waiting);
+    assert.equal(waiting.at(-1), stream);
+    assert.deepEqual(fairQueue.selectRejected(step, POOL, waiting), []);
+    assert.equal(fairQueue.bookRoomMs(step, POOL), undefined);
+  });
+});
+
 describe('the queue of a target', () => {
   // Guards against a level of an earlier time, which makes a single organisation over-served when its traffic grows.
   it('is open to an organisation that has the pool to itself, and closed to an over-served one', () => {
@@ -163,7 +181,10 @@
   it('keeps late requests that can be served within their wait', () => {
     const step = createStep(2);
     const {nowMs} = step;
-    const waiting = createRecords(15, 0, nowMs, {goalAtMs: nowMs - 100});
+    const waiting = [
+      ...createRecords(14, 0, nowMs, {goalAtMs: nowMs - 100}),
+      createRecord(1, nowMs, {goalAtMs: nowMs - 100}),
+    ];
     fairQueue.order(step, POOL, waiting);
     assert.deepEqual(fairQueue.selectRejected(step, POOL, waiting), []);
   });
@@ -212,7 +233,9 @@
   it('refuses only requests that have not run', () => {
     const step = createStep(2);
     const {nowMs} = step;
-    const waiting = createRecords(80, 0, nowMs, {verdict: 'may-have-run'});
+    const waiting = [0, 1].flatMap(at =>
+      createRecords(40, at, nowMs, {verdict: 'may-have-run'}),
+    );
     fairQueue.order(step, POOL, waiting);
     assert.deepEqual(fairQueue.selectRejected(step, POOL, waiting), []);
   });
@@ -221,7 +244,9 @@
   it('gives successive times at which there is room', () => {
     const step = createStep(2);
     const {state, nowMs} = step;
-    state.waitingByPool.set(POOL, createRecords(20, 0, nowMs));
+    const waiting = [0, 1].flatMap(at => createRecords(10, at, nowMs));
+    state.waitingByPool.set(POOL, waiting);
+    fairQueue.order(step, POOL, waiting);
     const times = [1, 2, 3].map(() => fairQueue.bookRoomMs(step, POOL)!);
     // 20 waiting requests at 20 a second, and one more for each refusal.
     assert.ok(times[0]! > 900 && times[0]! < 1250, `first ${times[0]}`);
