--- a/src/core/serving/apply_digest.ts
+++ b/src/core/serving/apply_digest.ts
@@ -7,6 +7,7 @@
 import {applyEvacuationReport} from './evacuation/index.js';
 import {applyPaceReports} from './pace/index.js';
 import {applyFleet} from './apply_fleet.js';
+import {recordPeerWork, subtractOwnWork} from './fair_queue/index.js';
 import {logDecision} from './log_decision.js';
 import {applyLimitReports, recordPeerSends} from './rate_limits/index.js';
 import {applyPredecessors} from './retries/index.js';
@@ -57,6 +58,7 @@
   addPeerLoads(state, digest.loads, 1);
   applyTargetProgress(state, digest, nowMs);
   recordPeerSends(state, key, digest.loads, nowMs);
+  recordPeerWork(state, key, subtractOwnWork(state, digest, nowMs), nowMs);
   const hasRoster = digest.roster.length > 0;
   const view: PeerView = {
     digest,
--- a/src/core/serving/create_digest.ts
+++ b/src/core/serving/create_digest.ts
@@ -3,6 +3,7 @@
 import {listColdReports} from './coldness/index.js';
 import {listCrashEvidence} from './crashes/index.js';
 import {createEvacuationReport} from './evacuation/index.js';
+import {listWorkRows} from './fair_queue/index.js';
 import {isSlow} from './is_slow.js';
 import {toAgeMs} from './to_age_ms.js';
 import {listLeavingReports} from './announcements/index.js';
@@ -95,6 +96,7 @@
     }));
   const {readAtMs} = state.evacuation;
   const evacuation = createEvacuationReport(state, readAtMs, nowMs);
+  const work = listWorkRows(state, nowMs);
   return {
     scope: 'node',
     nodeCount: 1,
@@ -126,6 +128,7 @@
     limits: listLimitReports(state, nowMs),
     paces: listPaceReports(state, nowMs),
     coldEngines: listColdReports(state, {isSummary: false}, nowMs),
+    ...(work && {work}),
     predecessors: listPredecessors(state, nowMs),
     ...listCrashEvidence(state, hasNewPeer(state, nowMs), nowMs),
     lostEngines,
--- a/src/core/serving/create_serving_state.ts
+++ b/src/core/serving/create_serving_state.ts
@@ -5,6 +5,7 @@
 import {createCrashState} from './crashes/index.js';
 import {createEvacuationState} from './evacuation/index.js';
 import {createExchangeState} from './relays/create_exchange_state.js';
+import {createFairQueueState} from './fair_queue/index.js';
 import {createFleetSizeState} from './fleet_size/index.js';
 import {createForwardingState} from './forwarding/index.js';
 import {createPaceState} from './pace/index.js';
@@ -94,6 +95,7 @@
     requestsByAttempt: new Map(),
     forwarding: createForwardingState(),
     waitingByPool: new Map(),
+    fairQueue: createFairQueueState(),
     retries: createRetryState(),
     crashes: createCrashState(),
     hasExited: false,
--- a/src/core/serving/expire_state.ts
+++ b/src/core/serving/expire_state.ts
@@ -14,6 +14,7 @@
 import {crashDetection, expireCrashes} from './crashes/index.js';
 import {expireEvacuations} from './evacuation/index.js';
 import {expirePace} from './pace/index.js';
+import {expireWork} from './fair_queue/index.js';
 import {expireLimits} from './rate_limits/index.js';
 import {markTargetsStale} from './mark_targets_stale.js';
 import {markSettledEra, relistAfterRestore} from './restore/index.js';
@@ -49,6 +50,7 @@
   expireAnnouncements(state, nowMs);
   expireLimits(state, nowMs);
   expireEvacuations(step);
+  expireWork(state, nowMs);
   for (const [vmId, {atMs}] of state.departedEngines) {
     if (nowMs - atMs > DEPARTED_RETENTION_MS)
       state.departedEngines.delete(vmId);
--- a/src/core/serving/send_attempt.ts
+++ b/src/core/serving/send_attempt.ts
@@ -8,6 +8,7 @@
 import type {RetryUsage} from './retries/types.js';
 import {count} from './count.js';
 import {recordColdSend} from './coldness/index.js';
+import {fairQueue} from './fair_queue/index.js';
 import {logDecision} from './log_decision.js';
 import {makeId} from '../ids/index.js';
 import {findRunTarget, keepSilentRun} from './hedges/index.js';
@@ -50,6 +51,7 @@
   };
   recordSent(state, record.pool, target.vmId, nowMs);
   recordSend(state, target.vmId, nowMs);
+  fairQueue.recordAdmitted(step, record);
   load.unreadTokens += request.promptTokens;
   load.unstartedCount += 1;
   record.arrivalCount += 1;
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -4,6 +4,7 @@
 import type {ClosedBody} from './closes/types.js';
 import type {CrashState} from './crashes/types.js';
 import type {EvacuationState} from './evacuation/types.js';
+import type {FairQueueState} from './fair_queue/types.js';
 import type {FleetSizeState} from './fleet_size/types.js';
 import type {ExchangeState, PeerView, PeerLoad} from './peers/types.js';
 import type {AccessConfig, Route} from '../access/types.js';
@@ -212,6 +213,8 @@
   readonly loadWindowMs: number;
   /** How long the store keeps an engine's entry after its last heartbeat. */
   readonly listingMs: number;
+  /** Organisations in the configuration from which pools that are short of capacity are shared fairly; 2 by default. */
+  readonly minOrganisations?: number;
   /** Time within which an evacuated zone gets no more requests; undefined: zones can't be evacuated. */
   readonly evacuateMs?: number;
   /** Requests that may reach a cold engine in a second, from all nodes together: this factor on the rate of its service, plus the tolerance. Undefined: cold engines are not limited. */
@@ -342,6 +345,8 @@
   readonly forwarding: ForwardingState;
   /** Requests without a target, by pool. */
   readonly waitingByPool: Map<string, RequestRecord[]>;
+  /** Recent use of the pools by organisations, of this node and its peers. */
+  readonly fairQueue: FairQueueState;
   readonly retries: RetryState;
   /** Evidence of crashes that requests cause. */
   readonly crashes: CrashState;
--- a/src/metrics/metric_definitions.ts
+++ b/src/metrics/metric_definitions.ts
@@ -118,6 +118,11 @@
     help: 'Targets that this node began to use slowly, by service.',
     labels: ['service'],
   },
+  shedRequests: {
+    kind: 'counter',
+    help: 'Waiting requests that were refused since the queue was longer than what the pool serves in time, by service and priority.',
+    labels: ['service', 'priority'],
+  },
   turnedAway: {
     kind: 'counter',
     help: 'Requests that were answered on arrival without a dispatch, by reason.',
--- a/src/replay/serving/create_serving_config.ts
+++ b/src/replay/serving/create_serving_config.ts
@@ -3,6 +3,7 @@
   Route,
   ServiceSpec,
 } from '../../core/access/types.js';
+import type {AccessOptions} from './types.js';
 import type {OrganisationId, ServiceName} from '../../core/ids/index.js';
 import {SERVING_MODELS} from './serving_models.js';
 import {indexRoutes} from '../../core/access/index.js';
@@ -13,6 +14,7 @@
 /** Creates a configuration of one service with two models and three streaming routes. */
 export function createServingConfig(
   service: ServiceName,
+  {organisationsByKey, priorities}: AccessOptions = {},
   spec: Partial<ServiceSpec> = {},
   largeSize = 6,
 ): AccessConfig {
@@ -31,7 +33,7 @@
     timeoutMs,
     goalMs,
     gapGoalMs,
-    priority: 1,
+    priority: priorities?.[name] ?? 1,
     maxAttempts: 2,
     shares: [{service, weight: 1}],
   });
@@ -47,7 +49,7 @@
   return {
     version: 1,
     routesByHost: indexRoutes(routes),
-    organisationsByKey: new Map(organisations),
+    organisationsByKey: organisationsByKey ?? new Map(organisations),
     limits: {
       maxHeaderBytes: 16_384,
       maxBodyBytes: 4_194_304,
--- a/src/replay/serving/serving_world.ts
+++ b/src/replay/serving/serving_world.ts
@@ -7,6 +7,7 @@
   ZoneId,
 } from '../../core/ids/index.js';
 import type {
+  AccessOptions,
   CallerOutcome,
   CrashingPartEvent,
   EngineWorld,
@@ -73,6 +74,8 @@
   readonly zoneCount?: number;
   /** Number of cores of the node with index `at`; 1 by default. */
   readonly coreCountOf?: (at: number) => number;
+  /** Organisations and priorities; four organisations of equal priority by default. */
+  readonly access?: AccessOptions;
   /** Share of orders, 0 to 1, that time out and are executed seconds later. */
   readonly lateOrderShare?: number;
   /** Engines of a replica of the large model; 6 by default. */
@@ -144,6 +147,7 @@
     const {service, hidesColdness} = options;
     this.config = createServingConfig(
       SERVICE,
+      options.access,
       {
         ...service,
         ...(hidesColdness && {coldMs: undefined, coldRequestsPerS: undefined}),
@@ -166,7 +170,7 @@
     this.callers = new SimulatedCallers({
       time: this.time,
       config: this.config,
-      dispatchToRandomNode: request => this.dispatchToRandomNode(request),
+      dispatchToNode: (request, at) => this.dispatchToNode(request, at),
     });
     this.forwards = new SimulatedForwards({
       callers: this.callers,
@@ -584,10 +588,16 @@
     }
   }
 
-  /** Returns the node; undefined if none is running. */
-  private dispatchToRandomNode(request: ServingRequest): NodeId | undefined {
+  /** Sends a request to the node with index `at`, by default a random one, and returns it; undefined if none is running. */
+  private dispatchToNode(
+    request: ServingRequest,
+    at: number | undefined,
+  ): NodeId | undefined {
     const nodes = this.nodes.filter(
-      node => node.isUp && this.acceptsCallers(node),
+      (node, index) =>
+        node.isUp &&
+        this.acceptsCallers(node) &&
+        (at === undefined || at === index),
     );
     const node = nodes[this.random.nextInt(nodes.length)];
     if (!node) return undefined;
--- a/src/serving/digest_codec.ts
+++ b/src/serving/digest_codec.ts
@@ -16,6 +16,7 @@
 import {paceRows} from './pace_rows.js';
 import {retryRows} from './retry_rows.js';
 import {toCount} from './to_count.js';
+import {workRows} from './work_rows.js';
 
 /** Version of the datagram format; datagrams of other versions are dropped. */
 const FORMAT_VERSION = 6;
@@ -71,7 +72,8 @@
     ReturnType<typeof limitRows.encode>,
     ReturnType<typeof evacuationRows.encode>,
     ReturnType<typeof coldRows.encode>,
-    ReturnType<typeof paceRows.encode> {
+    ReturnType<typeof paceRows.encode>,
+    ReturnType<typeof workRows.encode> {
   /** Format version. */
   readonly v: number;
   /** Index of the digest's scope. */
@@ -168,6 +170,7 @@
       ...evacuationRows.encode(digest.evacuation),
       ...coldRows.encode(digest.coldEngines),
       ...paceRows.encode(digest.paces),
+      ...workRows.encode(digest.work),
     };
     const bytes = Buffer.from(JSON.stringify(datagram));
     const isCompressed = bytes.length > COMPRESS_ABOVE_BYTES;
@@ -284,6 +287,7 @@
       ...evacuationRows.decode(datagram),
       ...coldRows.decode(datagram),
       ...paceRows.decode(datagram),
+      ...workRows.decode(datagram),
     };
   },
 };
