--- a/test/support/node_process.ts
+++ b/test/support/node_process.ts
@@ -25,6 +25,8 @@
   /** Program below `dist/`; the deployed one by default. */
   readonly script?: string;
   readonly environment?: Readonly<Record<string, string>>;
+  /** Further fields of the settings file. */
+  readonly settings?: Readonly<Record<string, unknown>>;
 }
 
 /** The deployed program as a process of its own, in front of a stand-in of the store. */
@@ -71,6 +73,7 @@
           'budget-window-s': 10,
         },
         platform: {address: storeAddress},
+        ...options.settings,
       }),
     );
     const process = new TestProcess(script, [], {
@@ -93,6 +96,14 @@
     return this.process.exitCode !== null;
   }
 
+  get pid(): number {
+    return this.process.pid;
+  }
+
+  get exitCode(): number | null {
+    return this.process.exitCode;
+  }
+
   get output(): string {
     return this.process.output;
   }
