Limits on clients that exceed those of the platform, at all listeners

Cause: Node.js parses all requests of a read, up to thousands, and goes on reading while answers are unread; every small body and every small answer had memory of its own; nothing bounded the connections, or what callers leave unread; parts of one byte cost some 5 us each, and a read of 64 KB was parsed at once.

Change, shared by the six listeners in src/serving/clients: connections are parsed in small steps, and held while four requests are in progress or an answer is unread; held ones get one turn of the event loop each, since libuv accepts one connection in a turn. Connections have a share per listener of the descriptors, and the oldest unused or idle one goes first, then a stalled one. Bodies and unread answers have totals; small ones have a reserve; stalled ones are ended first. Answers of engines that are being received have a reserve instead of 256 KB each. Limits are settings (client-limits), with a counter and a bounded log line.

Ruled out: dropping requests behind a limit while Node.js parses on (a chunk of 64 KB still took some 30 ms, and 60 such clients kept an ordinary request waiting over 30 s); pausing bodies only after 1,024 parts (an ordinary request waited 11 s).

--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -9,3 +9,4 @@
 export {sendJson} from './send_json.js';
 export {sendRefusal} from './send_refusal.js';
 export {splitAddress} from './split_address.js';
+export type {BodyReservation} from './types.js';
--- a/src/http/read_body.ts
+++ b/src/http/read_body.ts
@@ -1,33 +1,43 @@
 import type {IncomingMessage} from 'node:http';
+import type {BodyReservation} from './types.js';
 import {BodyParts} from './body_parts.js';
 
-/** 'broken': the connection closed or failed before the end of the body. 'no-memory': `reserve` returned false. */
-type BodyFault = 'too-large' | 'no-memory' | 'broken';
+/** 'broken': the connection closed or failed before the end of the body. 'no-memory' and 'stalled': its reservation ended. */
+type BodyFault = 'too-large' | 'no-memory' | 'stalled' | 'broken';
 
-/** Reads a complete request body into memory, which `reserve` is asked for. Never rejects; failures resolve to a fault. */
+/** Reads a complete request body into memory that it reserves. Never rejects; failures resolve to a fault. */
 export function readBody(
   message: IncomingMessage,
   limitBytes: number,
-  reserve: (sizeBytes: number) => boolean = () => true,
+  reservation?: BodyReservation,
 ): Promise<Buffer | BodyFault> {
   return new Promise(resolve => {
     const parts = new BodyParts();
     let sizeBytes = 0;
-    let isDropped = false;
+    let isOver = false;
     const drop = (fault: BodyFault) => {
-      isDropped = true;
+      isOver = true;
       parts.clear();
       resolve(fault);
     };
+    reservation?.onRefused(fault => {
+      if (!isOver) drop(fault);
+    });
     message.on('data', (chunk: Buffer) => {
-      if (isDropped) return;
+      if (isOver) return;
       sizeBytes += chunk.length;
       if (sizeBytes > limitBytes) drop('too-large');
-      else if (!reserve(chunk.length)) drop('no-memory');
+      else if (reservation?.add(chunk.length) === false) drop('no-memory');
       else parts.add(chunk);
     });
-    message.on('end', () => resolve(parts.join()));
-    message.on('error', () => resolve('broken'));
-    message.on('close', () => resolve('broken'));
+    message.on('end', () => {
+      if (isOver) return;
+      isOver = true;
+      resolve(parts.join());
+    });
+    message.on('error', () => drop('broken'));
+    message.on('close', () => {
+      if (!isOver) drop('broken');
+    });
   });
 }
--- a/src/metrics/metric_definitions.ts
+++ b/src/metrics/metric_definitions.ts
@@ -108,6 +108,11 @@
     help: 'Requests that were answered on arrival without a dispatch, by reason.',
     labels: ['reason'],
   },
+  clientLimits: {
+    kind: 'counter',
+    help: 'Connections closed and requests refused because clients exceeded a limit, by listener and reason.',
+    labels: ['listener', 'reason'],
+  },
   eventGapMs: {
     kind: 'histogram',
     help: 'Time between parts of a stream that reached this node, by service.',
--- a/src/serving/attempt_client.ts
+++ b/src/serving/attempt_client.ts
@@ -18,11 +18,12 @@
 const IDLE_SOCKET_TIMEOUT_MS = 4000;
 
 const MIB = 1024 * 1024;
-/** Buffered responses: those of all services are far smaller, and together they may take one sixteenth of the memory of the smallest nodes. */
+/** Buffered responses: those of all services are far smaller, and together they may take one eleventh of the memory of the smallest nodes. */
 const RESPONSE_LIMITS = {
   itemBytes: 4 * MIB,
   totalBytes: 12 * MIB,
-  alwaysBytes: MIB / 4,
+  smallBytes: MIB / 4,
+  reserveBytes: 6 * MIB,
 };
 
 /** Sends requests to targets and forwards their responses to the callers. */
--- a/src/serving/buffer_budget.ts
+++ b/src/serving/buffer_budget.ts
@@ -4,8 +4,10 @@
   readonly itemBytes: number;
   /** All items together. */
   readonly totalBytes: number;
-  /** Items up to this size are buffered whatever the others take. */
-  readonly alwaysBytes: number;
+  /** Items up to this size may use the reserve. */
+  readonly smallBytes: number;
+  /** What small items may take besides the total. */
+  readonly reserveBytes: number;
 }
 
 interface BufferedItem {
@@ -15,7 +17,7 @@
   close(): void;
 }
 
-/** Bounds the memory of what a node buffers, such as the bodies of requests or of responses. */
+/** Bounds the memory of what a node buffers, such as the bodies of responses. */
 export class BufferBudget {
   private usedBytes = 0;
 
@@ -23,14 +25,15 @@
 
   /** Starts one item, to be ended with `close`. */
   open(): BufferedItem {
-    const {itemBytes, totalBytes, alwaysBytes} = this.limits;
+    const {itemBytes, totalBytes, smallBytes, reserveBytes} = this.limits;
     let sizeBytes = 0;
     return {
       add: moreBytes => {
         sizeBytes += moreBytes;
         this.usedBytes += moreBytes;
-        if (sizeBytes <= alwaysBytes) return true;
-        return sizeBytes <= itemBytes && this.usedBytes <= totalBytes;
+        const isSmall = sizeBytes <= smallBytes;
+        const limitBytes = totalBytes + (isSmall ? reserveBytes : 0);
+        return sizeBytes <= itemBytes && this.usedBytes <= limitBytes;
       },
       close: () => {
         this.usedBytes -= sizeBytes;
--- a/src/serving/caller_call.ts
+++ b/src/serving/caller_call.ts
@@ -7,6 +7,16 @@
 
 import {forwardHeaders} from './forward_headers.js';
 
+/** Larger answers are written in parts, so that it shows whether the caller reads. */
+const PART_BYTES = 64 * 1024;
+/** What a paused response of a target may hold besides. */
+const PAUSED_BYTES = 64 * 1024;
+
+/** Counts what the caller leaves unread. */
+interface UnreadCount {
+  update(sizeBytes: number): void;
+}
+
 /** An open request of a caller, and the response to it. */
 export class CallerCall {
   /** Id of the last server-sent event that the caller has received; undefined when it has none. */
@@ -15,6 +25,7 @@
   isEnded = false;
   /** Parts of the response that attempts have claimed. */
   claimCount = 0;
+  unread?: UnreadCount;
   private failure?: {
     readonly status: number;
     readonly headers: OutgoingHttpHeaders;
@@ -57,11 +68,18 @@
   /** Sends a part of the body. Returns false when the caller reads slower than the target writes; continue after `onDrain`. */
   write(bytes: Buffer): boolean {
     if (this.isEnded) return true;
-    return this.response.write(bytes);
+    const isFlushed = this.response.write(bytes);
+    if (!isFlushed) {
+      this.unread?.update(this.response.writableLength + PAUSED_BYTES);
+    }
+    return isFlushed;
   }
 
   onDrain(listener: () => void): void {
-    this.response.once('drain', listener);
+    this.response.once('drain', () => {
+      this.unread?.update(0);
+      listener();
+    });
   }
 
   /** Ends a response whose head has been sent. */
@@ -79,7 +97,12 @@
       this.withConnection({...headers, 'content-length': body.length}),
     );
     this.isEnded = true;
+    if (body.length > PART_BYTES) {
+      this.sendFrom(body, 0);
+      return;
+    }
     this.response.end(body);
+    this.updateUnread(0);
   }
 
   /** Stores a target's error response, which is sent if no other target responds. */
@@ -113,6 +136,30 @@
     else socket.write('', () => socket.resetAndDestroy());
   }
 
+  /** Writes the rest of a body as the caller reads it. */
+  private sendFrom(body: Buffer, from: number): void {
+    const {response} = this;
+    if (response.destroyed) return;
+    let at = from;
+    while (at < body.length) {
+      const part = body.subarray(at, at + PART_BYTES);
+      at += part.length;
+      if (response.write(part) || at === body.length) continue;
+      this.updateUnread(body.length - at);
+      response.once('drain', () => this.sendFrom(body, at));
+      return;
+    }
+    response.end();
+    this.updateUnread(0);
+  }
+
+  private updateUnread(restBytes: number): void {
+    const {writableLength} = this.response;
+    if (restBytes > 0 || writableLength > 0) {
+      this.unread?.update(restBytes + writableLength);
+    }
+  }
+
   private withConnection(headers: OutgoingHttpHeaders): OutgoingHttpHeaders {
     return {
       ...(this.isForwarded ? forwardHeaders.writeAnswer() : {}),
--- a/src/serving/create_serving_node.ts
+++ b/src/serving/create_serving_node.ts
@@ -14,6 +14,9 @@
 } from '../core/serving/types.js';
 import {AttemptClient} from './attempt_client.js';
 import {CatchUp} from './catch_up.js';
+import {ConnectionTable} from './clients/connection_table.js';
+import {LimitLog} from './clients/limit_log.js';
+import {createListenerLimits} from './clients/create_listener_limits.js';
 import {SuspendAwareClock} from '../runtime/suspend_aware_clock.js';
 import {PeerSync} from './peer_sync.js';
 import {CountedStore} from './counted_store.js';
@@ -44,6 +47,8 @@
 const TICK_MS = 50;
 /** Interval at which idle connections to removed engines are closed. */
 const SWEEP_INTERVAL_MS = 2000;
+/** Interval of the checks of clients' connections. */
+const CLIENT_SWEEP_INTERVAL_MS = 500;
 const MAX_SEED = 2 ** 31;
 /** Time after SIGTERM until new connections are refused; callers have switched to other nodes by then. */
 const STOP_LISTENING_DELAY_MS = 3000;
@@ -116,7 +121,11 @@
       }),
     catchUp,
   );
+  const limits = settings.clientLimits ?? createListenerLimits();
+  const limitLog = new LimitLog(metrics, logger);
+  const connections = new ConnectionTable(limits, clock, limitLog);
   const context: ServingContext = {
+    clients: {limits, connections, limitLog, clock},
     settings,
     wire,
     store,
@@ -166,6 +175,10 @@
   peerSync.start();
   sharedTimer.runEvery(TICK_MS, () => events.dispatch({type: 'tick'}));
   sharedTimer.runEvery(SWEEP_INTERVAL_MS, () => attempts.sweep());
+  sharedTimer.runEvery(CLIENT_SWEEP_INTERVAL_MS, () => {
+    front.sweep();
+    connections.sweep();
+  });
   sharedTimer.start();
   const closeAll = async () => {
     sharedTimer.close();
@@ -183,6 +196,7 @@
     ];
     const servers = [status, directory, documents, metricsServer];
     await Promise.allSettled([...parts, ...servers].map(part => part.close()));
+    connections.close();
     await store.close();
   };
   events.addHandler({
--- a/src/serving/directory_server.ts
+++ b/src/serving/directory_server.ts
@@ -1,5 +1,6 @@
-import {createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {ServingContext, ServingComponent} from './types.js';
+import {createLimitedServer} from './clients/create_limited_server.js';
 import {listenOn} from './listen_on.js';
 import {resolveEntries} from '../core/serving/index.js';
 
@@ -8,7 +9,26 @@
 
 /** Serves the addresses of the nodes that accept requests to callers. Responds with 503 while this node can't determine them. */
 export class DirectoryServer implements ServingComponent {
-  private readonly server = createServer((message, response) => {
+  private readonly server: Server;
+  constructor(private readonly context: ServingContext) {
+    this.server = createLimitedServer(
+      context.clients.connections,
+      'directory',
+      (message, response) => this.answer(message, response),
+    );
+  }
+
+  listen(): Promise<void> {
+    return listenOn(this.server, this.context.settings.listen.directory);
+  }
+
+  close(): Promise<void> {
+    this.server.close();
+    this.server.closeAllConnections();
+    return Promise.resolve();
+  }
+
+  private answer(message: IncomingMessage, response: ServerResponse): void {
     const {wire, state, clock, settings} = this.context;
     response.sendDate = false;
     const [path, query] = (message.url ?? '').split('?');
@@ -33,17 +53,5 @@
         'content-length': Buffer.byteLength(body),
       })
       .end(body);
-  });
-
-  constructor(private readonly context: ServingContext) {}
-
-  listen(): Promise<void> {
-    return listenOn(this.server, this.context.settings.listen.directory);
-  }
-
-  close(): Promise<void> {
-    this.server.close();
-    this.server.closeAllConnections();
-    return Promise.resolve();
   }
 }
--- a/src/serving/document_server.ts
+++ b/src/serving/document_server.ts
@@ -1,12 +1,12 @@
-import {createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {gzipSync} from 'node:zlib';
-import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {
   EngineList,
   ConfigCache,
   ServingContext,
   ServingComponent,
 } from './types.js';
+import {createLimitedServer} from './clients/create_limited_server.js';
 import {listenOn} from './listen_on.js';
 
 /** How long a compressed engine list is reused, because several nodes request it at once after the same change. */
@@ -23,15 +23,20 @@
 export class DocumentServer implements ServingComponent {
   private config?: CachedBody;
   private engines?: CachedBody;
-  private readonly server = createServer((message, response) => {
-    response.sendDate = false;
-    this.answer(message, response);
-  });
-
+  private readonly server: Server;
   constructor(
     private readonly context: ServingContext,
     private readonly configCache: ConfigCache,
-  ) {}
+  ) {
+    this.server = createLimitedServer(
+      context.clients.connections,
+      'documents',
+      (message, response) => {
+        response.sendDate = false;
+        this.answer(message, response);
+      },
+    );
+  }
 
   listen(): Promise<void> {
     return listenOn(this.server, this.context.settings.listen.documents);
--- a/src/serving/front_server.ts
+++ b/src/serving/front_server.ts
@@ -1,16 +1,21 @@
-import {createHash, randomBytes} from 'node:crypto';
-import {createServer} from 'node:http';
+import {randomBytes} from 'node:crypto';
 import type {EffectHandler} from '../runtime/types.js';
-import type {Fingerprint, RequestId} from '../core/ids/index.js';
+import type {RequestId} from '../core/ids/index.js';
 import type {
   IncomingMessage,
   OutgoingHttpHeaders,
+  Server,
   ServerResponse,
 } from 'node:http';
 import type {CallerHead, ServingContext} from './types.js';
 import type {ServingEffect} from '../core/serving/types.js';
 import type {ForwardSource} from '../core/serving/forwarding/types.js';
-import {BufferBudget} from './buffer_budget.js';
+import {BodyBudget} from './clients/body_budget.js';
+import {UnreadAnswers} from './clients/unread_answers.js';
+import {createLimitedServer} from './clients/create_limited_server.js';
+import {fingerprintOf} from './clients/fingerprint_of.js';
+import {headerBytesOf} from './clients/header_bytes_of.js';
+import {hostOf} from './clients/host_of.js';
 import {forwardHeaders} from './forward_headers.js';
 import {CallerCall} from './caller_call.js';
 import {listenOn} from './listen_on.js';
@@ -20,31 +25,9 @@
 /** Defaults until the first configuration has been read. */
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
+const DEFAULT_HEADERS_TIMEOUT_MS = 3000;
 /** The HTTP parser rejects larger headers, whatever the configuration allows. */
 const MAX_HEADER_BYTES = 64 * 1024;
-const DEFAULT_HEADERS_TIMEOUT_MS = 10_000;
-/** Interval at which the server checks for connections that exceed the headers time-out. */
-const HEADERS_CHECK_INTERVAL_MS = 5000;
-/** Colon, space and line end of one header line. */
-const HEADER_OVERHEAD_BYTES = 4;
-const FINGERPRINT_LENGTH = 16;
-
-const SERVER_OPTIONS = {
-  maxHeaderSize: MAX_HEADER_BYTES,
-  headersTimeout: DEFAULT_HEADERS_TIMEOUT_MS,
-  connectionsCheckingInterval: HEADERS_CHECK_INTERVAL_MS,
-  requestTimeout: 0,
-  keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
-  noDelay: true,
-};
-
-const MIB = 1024 * 1024;
-/** Bodies of requests that are being received or running: with their copies a quarter of the memory of the smallest nodes. A body of the usual size is always read. */
-const BODY_LIMITS = {
-  itemBytes: Infinity,
-  totalBytes: 32 * MIB,
-  alwaysBytes: MIB / 16,
-};
 /** Bodies in front of a refused one are sent on, and their requests answered, within about this time. */
 const BODY_RETRY_AFTER_MS = 500;
 
@@ -65,25 +48,38 @@
 export class FrontServer implements EffectHandler<ServingEffect> {
   readonly types = ['refuse', 'cutAnswer'] as const;
   private readonly calls = new Map<RequestId, CallerCall>();
-  private readonly server = createServer(
-    SERVER_OPTIONS,
-    (request, response) => void this.handleRequest(request, response),
-  );
+  private readonly server: Server;
   /** For requests that other nodes pass on. */
-  private readonly forwardServer = createServer(
-    SERVER_OPTIONS,
-    (request, response) => {
-      const source = forwardHeaders.takeRequest(request.headers);
-      if (source) void this.handleRequest(request, response, source);
-      else response.writeHead(404, {connection: 'close'}).end();
-    },
-  );
-  private readonly bodyBudget = new BufferBudget(BODY_LIMITS);
+  private readonly forwardServer: Server;
+  private readonly bodies: BodyBudget;
+  private readonly unread: UnreadAnswers;
   private count = 0;
   /** Part of every request id; distinguishes the ids of this process from those after a restart. */
   private readonly incarnation = randomBytes(3).toString('hex');
 
-  constructor(private readonly context: ServingContext) {}
+  constructor(private readonly context: ServingContext) {
+    const {connections, limits, limitLog, clock} = context.clients;
+    this.bodies = new BodyBudget(limits, clock, limitLog);
+    this.unread = new UnreadAnswers(limits, clock, limitLog);
+    connections.onFull(listener => this.bodies.endStalled(listener));
+    const options = {maxHeaderSize: MAX_HEADER_BYTES};
+    this.server = createLimitedServer(
+      connections,
+      'callers',
+      (request, response) => void this.handleRequest(request, response),
+      options,
+    );
+    this.forwardServer = createLimitedServer(
+      connections,
+      'forwards',
+      (request, response) => {
+        const source = forwardHeaders.takeRequest(request.headers);
+        if (source) void this.handleRequest(request, response, source);
+        else response.writeHead(404, {connection: 'close'}).end();
+      },
+      options,
+    );
+  }
 
   async listen(): Promise<void> {
     const {callers, forwards} = this.context.settings.listen;
@@ -112,6 +108,11 @@
     call.send(status, headers, Buffer.from(JSON.stringify({error: reason})));
   }
 
+  /** Ends the bodies that have made no progress for too long. */
+  sweep(): void {
+    this.bodies.sweep();
+  }
+
   /** Closes the listener and idle connections; connections with a request in progress stay open. */
   stopListening(): void {
     for (const server of [this.server, this.forwardServer]) {
@@ -157,10 +158,12 @@
     const {context} = this;
     const arrivedAtMs = context.clock.nowMs();
     const limits = context.state.config?.limits;
-    this.server.keepAliveTimeout =
-      limits?.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS;
-    this.server.headersTimeout =
-      limits?.headerTimeoutMs ?? DEFAULT_HEADERS_TIMEOUT_MS;
+    for (const server of [this.server, this.forwardServer]) {
+      server.keepAliveTimeout =
+        limits?.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS;
+      server.headersTimeout =
+        limits?.headerTimeoutMs ?? DEFAULT_HEADERS_TIMEOUT_MS;
+    }
     response.sendDate = false;
     const head = context.wire.callers.readCaller(message.headers);
     const headerBytes = headerBytesOf(message);
@@ -179,13 +182,15 @@
       response.writeHead(400, {connection: 'close'}).end();
       return;
     }
-    const buffer = this.bodyBudget.open();
-    response.on('close', () => buffer.close());
+    const listener = forwarded ? 'forwards' : 'callers';
+    const reservation = this.bodies.open(listener);
+    response.on('close', () => reservation.close());
     const body = await readBody(
       message,
       limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
-      sizeBytes => buffer.add(sizeBytes),
+      reservation,
     );
+    reservation.complete();
     if (body === 'too-large') {
       context.logger.write('info', 'requests', 'body too large', {
         callerId: head.callerId,
@@ -204,6 +209,13 @@
       response.writeHead(503, {...headers, connection: 'close'}).end();
       return;
     }
+    if (body === 'stalled') {
+      context.logger.write('info', 'requests', 'request body stalled', {
+        callerId: head.callerId,
+      });
+      response.writeHead(408, {connection: 'close'}).end();
+      return;
+    }
     if (body === 'broken') {
       context.logger.write('info', 'requests', 'request body ended early', {
         callerId: head.callerId,
@@ -248,7 +260,12 @@
     }
     call.lastEventId = head.lastEventId;
     this.calls.set(requestId, call);
+    const unread = this.unread.open(forwarded ? 'forwards' : 'callers', () =>
+      message.socket.destroy(),
+    );
+    call.unread = unread;
     response.on('close', () => {
+      unread.close();
       this.calls.delete(requestId);
       if (call.isEnded) return;
       call.isEnded = true;
@@ -274,27 +291,3 @@
     });
   }
 }
-
-/** Size of the header lines as received. */
-function headerBytesOf({rawHeaders}: IncomingMessage): number {
-  const textBytes = rawHeaders.reduce((sum, text) => sum + text.length, 0);
-  return textBytes + (rawHeaders.length / 2) * HEADER_OVERHEAD_BYTES;
-}
-
-/** Host name of a Host header in lower case, without the port. */
-function hostOf(header: string | undefined): string {
-  return (header ?? '').replace(/:\d+$/, '').toLowerCase();
-}
-
-/** Identifies a request across retries: hash of its path, API key and body. */
-function fingerprintOf(
-  path: string,
-  head: CallerHead,
-  body: Buffer,
-): Fingerprint {
-  const hash = createHash('sha1')
-    .update(`${path}\n${head.apiKey ?? ''}\n`)
-    .update(body)
-    .digest('base64url');
-  return makeId<Fingerprint>(hash.slice(0, FINGERPRINT_LENGTH));
-}
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -14,6 +14,9 @@
 } from '../core/ids/index.js';
 import type {NodeMetrics} from '../metrics/types.js';
 import type {CatchUp} from './catch_up.js';
+import type {ConnectionTable} from './clients/connection_table.js';
+import type {LimitLog} from './clients/limit_log.js';
+import type {ListenerLimits} from './clients/types.js';
 import type {SharedTimer} from './shared_timer.js';
 import type {PlatformStore} from '../core/store/types.js';
 import type {
@@ -184,6 +187,8 @@
   /** Longest time for which callers may cache a directory response. */
   readonly maxKeepMs: number;
   readonly bounds: ServingBounds;
+  /** What clients may take of memory and descriptors; the limits of the smallest machine by default. */
+  readonly clientLimits?: ListenerLimits;
 }
 
 /** The newest configuration that this node has read, as the operator's original text; undefined text and version -1 before the first. */
@@ -212,6 +217,16 @@
   readonly metrics: NodeMetrics;
   readonly sharedTimer: SharedTimer;
   readonly catchUp: CatchUp;
+  /** Limits on clients, shared by all listeners. */
+  readonly clients: ClientLimits;
+}
+
+/** Limits on clients, and what enforces them at all listeners. */
+export interface ClientLimits {
+  readonly limits: ListenerLimits;
+  readonly connections: ConnectionTable;
+  readonly limitLog: LimitLog;
+  readonly clock: Clock;
 }
 
 /** A component of a node that holds resources, such as a listener or a lease, and releases them on close. */
--- a/test/units/platform_adapter/claimed_responses.test.ts
+++ b/test/units/platform_adapter/claimed_responses.test.ts
@@ -14,7 +14,12 @@
 import {makeId} from '../../../src/core/ids/index.js';
 import {waitFor} from '../../support/wait_for.js';
 
-const BUDGET = {itemBytes: 1e6, totalBytes: 1e6, alwaysBytes: 1e6};
+const BUDGET = {
+  itemBytes: 1e6,
+  totalBytes: 1e6,
+  smallBytes: 1e6,
+  reserveBytes: 1e6,
+};
 const EVENT_COUNT = 4;
 /** Longer than bytes take over the loopback. */
 const SETTLE_MS = 60;
