--- a/test/integration/client_bodies.test.ts
+++ b/test/integration/client_bodies.test.ts
@@ -12,6 +12,7 @@
   writeTinyChunks,
 } from '../support/crowd_writes.js';
 import type {Listener, Write} from '../support/crowd_writes.js';
+import {RawCaller} from '../support/raw_caller.js';
 import {LimitsWorld} from '../support/limits_world.js';
 import {waitFor} from '../support/wait_for.js';
 import {writeEndlessly} from '../support/write_endlessly.js';
@@ -19,6 +20,7 @@
 /** How long a crowd goes on before an ordinary client comes. */
 const CROWD_MS = 5000;
 const MAX_BODY_BYTES = 4_194_304;
+const MAX_HEADER_BYTES = 16_384;
 const SMALL_BODY_BYTES = 65_000;
 /** Interval at which a caller of large answers sends a further request, so that the answers don't all arrive at once. */
 const AHEAD_MS = 200;
@@ -145,6 +147,36 @@
       assert.equal(world.node.exitCode, 0, world.node.output.slice(-2000));
     });
 
+    // The limits must not reach a client that keeps those of the platform.
+    it('the largest request inside the limits is served while it is calm', async () => {
+      world = await LimitsWorld.start();
+      const more = 'x'.repeat(MAX_HEADER_BYTES - 500);
+      for (let count = 0; count < 3; count++) {
+        const answer = await world.call('x'.repeat(MAX_BODY_BYTES), {
+          'x-more': more,
+        });
+        assert.equal(answer.status, 200);
+      }
+      world.assertWithinMachine();
+    });
+
+    it('requests sent ahead within reason are answered in order', async () => {
+      world = await LimitsWorld.start();
+      const caller = new RawCaller(world.node.front);
+      await caller.open();
+      const ids = Array.from({length: 12}, (_, at) => `ahead-${at}`);
+      caller.send('sound/safe', ids, 'chunked');
+      const answered = await waitFor('all answers', () => {
+        const found = caller.received.matchAll(/x-attempt-id: (.*)\r\n/gi);
+        const all = [...found].map(([, id]) => id);
+        return all.length === ids.length ? all : undefined;
+      });
+      caller.close();
+      assert.deepEqual(answered, ids);
+      assert.equal(caller.received.match(/HTTP\/1.1 200/g)?.length, ids.length);
+      world.assertWithinMachine();
+    });
+
     async function openMixedCrowd(): Promise<void> {
       const head = world.headOf('sound');
       await send('ready', 20, writePipeline(world, 'ready'));
