Simulated engines that are down lose requests as before

Cause: the simulation answered requests that reach an engine which is already down with a broken connection, also where engines are never cold.

Change: only the request that crashes a cold engine breaks at once.

--- a/src/replay/serving/simulated_coldness.ts
+++ b/src/replay/serving/simulated_coldness.ts
@@ -38,18 +38,19 @@
     return Math.max(0, untilMs - this.options.nowMs());
   }
 
-  /** Counts a request that reaches an engine, which may crash it. */
-  recordArrival(vmId: VmId): void {
-    if (!this.leftMs(vmId)) return;
+  /** Counts a request that reaches an engine, and returns whether it crashes the engine. */
+  recordArrival(vmId: VmId): boolean {
+    if (!this.leftMs(vmId)) return false;
     const nowMs = this.options.nowMs();
     const times = [...(this.arrivalsMs.get(vmId) ?? []), nowMs].filter(
       atMs => nowMs - atMs < MS_PER_S,
     );
     this.arrivalsMs.set(vmId, times);
     this.busiest.set(vmId, Math.max(times.length, this.busiest.get(vmId) ?? 0));
-    if (times.length <= this.options.boundPerS) return;
+    if (times.length <= this.options.boundPerS) return false;
     this.crashCount += 1;
     this.untilMs.delete(vmId);
     this.options.crash(vmId);
+    return true;
   }
 }
--- a/src/replay/serving/simulated_network.ts
+++ b/src/replay/serving/simulated_network.ts
@@ -194,8 +194,7 @@
     }
     const arrive = () => {
       this.arrivals.push({atMs: nowMs(), requestId, vmId});
-      this.options.coldness.recordArrival(vmId);
-      if (!engine.isUp) {
+      if (this.options.coldness.recordArrival(vmId)) {
         report({type: 'attemptFailed', attemptId, fault: 'broken'});
         return;
       }
