A response whose status HTTP does not define is no answer

Engines in trouble send statuses that HTTP does not define. Those below 200 were invalid already; 600 and 999 were passed on with the engine's signature where a request runs once, and after the retries elsewhere. Interim responses were bounded by their bytes only.

A status outside of 200 to 599 is now an invalid response: retried where the route allows it, and 502 without the engine's headers. More than 32 interim responses are invalid too.

--- a/src/serving/running_attempt.ts
+++ b/src/serving/running_attempt.ts
@@ -29,8 +29,11 @@
 /** Reading a refusal that is larger, or takes longer, costs more than a new connection. */
 const MAX_REFUSAL_BYTES = 16 * 1024;
 const REFUSAL_TIMEOUT_MS = 250;
-/** Lower ones are interim responses, which the HTTP client handles, or no status at all. */
+/** Lower ones are interim responses, which the HTTP client handles, or no status at all; higher ones are not defined either (RFC 9110, section 15). */
 const MIN_FINAL_STATUS = 200;
+const MAX_FINAL_STATUS = 599;
+/** Engines send a few at most; one that sends them without end is no answer. */
+const MAX_INTERIM_RESPONSES = 32;
 const MIN_SERVER_ERROR_STATUS = 500;
 
 interface AttemptOptions {
@@ -119,6 +122,12 @@
         upstream.handleConnect(context.clock.nowMs() - startedAtMs);
       });
     });
+    let interimResponses = 0;
+    outgoing.on('information', () => {
+      interimResponses += 1;
+      if (interimResponses <= MAX_INTERIM_RESPONSES) return;
+      this.failGarbled('interim responses without end');
+    });
     outgoing.on('response', response => this.handleResponse(response));
     outgoing.on('error', error => this.failConnection(error.message));
     outgoing.end(call.body);
@@ -165,7 +174,7 @@
     const status = response.statusCode ?? 0;
     response.on('error', error => this.failConnection(error.message));
     response.on('close', () => this.failConnection('connection closed'));
-    if (status < MIN_FINAL_STATUS) {
+    if (status < MIN_FINAL_STATUS || status > MAX_FINAL_STATUS) {
       this.failGarbled(`status ${status}`);
       return;
     }
