--- a/src/core/serving/pace/learns_pace.ts
+++ b/src/core/serving/pace/learns_pace.ts
@@ -3,8 +3,9 @@
 
 /** Whether targets of a service start slowly. */
 export function learnsPace(
-  {config}: ServingState,
+  {config, bounds}: ServingState,
   service: ServiceName,
 ): boolean {
+  if (bounds.learnsPace === false) return false;
   return config?.services.get(service)?.learnsPace === true;
 }
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -215,6 +215,8 @@
   readonly listingMs: number;
   /** Organisations in the configuration from which pools that are short of capacity are shared fairly; 2 by default. */
   readonly minOrganisations?: number;
+  /** False: no target starts at a learned pace, whatever its service says. */
+  readonly learnsPace?: boolean;
   /** Time within which an evacuated zone gets no more requests; undefined: zones can't be evacuated. */
   readonly evacuateMs?: number;
   /** Requests that may reach a cold engine in a second, from all nodes together: this factor on the rate of its service, plus the tolerance. Undefined: cold engines are not limited. */
--- a/src/core/steward/rebalance_models.ts
+++ b/src/core/steward/rebalance_models.ts
@@ -47,7 +47,7 @@
   }
   steward.imbalancedSinceMs ??= nowMs;
   if (nowMs - steward.imbalancedSinceMs < IMBALANCE_MIN_MS) return;
-  if (nowMs - steward.reallocatedAtMs < resolveIntervalMs(step)) return;
+  if (isExchanging(step)) return;
   // Replicas in evacuated zones stay as they are: closing one frees no engine that gets requests.
   const tracks = [...steward.tracks.values()].filter(
     track => track.service === service && !isEvacuatedTrack(state, track),
@@ -99,11 +99,13 @@
   }
 }
 
-/** Minimum time between two exchanges. Measured shares show by how much one model lacks replicas, so the next one need not wait for the result of the last. */
-function resolveIntervalMs({state}: ServingStep): number {
-  return state.steward.workShares.size > 0
-    ? MEASURED_INTERVAL_MS
-    : RESERVATION_MS;
+/** Whether the last exchange is still under way. Measured shares show by how much a model lacks replicas, so the next one need not wait for its result. */
+function isExchanging({state, nowMs}: ServingStep): boolean {
+  const {workShares, reallocatedAtMs, reservedDomains} = state.steward;
+  if (workShares.size > 0) {
+    return nowMs - reallocatedAtMs < MEASURED_INTERVAL_MS;
+  }
+  return [...reservedDomains.values()].some(({untilMs}) => nowMs < untilMs);
 }
 
 /** Stages the recipient's weights on the hosts of the cold engines, which keep serving meanwhile. */
