--- a/src/core/serving/caller_timeouts/types.ts
+++ b/src/core/serving/caller_timeouts/types.ts
@@ -4,7 +4,7 @@
   readonly recentMs: number[];
   /** Number of time-outs recorded so far. */
   count: number;
-  /** Shortest time-out of a first attempt, as estimated; undefined before there are enough samples. */
+  /** Shortest time-out of a first attempt, as estimated; undefined before the first sample. */
   shortestFirstMs?: number;
   /** When `shortestFirstMs` was last updated. */
   updatedAtMs: number;
--- a/src/core/steward/complete_replica.ts
+++ b/src/core/steward/complete_replica.ts
@@ -53,7 +53,7 @@
   return false;
 }
 
-/** The open replica of the domain with the fewest engines that lack the weights of the neediest model; undefined if none is without such engines. */
+/** An open replica of the domain whose engines all have the weights of the neediest model; undefined if there is none. */
 function findDonorReplica(
   {state}: ServingStep,
   domain: string,
