Review case 10: streams reach engines that stood still after their clients left

Seen: 11 or 12 of 177 requests reach an engine over half a second after their clients had left. bash review/10/run.sh: exit 1 in 5 of 5 runs; with TROUBLE=0 exit 0.

--- a/review/lib-2/engine_process.mjs
+++ b/review/lib-2/engine_process.mjs
@@ -37,6 +37,12 @@
     return [...this.output.matchAll(/^run (\S+)/gm)].map(([, id]) => id);
   }
 
+  /** When it read each request, by the attempt's id. */
+  get readAtMs() {
+    const lines = this.output.matchAll(/^run (\S+) .* at (\d+)$/gm);
+    return new Map([...lines].map(([, id, atMs]) => [id, Number(atMs)]));
+  }
+
   /** Reports that it leaves. */
   drain() {
     this.state = 'draining';
--- a/review/lib-2/engine_program.mjs
+++ b/review/lib-2/engine_program.mjs
@@ -53,9 +53,8 @@
   }
   const isFramed = unframedLeft <= 0;
   unframedLeft -= 1;
-  console.log(
-    `run ${attemptId} ${isFramed ? 'in chunks' : 'without a length'}`,
-  );
+  const framing = isFramed ? 'in chunks' : 'without a length';
+  console.log(`run ${attemptId} ${framing} at ${Date.now()}`);
   const last = Number(/\r\nlast-event-id: (\d+)/i.exec(head)?.[1] ?? 0);
   socket.write(
     `HTTP/1.1 200 OK\r\nX-Attempt-Id: ${attemptId}\r\n` +
