--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -29,8 +29,44 @@
 
 export const sleep = ms => new Promise(resolve => setTimeout(resolve, ms));
 
-/** A loopback network of its own for this process, so that scripts can run side by side. */
-const NET = `127.${20 + (process.pid % 200)}`;
+/** The port of `metrics` in the deploy file, on each machine's own address. */
+const METRICS_PORT = 9464;
+const MAX_MACHINES = 8;
+const NETS = 200;
+
+async function listen(host, port) {
+  const server = createServer();
+  const error = new Promise(resolve => server.once('error', resolve));
+  const isOpen = once(server, 'listening').then(() => undefined);
+  isOpen.catch(() => {});
+  server.listen(port, host);
+  if (await Promise.race([isOpen, error])) return;
+  return server;
+}
+
+/** Finds a loopback network that no other script or program uses, and holds an address of it until this process ends. */
+async function findNet() {
+  for (let at = 0; at < NETS; at++) {
+    const net = `127.${20 + ((process.pid + at) % NETS)}`;
+    const held = await listen(`${net}.255.1`, METRICS_PORT);
+    if (!held) continue;
+    held.unref();
+    let isFree = true;
+    for (let machine = 1; machine <= MAX_MACHINES && isFree; machine++) {
+      const tried = await listen(`${net}.1.${machine}`, METRICS_PORT);
+      isFree = tried !== undefined;
+      if (tried) await new Promise(resolve => tried.close(resolve));
+    }
+    if (isFree) return net;
+    held.close();
+  }
+  throw new Error('no loopback network is free');
+}
+
+const NET = await findNet().catch(error => {
+  console.error(error.stack);
+  process.exit(2);
+});
 export const address = (zone, machine) => `${NET}.${zone}.${machine}`;
 
 export async function waitFor(what, check, ms = 20_000) {
@@ -163,7 +199,12 @@
 
   awaitReady() {
     return Promise.all(
-      this.all.map(one => waitFor(`ready ${one.name}`, one.isReady)),
+      this.all.map(one =>
+        waitFor(`ready ${one.name}`, one.isReady).catch(error => {
+          const end = JSON.stringify(one.ended ?? 'runs');
+          throw new Error(`${error.message}: ${end}, ${one.logs.slice(-2000)}`);
+        }),
+      ),
     );
   }
 
